--- /dev/null
+++ b/almondspool/__init__.py
@@ -0,0 +1,5 @@
+"""A query tier over many shards."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/almondspool/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""Protocol layer: typed messages, codecs and the outside interfaces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/almondspool/protocol/caller.py
@@ -0,0 +1,211 @@
+"""The callers' interface: request and answer types and their JSON form."""
+
+from __future__ import annotations
+
+import abc
+import enum
+from typing import Annotated, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from almondspool.codes import ResultCode
+from almondspool.errors import RequestError
+
+MAX_REQUEST_BYTES = 64 * 1024
+MAX_DEADLINE_MS = 60_000
+MAX_QUERY_TERMS = 32
+
+_Name = Annotated[str, Meta(min_length=1, max_length=128)]
+
+
+class SearchRequest(NamedTuple):
+    """A caller's request, decoded and checked.
+
+    Attributes:
+        request_id: The caller's own id; a retry repeats it.
+        team: The section whose index is searched.
+        caller: The caller's name, which decides its priority.
+        query: Required value by field name.
+        services: Services to search; empty for all of the team.
+        shard: The one shard of a non-idempotent request; empty for a search.
+        deadline_ms: Time left for the answer, in milliseconds; 0 for the section's.
+        idempotent: False for a request that must run at most once.
+        issued_at_ms: When the caller first made the request, in ms since the epoch;
+            required for a non-idempotent request, and repeated by its retries.
+    """
+
+    request_id: _Name
+    team: _Name
+    caller: Annotated[str, Meta(max_length=128)] = ""
+    query: Annotated[dict[str, str], Meta(max_length=MAX_QUERY_TERMS)] = {}
+    services: tuple[_Name, ...] = ()
+    shard: Annotated[str, Meta(max_length=256)] = ""
+    deadline_ms: Annotated[int, Meta(ge=0, le=MAX_DEADLINE_MS)] = 0
+    idempotent: bool = True
+    issued_at_ms: Annotated[int, Meta(ge=0)] = 0
+
+
+class ShardOutcome(enum.StrEnum):
+    """What became of one shard of an answer."""
+
+    ANSWERED = "answered"
+    LATE = "late"
+    FAILED = "failed"
+    NOT_SENT = "not_sent"
+
+
+class MissingShard(NamedTuple):
+    """A shard that is absent from an answer, and why."""
+
+    shard: str
+    outcome: ShardOutcome
+    code: ResultCode
+
+
+class Coverage(NamedTuple):
+    """Shards of the snapshot's map by outcome; the four counts add up to total."""
+
+    total: int
+    answered: int
+    late: int
+    failed: int
+    not_sent: int
+    missing: tuple[MissingShard, ...] = ()
+
+    def adds_up(self) -> bool:
+        """Return whether every shard is counted exactly once."""
+        counted = self.answered + self.late + self.failed + self.not_sent
+        return counted == self.total and len(self.missing) == self.total - self.answered
+
+
+NO_COVERAGE = Coverage(0, 0, 0, 0, 0)
+
+
+class Record(NamedTuple):
+    """One found record: its id and its fields by name."""
+
+    record_id: str
+    fields: dict[str, str]
+
+
+class SearchAnswer(NamedTuple):
+    """The one answer to a request.
+
+    Attributes:
+        request_id: The request's id.
+        code: OK, PARTIAL, or why there is no answer.
+        snapshot: The snapshot of every record; 0 if nothing ran.
+        generation: The document generation the request ran under.
+        coverage: Shards by outcome.
+        records: Found records ordered by id.
+        elapsed_ms: Time from arrival to answer, in milliseconds.
+        retry_after_ms: When to come back; 0 if there is no need to.
+        message: One line for people.
+        instance: The instance that answered.
+    """
+
+    request_id: str
+    code: ResultCode
+    snapshot: int = 0
+    generation: int = 0
+    coverage: Coverage = NO_COVERAGE
+    records: tuple[Record, ...] = ()
+    elapsed_ms: float = 0.0
+    retry_after_ms: int = 0
+    message: str = ""
+    instance: str = ""
+
+
+class Entry(NamedTuple):
+    """One address that callers may use."""
+
+    instance: str
+    address: str
+    zone: str
+
+
+class EntryList(NamedTuple):
+    """Addresses to use, nearest and least loaded first, and for how long.
+
+    Attributes:
+        entries: Addresses in order of preference.
+        ttl_ms: How long the caller may keep this list, in milliseconds.
+    """
+
+    entries: tuple[Entry, ...]
+    ttl_ms: int
+
+
+class CallerInterface(abc.ABC):
+    """What the tier offers callers; the wire form calls it."""
+
+    @abc.abstractmethod
+    def search(self, request: SearchRequest) -> SearchAnswer:
+        """Run one request and return its final answer."""
+
+    @abc.abstractmethod
+    def entries(self, zone: str) -> EntryList:
+        """Return the addresses a caller in a zone should use."""
+
+
+class _RequestBody(msgspec.Struct, forbid_unknown_fields=True):
+    request_id: _Name
+    team: _Name
+    caller: Annotated[str, Meta(max_length=128)] = ""
+    query: Annotated[dict[str, str], Meta(max_length=MAX_QUERY_TERMS)] = {}
+    services: tuple[_Name, ...] = ()
+    shard: Annotated[str, Meta(max_length=256)] = ""
+    deadline_ms: Annotated[int, Meta(ge=0, le=MAX_DEADLINE_MS)] = 0
+    idempotent: bool = True
+    issued_at_ms: Annotated[int, Meta(ge=0)] = 0
+
+
+def decode_request(body: bytes) -> SearchRequest:
+    """Decode and check a request's JSON body.
+
+    Raises:
+        RequestError: With REQUEST_TOO_LARGE, REQUEST_MALFORMED or FIELD_INVALID.
+    """
+    if len(body) > MAX_REQUEST_BYTES:
+        raise RequestError(
+            f"request of {len(body)} bytes exceeds {MAX_REQUEST_BYTES}",
+            ResultCode.REQUEST_TOO_LARGE,
+        )
+    try:
+        decoded = msgspec.json.decode(body, type=_RequestBody)
+    except msgspec.ValidationError as error:
+        raise RequestError(str(error), ResultCode.FIELD_INVALID) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestError(str(error), ResultCode.REQUEST_MALFORMED) from error
+    request = SearchRequest(*msgspec.structs.astuple(decoded))
+    if not request.idempotent:
+        _check_non_idempotent(request)
+    return request
+
+
+def _check_non_idempotent(request: SearchRequest) -> None:
+    if not request.shard:
+        raise RequestError(
+            "a non-idempotent request must name its shard", ResultCode.FIELD_INVALID
+        )
+    if not request.issued_at_ms:
+        raise RequestError(
+            "a non-idempotent request must give issued_at_ms", ResultCode.FIELD_INVALID
+        )
+
+
+def as_json_value(value: object) -> object:
+    """Return nested NamedTuples as dictionaries, for JSON."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {key: as_json_value(item) for key, item in value._asdict().items()}
+    if isinstance(value, (tuple, list)):
+        return [as_json_value(item) for item in value]
+    if isinstance(value, dict):
+        return {key: as_json_value(item) for key, item in value.items()}
+    return value
+
+
+def encode_answer(answer: SearchAnswer) -> bytes:
+    """Return an answer as JSON."""
+    return msgspec.json.encode(as_json_value(answer))
--- /dev/null
+++ b/almondspool/protocol/peer.py
@@ -0,0 +1,226 @@
+"""Messages between instances, their codec and their authentication."""
+
+from __future__ import annotations
+
+import hmac
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from almondspool.codes import ResultCode
+from almondspool.errors import PeerError
+from almondspool.protocol.upstream import Leg, LegResult
+from almondspool.state.members import Member
+
+PROTOCOL_VERSION = 1
+MAX_ENVELOPE_BYTES = 8 * 1024 * 1024
+SIGNATURE_BYTES = 32
+
+
+class LegAssignment(NamedTuple):
+    """A leg and the upstream that should run it."""
+
+    upstream_id: str
+    leg: Leg
+
+
+class LegBatch(NamedTuple):
+    """Legs that a holder of connections runs for the sender.
+
+    Attributes:
+        batch_id: Unique at the sender.
+        priority: Priority class of the request.
+        assignments: The legs.
+    """
+
+    batch_id: str
+    priority: int
+    assignments: tuple[LegAssignment, ...]
+
+
+class LegResults(NamedTuple):
+    """Results that go back to the instance that sent the legs."""
+
+    results: tuple[LegResult, ...]
+
+
+class CancelLegs(NamedTuple):
+    """Legs whose results are no longer wanted."""
+
+    leg_ids: tuple[str, ...]
+
+
+class FetchObjects(NamedTuple):
+    """Asks a peer for spread objects (sections, shares) by kind and name."""
+
+    kind: str
+    names: tuple[str, ...]
+
+
+class SpreadObject(NamedTuple):
+    """One object that instances copy from each other.
+
+    Attributes:
+        kind: ``manifest``, ``section`` or ``shares``.
+        name: Unique within the kind.
+        version: A higher one replaces a lower one, never the reverse.
+        value: The content as stored in the platform.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class ObjectsReply(NamedTuple):
+    """Objects a peer asked for, or pushes unasked."""
+
+    objects: tuple[SpreadObject, ...]
+
+
+class Suspicion(NamedTuple):
+    """A request fingerprint that cut off upstreams.
+
+    Attributes:
+        fingerprint: Digest of the request's content.
+        crashes: How many upstreams it cut off, as far as is known.
+        upstream_id: The last of them.
+        expires_ms: When to forget it, in ms since the epoch.
+    """
+
+    fingerprint: str
+    crashes: int
+    upstream_id: str
+    expires_ms: int
+
+
+class ClaimAsk(NamedTuple):
+    """Asks the holder of a claim bucket to commit a claim or an outcome."""
+
+    ask_id: str
+    request_id: str
+    fingerprint: str
+    issued_at_ms: int
+    outcome: str
+    answer: bytes
+
+
+class ClaimReply(NamedTuple):
+    """The bucket holder's reply to a ClaimAsk."""
+
+    ask_id: str
+    code: int
+    outcome: str
+    answer: bytes
+
+
+class Heartbeat(NamedTuple):
+    """A UDP datagram between instances: own record and changes to others.
+
+    Attributes:
+        member: The sender's own record.
+        deltas: Records that changed lately.
+        is_ack: Whether it answers another heartbeat.
+        echo: Sequence number that an ack answers.
+    """
+
+    member: Member
+    deltas: tuple[Member, ...]
+    is_ack: bool
+    echo: int
+
+
+# Order is the wire form: append only, and raise PROTOCOL_VERSION on other changes.
+MESSAGE_TYPES: tuple[type, ...] = (
+    LegBatch,
+    LegResults,
+    CancelLegs,
+    FetchObjects,
+    ObjectsReply,
+    Suspicion,
+    ClaimAsk,
+    ClaimReply,
+    Heartbeat,
+)
+_INDEX_BY_TYPE = {kind: index for index, kind in enumerate(MESSAGE_TYPES)}
+_DECODER_BY_INDEX = [msgspec.msgpack.Decoder(kind) for kind in MESSAGE_TYPES]
+
+
+class Envelope(NamedTuple):
+    """Signed frame around messages.
+
+    Attributes:
+        version: PROTOCOL_VERSION of the sender.
+        sender: The sending instance.
+        incarnation: The sender's incarnation.
+        sequence: Grows with each envelope of one incarnation and channel.
+        bodies: Pairs of message type index and encoded message.
+    """
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    sender: str
+    incarnation: int
+    sequence: int
+    bodies: tuple[tuple[int, msgspec.Raw], ...]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+class PeerCodec:
+    """Encodes, signs, checks and decodes envelopes with one shared key."""
+
+    def __init__(self, key: str) -> None:
+        """Keep the key from the settings."""
+        self._key = key.encode()
+
+    def encode(
+        self,
+        sender: str,
+        incarnation: int,
+        sequence: int,
+        messages: tuple[NamedTuple, ...],
+    ) -> bytes:
+        """Return the signature followed by the encoded envelope."""
+        bodies = tuple(
+            (_INDEX_BY_TYPE[type(message)], msgspec.Raw(_ENCODER.encode(message)))
+            for message in messages
+        )
+        envelope = Envelope(PROTOCOL_VERSION, sender, incarnation, sequence, bodies)
+        body = _ENCODER.encode(envelope)
+        return self._sign(body) + body
+
+    def decode(self, data: bytes) -> tuple[Envelope, tuple[NamedTuple, ...]]:
+        """Check and decode one envelope.
+
+        Raises:
+            PeerError: With PEER_KEY, PEER_VERSION or PEER_MALFORMED.
+        """
+        signature, body = data[:SIGNATURE_BYTES], data[SIGNATURE_BYTES:]
+        if not hmac.compare_digest(signature, self._sign(body)):
+            raise PeerError(
+                f"{len(data)} bytes are not signed with our key", ResultCode.PEER_KEY
+            )
+        try:
+            envelope = _ENVELOPE_DECODER.decode(body)
+            _check_version(envelope)
+            messages = tuple(
+                _DECODER_BY_INDEX[index].decode(raw) for index, raw in envelope.bodies
+            )
+        except (msgspec.MsgspecError, IndexError, UnicodeDecodeError) as error:
+            raise PeerError(f"cannot decode peer message: {error}") from error
+        return envelope, messages
+
+    def _sign(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, body, "sha256")
+
+
+def _check_version(envelope: Envelope) -> None:
+    if envelope.version != PROTOCOL_VERSION:
+        raise PeerError(
+            f"instance {envelope.sender} speaks version {envelope.version},"
+            f" we speak {PROTOCOL_VERSION}",
+            ResultCode.PEER_VERSION,
+        )
--- /dev/null
+++ b/almondspool/state/document.py
@@ -0,0 +1,99 @@
+"""The configuration document as the instances run it."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class Priority(enum.IntEnum):
+    """Priority class of a caller; a lower number goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
+class Upstream(NamedTuple):
+    """A searcher process.
+
+    Attributes:
+        upstream_id: Unique name within the document.
+        address: ``ip:port``.
+        zone: Its availability zone.
+        slots: Legs it runs at a time.
+        max_connections: Connections it accepts from all instances together.
+        connect_cost_ms: Time a new connection costs, in milliseconds.
+    """
+
+    upstream_id: str
+    address: str
+    zone: str
+    slots: int
+    max_connections: int
+    connect_cost_ms: float = 0.0
+
+
+class Service(NamedTuple):
+    """A group of upstreams that serves shards of one team's index."""
+
+    service_id: str
+    upstream_ids: tuple[str, ...]
+
+
+class Shard(NamedTuple):
+    """A part of the index and the upstreams that hold a replica of it."""
+
+    shard_id: str
+    service_id: str
+    replicas: tuple[str, ...]
+
+
+class Snapshot(NamedTuple):
+    """One index version with its shard map."""
+
+    snapshot_id: int
+    shards_by_id: dict[str, Shard]
+
+
+class Section(NamedTuple):
+    """One team's section of the document.
+
+    Attributes:
+        team: The team's name, unique within the document.
+        priority: Priority of callers not named in priority_by_caller.
+        deadline_ms: Deadline of requests that give none, in milliseconds.
+        priority_by_caller: Priority class by caller name.
+        services_by_id: Services by id.
+        upstreams_by_id: Upstreams by id.
+        snapshots_by_id: Snapshots by number; requests start on the highest.
+        drained: Upstreams that get no new work.
+    """
+
+    team: str
+    priority: Priority
+    deadline_ms: int
+    priority_by_caller: dict[str, Priority]
+    services_by_id: dict[str, Service]
+    upstreams_by_id: dict[str, Upstream]
+    snapshots_by_id: dict[int, Snapshot]
+    drained: frozenset[str] = frozenset()
+
+    def newest_snapshot(self) -> Snapshot:
+        """Return the snapshot with the highest number."""
+        return self.snapshots_by_id[max(self.snapshots_by_id)]
+
+
+class Document(NamedTuple):
+    """The accepted document: every section at one generation.
+
+    Attributes:
+        generation: Grows by one with each accepted change; 0 before the first.
+        sections_by_team: Sections by team.
+    """
+
+    generation: int
+    sections_by_team: dict[str, Section]
+
+
+EMPTY_DOCUMENT = Document(0, {})
--- /dev/null
+++ b/almondspool/state/members.py
@@ -0,0 +1,55 @@
+"""Membership records of the instances."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+
+class MemberStatus(enum.IntEnum):
+    """What an instance believes of another; a higher one wins at one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class Member(NamedTuple):
+    """One instance as its peers know it.
+
+    Attributes:
+        instance: Its name from the settings.
+        incarnation: Grows each time it starts or re-joins.
+        zone: Its availability zone.
+        caller_address: ``ip:port`` for callers and operators.
+        peer_address: ``ip:port`` for peers (TCP channel and UDP heartbeats).
+        status: What the record says of it.
+        generation: The document generation it runs.
+        load: Busy share from 0.0 to 1.0.
+        shares_version: The version of the connection shares it acts on.
+    """
+
+    instance: str
+    incarnation: int
+    zone: str
+    caller_address: str
+    peer_address: str
+    status: MemberStatus = MemberStatus.ALIVE
+    generation: int = 0
+    load: float = 0.0
+    shares_version: int = 0
+
+
+class View(NamedTuple):
+    """The membership as one instance sees it at one moment."""
+
+    members_by_instance: dict[str, Member]
+
+    def serving(self) -> tuple[Member, ...]:
+        """Return the members that may take new work, ordered by name."""
+        return tuple(
+            member
+            for _, member in sorted(self.members_by_instance.items())
+            if member.status == MemberStatus.ALIVE
+        )
--- /dev/null
+++ b/almondspool/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Transport layer: sockets, channels, HTTP and timers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/almondspool/transport/timers.py
@@ -0,0 +1,158 @@
+"""Timer service: the one source of time, to which parts subscribe."""
+
+from __future__ import annotations
+
+import abc
+import heapq
+import itertools
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class TimerHandle(abc.ABC):
+    """A subscription that can be cancelled."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Stop the subscription; idempotent."""
+
+
+class TimerService(abc.ABC):
+    """Tells the time and calls subscribers back."""
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+
+    @abc.abstractmethod
+    def wall_time(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+    @abc.abstractmethod
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back once after a delay in seconds."""
+
+    @abc.abstractmethod
+    def subscribe(self, interval_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back every interval, in seconds, until cancelled."""
+
+
+class _EventletHandle(TimerHandle):
+    def __init__(self) -> None:
+        self._cancelled = False
+        self._thread: eventlet.greenthread.GreenThread | None = None
+
+    def attach(self, thread: eventlet.greenthread.GreenThread) -> None:
+        self._thread = thread
+
+    @property
+    def cancelled(self) -> bool:
+        return self._cancelled
+
+    def cancel(self) -> None:
+        self._cancelled = True
+        if self._thread is not None:
+            self._thread.cancel()
+
+
+class EventletTimers(TimerService):
+    """Timers on the eventlet hub; each callback runs in its own green thread."""
+
+    def now(self) -> float:
+        """Return the process's monotonic clock in seconds."""
+        return time.monotonic()
+
+    def wall_time(self) -> float:
+        """Return the system clock in seconds since the epoch."""
+        return time.time()
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back once after a delay in seconds."""
+        handle = _EventletHandle()
+        handle.attach(eventlet.spawn_after(max(0.0, delay_s), callback))
+        return handle
+
+    def subscribe(self, interval_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back every interval, in seconds, until cancelled."""
+        handle = _EventletHandle()
+        handle.attach(eventlet.spawn(self._repeat, interval_s, callback, handle))
+        return handle
+
+    def _repeat(
+        self, interval_s: float, callback: Callable[[], None], handle: _EventletHandle
+    ) -> None:
+        while not handle.cancelled:
+            eventlet.sleep(interval_s)
+            callback()
+
+
+class _VirtualEntry(NamedTuple):
+    due: float
+    order: int
+    handle: _VirtualHandle
+    interval_s: float
+    callback: Callable[[], None]
+
+
+class _VirtualHandle(TimerHandle):
+    def __init__(self) -> None:
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class VirtualTimers(TimerService):
+    """Timers under virtual time, for replayed sessions; no callback ever sleeps."""
+
+    def __init__(self, start: float = 0.0, epoch: float = 1_700_000_000.0) -> None:
+        """Start at a monotonic second and an epoch offset in seconds."""
+        self._now = start
+        self._epoch = epoch
+        self._entries: list[_VirtualEntry] = []
+        self._orders = itertools.count()
+
+    def now(self) -> float:
+        """Return virtual seconds."""
+        return self._now
+
+    def wall_time(self) -> float:
+        """Return virtual seconds since the Unix epoch."""
+        return self._epoch + self._now
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back once after a virtual delay in seconds."""
+        return self._add(self._now + max(0.0, delay_s), 0.0, callback)
+
+    def subscribe(self, interval_s: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back every virtual interval, in seconds, until cancelled."""
+        return self._add(self._now + interval_s, interval_s, callback)
+
+    def advance(self, duration_s: float) -> None:
+        """Move time on and run every callback that falls due, in order."""
+        end = self._now + duration_s
+        while self._entries and self._entries[0].due <= end:
+            entry = heapq.heappop(self._entries)
+            if entry.handle.cancelled:
+                continue
+            self._now = max(self._now, entry.due)
+            if entry.interval_s:
+                self._push(entry.due + entry.interval_s, entry)
+            entry.callback()
+        self._now = end
+
+    def _add(
+        self, due: float, interval_s: float, callback: Callable[[], None]
+    ) -> TimerHandle:
+        handle = _VirtualHandle()
+        entry = _VirtualEntry(due, 0, handle, interval_s, callback)
+        self._push(due, entry)
+        return handle
+
+    def _push(self, due: float, entry: _VirtualEntry) -> None:
+        heapq.heappush(self._entries, entry._replace(due=due, order=next(self._orders)))
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks of running processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Developer tools: test runner, generated tables and code statistics."""
+
+from __future__ import annotations
