Decide membership from heartbeats with deltas and suspicion

Every instance needs a view of the others without a coordination service.

Ruled out: refuting by a new session. A refutation raises the incarnation only; Member.session grows on start and re-join alone, so that connection shares can tell an instance that closed everything from one that was merely suspected. Spreading load as deltas was ruled out too: at 440 members it would be news all the time; one random record a heartbeat repairs it at constant cost.

Conclusion: pure class Membership with start, tick, receive, set_local, leave, receive_records and receive_listings.

--- /dev/null
+++ b/almondspool/coordination/gossip.py
@@ -0,0 +1,88 @@
+"""Writes datagrams: heartbeats with deltas, within the size of one packet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondspool.coordination.member_actions import SendDatagram
+from almondspool.coordination.member_table import (
+    FRAME_BYTES,
+    MAX_DATAGRAM_BYTES,
+    record_bytes,
+)
+from almondspool.protocol.peer import Heartbeat, ViewReply
+from almondspool.state.members import Member, MemberStatus
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from almondspool.coordination.member_actions import Message
+    from almondspool.coordination.member_table import MemberTable
+
+SAMPLES_PER_HEARTBEAT = 1
+
+
+class Gossip:
+    """Numbers and fills the datagrams of one instance."""
+
+    def __init__(self, table: MemberTable, rng: random.Random) -> None:
+        """Read records from the table and pick peers with the generator."""
+        self._table = table
+        self._rng = rng
+        self._sequence = 0
+
+    def send(self, address: str, message: Message) -> SendDatagram:
+        """Return one numbered datagram."""
+        self._sequence += 1
+        incarnation = self._table.own.incarnation
+        return SendDatagram(address, incarnation, self._sequence, message)
+
+    def heartbeat(
+        self, target: str, address: str, is_ack: bool = False, echo: int = 0
+    ) -> SendDatagram:
+        """Return a heartbeat or ack with what the target should know."""
+        deltas = self._dispute(target)
+        room = MAX_DATAGRAM_BYTES - FRAME_BYTES - record_bytes(self._table.own)
+        room -= sum(record_bytes(member) for member in deltas)
+        fresh = self._table.take_deltas(target, room)
+        room -= sum(record_bytes(member) for member in fresh)
+        skip = frozenset(member.instance for member in fresh) | {target}
+        samples = self._table.sample(self._rng, SAMPLES_PER_HEARTBEAT, skip)
+        deltas += fresh
+        deltas += (member for member in samples if record_bytes(member) <= room)
+        return self.send(
+            address, Heartbeat(self._table.own, tuple(deltas), is_ack, echo)
+        )
+
+    def heartbeat_to(self, member: Member) -> SendDatagram:
+        """Return a heartbeat to a known member."""
+        return self.heartbeat(member.instance, member.peer_address)
+
+    def greet(self, addresses: Iterable[str]) -> list[SendDatagram]:
+        """Return heartbeats without deltas to addresses of unknown instances."""
+        greeting = Heartbeat(self._table.own, (), False, 0)
+        return [self.send(address, greeting) for address in addresses]
+
+    def to_some(self, count: int) -> list[SendDatagram]:
+        """Return heartbeats to a few random live members."""
+        return [self.heartbeat_to(peer) for peer in self.pick(count)]
+
+    def pick(self, count: int, skip: str = "") -> list[Member]:
+        """Return a few random live members."""
+        names = self._table.with_status(MemberStatus.ALIVE)
+        names = [name for name in names if name != skip]
+        chosen = self._rng.sample(names, min(count, len(names)))
+        return [self._table.members_by_instance[name] for name in chosen]
+
+    def page(self, address: str, after: str, echo: int) -> SendDatagram:
+        """Return the members after a name, as many as one datagram holds."""
+        members, last = self._table.page(after, MAX_DATAGRAM_BYTES - FRAME_BYTES)
+        return self.send(address, ViewReply(members, last, echo))
+
+    def _dispute(self, target: str) -> list[Member]:
+        # The target can only refute what it hears of itself.
+        known = self._table.get(target)
+        if known is None or known.status == MemberStatus.ALIVE:
+            return []
+        return [known]
--- /dev/null
+++ b/almondspool/coordination/joining.py
@@ -0,0 +1,130 @@
+"""Whether an instance that started or re-joined may act yet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from almondspool.state.members import Member
+
+PAGE_TIMEOUT_S = 1.0
+
+
+class Candidate(NamedTuple):
+    """An address at which an instance may be found.
+
+    Attributes:
+        address: ``ip:port``.
+        instance: Its name; empty for a seed.
+        since: Monotonic seconds when it was first named.
+    """
+
+    address: str
+    instance: str
+    since: float
+
+
+class Joining:
+    """Collects what confirms the view and names who could confirm it."""
+
+    def __init__(
+        self, seed_peers: Iterable[str], own_address: str, alone_after_s: float
+    ) -> None:
+        """Start unconfirmed.
+
+        Args:
+            seed_peers: Peer addresses from the settings.
+            own_address: The own peer address, which is no candidate.
+            alone_after_s: How long silent candidates are waited for, in seconds.
+        """
+        self._own_address = own_address
+        self._alone_after_s = alone_after_s
+        self._candidates_by_address: dict[str, Candidate] = {}
+        self._platform_read_at: float | None = None
+        self._started_at = 0.0
+        self._page_asked_at = -PAGE_TIMEOUT_S
+        self._page_sequence = 0
+        self.confirmed_by = ""
+        for address in seed_peers:
+            self.add_candidate(address, "", 0.0)
+
+    def restart(self, now: float) -> None:
+        """Begin to join anew."""
+        self._started_at = now
+        self._platform_read_at = None
+        self._page_asked_at = now - PAGE_TIMEOUT_S
+        self._page_sequence = 0
+        self.confirmed_by = ""
+
+    def add_candidate(self, address: str, instance: str, now: float) -> None:
+        """Note an address to contact."""
+        if address != self._own_address:
+            candidate = Candidate(address, instance, now)
+            self._candidates_by_address.setdefault(address, candidate)
+
+    def candidates(self) -> list[Candidate]:
+        """Return the addresses to contact, ordered."""
+        return sorted(self._candidates_by_address.values())
+
+    def expired_candidates(self, now: float, age_s: float) -> list[Candidate]:
+        """Drop and return the named candidates known for so many seconds."""
+        expired = [
+            candidate
+            for candidate in self.candidates()
+            if candidate.instance and now - candidate.since >= age_s
+        ]
+        for candidate in expired:
+            self.drop_candidate(candidate.address)
+        return expired
+
+    def drop_candidate(self, address: str) -> None:
+        """Forget an address, unless it is a seed."""
+        candidate = self._candidates_by_address.get(address)
+        if candidate is not None and candidate.instance:
+            del self._candidates_by_address[address]
+
+    def platform_read(self, now: float) -> None:
+        """Note that the platform told who is there."""
+        if self._platform_read_at is None:
+            self._platform_read_at = now
+
+    def wants_page(self, now: float) -> bool:
+        """Return whether to ask a peer for its view; not while an answer is due."""
+        waited_s = now - self._page_asked_at
+        return not self.confirmed_by and waited_s >= PAGE_TIMEOUT_S
+
+    def page_asked(self, sequence: int, now: float) -> None:
+        """Note the request for a page of a peer's view."""
+        self._page_sequence = sequence
+        self._page_asked_at = now
+
+    def page_expected(self, echo: int) -> bool:
+        """Return whether a page answers the last request."""
+        return not self.confirmed_by and echo == self._page_sequence
+
+    def confirm_by_peer(self) -> None:
+        """Note that a peer sent the last page of its view."""
+        self.confirmed_by = "peer"
+
+    def needs_platform(self) -> bool:
+        """Return whether the platform was not read since the join began."""
+        return not self.confirmed_by and self._platform_read_at is None
+
+    def confirm_without_peer(self, known: Iterable[Member], now: float) -> None:
+        """Confirm the view when no peer can.
+
+        Args:
+            known: Records of the other instances that are not dead.
+            now: Monotonic seconds.
+        """
+        if self.confirmed_by or tuple(known):
+            return
+        if self._platform_read_at is not None:
+            waited_s = now - self._platform_read_at
+            if not self._candidates_by_address or waited_s >= self._alone_after_s:
+                self.confirmed_by = "platform"
+        elif not self._candidates_by_address:
+            if now - self._started_at >= self._alone_after_s:
+                self.confirmed_by = "alone"
--- /dev/null
+++ b/almondspool/coordination/member_table.py
@@ -0,0 +1,161 @@
+"""Membership records with their merge rule and the queue of deltas."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from almondspool.state.members import Member, MemberStatus
+
+if TYPE_CHECKING:
+    import random
+
+MAX_DATAGRAM_BYTES = 1200
+# Signature, envelope and message frame, with the longest instance name.
+FRAME_BYTES = 200
+RETRANSMIT_FACTOR = 2
+
+
+def record_bytes(member: Member) -> int:
+    """Return the encoded size of a record in bytes."""
+    return len(msgspec.msgpack.encode(member))
+
+
+def merge(known: Member, heard: Member) -> Member:
+    """Return what is known of an instance after hearing another record of it.
+
+    A higher incarnation replaces all. Within one incarnation the higher status
+    stays and the other fields come from the higher revision.
+    """
+    if heard.incarnation != known.incarnation:
+        return max(known, heard, key=lambda record: record.incarnation)
+    newest = max(known, heard, key=lambda record: record.revision)
+    return newest._replace(status=max(known.status, heard.status))
+
+
+class _Delta(NamedTuple):
+    sent: int
+    order: int
+    instance: str
+
+
+class MemberTable:
+    """Records of the other instances, and which of them to spread.
+
+    A record that changed is spread a number of times that grows with the logarithm
+    of the number of members.
+
+    Attributes:
+        own: The own record, which every heartbeat carries.
+        members_by_instance: The others' records.
+        changed_at_by_instance: Monotonic seconds of the last change of status.
+    """
+
+    def __init__(self, own: Member) -> None:
+        """Start with the own record only."""
+        self.own = own
+        self.members_by_instance: dict[str, Member] = {}
+        self.changed_at_by_instance: dict[str, float] = {}
+        self._delta_by_instance: dict[str, _Delta] = {}
+        self._order = 0
+
+    def get(self, instance: str) -> Member | None:
+        """Return the record of an instance, if known."""
+        return self.members_by_instance.get(instance)
+
+    def put(self, member: Member, now: float) -> bool:
+        """Merge a record; return whether that is news, which is then spread."""
+        former = self.get(member.instance)
+        merged = merge(former, member) if former else member
+        self.members_by_instance[member.instance] = merged
+        if former is not None and not _is_news(former, merged):
+            return False
+        self.changed_at_by_instance[member.instance] = now
+        self._order += 1
+        delta = _Delta(0, -self._order, member.instance)
+        self._delta_by_instance[member.instance] = delta
+        return True
+
+    def forget(self, instance: str) -> None:
+        """Drop all that is known of an instance."""
+        self.members_by_instance.pop(instance, None)
+        self.changed_at_by_instance.pop(instance, None)
+        self._delta_by_instance.pop(instance, None)
+
+    def with_status(self, *statuses: MemberStatus) -> list[str]:
+        """Return the names of the instances with one of the statuses, ordered."""
+        return sorted(
+            instance
+            for instance, member in self.members_by_instance.items()
+            if member.status in statuses
+        )
+
+    def living(self) -> list[Member]:
+        """Return the others' records that are not dead, ordered by name."""
+        return [
+            member
+            for _, member in sorted(self.members_by_instance.items())
+            if member.status != MemberStatus.DEAD
+        ]
+
+    def retransmissions(self) -> int:
+        """Return how often a changed record is sent."""
+        return RETRANSMIT_FACTOR * math.ceil(
+            math.log2(len(self.members_by_instance) + 2)
+        )
+
+    def take_deltas(self, target: str, room_bytes: int) -> list[Member]:
+        """Return the least sent deltas that fit, and count them as sent."""
+        taken = []
+        for delta in sorted(self._delta_by_instance.values()):
+            if delta.instance == target:
+                continue
+            member = self.members_by_instance[delta.instance]
+            size = record_bytes(member)
+            if size > room_bytes:
+                break
+            room_bytes -= size
+            taken.append(member)
+            self._count_sent(delta)
+        return taken
+
+    def sample(
+        self, rng: random.Random, count: int, skip: frozenset[str]
+    ) -> list[Member]:
+        """Return random live records, which repair what lost deltas left out."""
+        names = [
+            instance
+            for instance, member in self.members_by_instance.items()
+            if member.status != MemberStatus.DEAD and instance not in skip
+        ]
+        chosen = rng.sample(names, min(count, len(names)))
+        return [self.members_by_instance[instance] for instance in chosen]
+
+    def page(self, after: str, room_bytes: int) -> tuple[tuple[Member, ...], bool]:
+        """Return records by name after a given one, and whether they are the last."""
+        names = sorted(name for name in self.members_by_instance if name > after)
+        page: list[Member] = []
+        for name in names:
+            member = self.members_by_instance[name]
+            room_bytes -= record_bytes(member)
+            if room_bytes < 0 and page:
+                return tuple(page), False
+            page.append(member)
+        return tuple(page), True
+
+    def _count_sent(self, delta: _Delta) -> None:
+        sent = delta.sent + 1
+        if sent >= self.retransmissions():
+            del self._delta_by_instance[delta.instance]
+            return
+        self._delta_by_instance[delta.instance] = delta._replace(sent=sent)
+
+
+def _is_news(former: Member, merged: Member) -> bool:
+    return (
+        former.incarnation != merged.incarnation
+        or former.status != merged.status
+        or former.ready != merged.ready
+    )
--- /dev/null
+++ b/almondspool/coordination/membership.py
@@ -0,0 +1,376 @@
+"""Membership: who is there, decided from heartbeats, gossip and the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.gossip import Gossip
+from almondspool.coordination.joining import Joining
+from almondspool.coordination.listings import Listings
+from almondspool.coordination.liveness import Liveness
+from almondspool.coordination.member_actions import (
+    Action,
+    BecameReady,
+    DeleteRecord,
+    MemberChanged,
+    MemberForgotten,
+    Rejoin,
+)
+from almondspool.coordination.member_table import MemberTable
+from almondspool.coordination.rendezvous import rank
+from almondspool.protocol.peer import (
+    Heartbeat,
+    ProbeReply,
+    ProbeRequest,
+    ViewReply,
+    ViewRequest,
+)
+from almondspool.state.members import Member, MemberStatus, View
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from almondspool.coordination.member_actions import Message
+    from almondspool.protocol.platform import InstanceListing
+
+JOIN_FANOUT = 3
+REFUTE_FANOUT = 3
+LEAVE_FANOUT = 8
+LOAD_STEP = 0.05
+RECONNECT_TICKS = 5
+FORGET_AFTER_S = 1800.0
+
+
+class MembershipSettings(NamedTuple):
+    """Times of the membership, in seconds; see the settings table."""
+
+    heartbeat_interval_s: float = 1.0
+    suspect_after_s: float = 3.0
+    dead_after_s: float = 8.0
+    lease_s: float = 6.0
+    seed_peers: tuple[str, ...] = ()
+
+
+class Membership:
+    """Takes messages and ticks, returns actions.
+
+    Call ``start`` once, ``tick`` every heartbeat interval and ``receive`` for each
+    datagram whose signature and sequence number were checked.
+    """
+
+    def __init__(
+        self, own: Member, settings: MembershipSettings, rng: random.Random
+    ) -> None:
+        """Begin with the own record; its incarnation must be higher than ever."""
+        own = own._replace(session=own.incarnation, ready=False)
+        self._settings = settings
+        self._rng = rng
+        self._table = MemberTable(own)
+        self._gossip = Gossip(self._table, rng)
+        self._listings = Listings(rng)
+        self._liveness = Liveness(
+            self._table, self._gossip, self._listings, settings[:3], rng
+        )
+        self._joining = Joining(
+            settings.seed_peers, own.peer_address, settings.dead_after_s
+        )
+        self._leaving = False
+        self._ticks = 0
+        self._last_tick = 0.0
+
+    @property
+    def own(self) -> Member:
+        """The own record."""
+        return self._table.own
+
+    def view(self) -> View:
+        """Return the membership with the platform's leaving marks laid over it."""
+        members = (self.own, *self._table.members_by_instance.values())
+        return View(
+            {member.instance: self._listings.marked(member) for member in members}
+        )
+
+    def listed(self) -> frozenset[str]:
+        """Return the instances in the platform's list when it was last read."""
+        return self._listings.listed
+
+    def may_act(self, now: float) -> bool:
+        """Return whether view and generation are confirmed and the lease holds."""
+        return self.own.ready and now - self._last_tick <= self._settings.lease_s
+
+    def spread_time_s(self) -> float:
+        """Return a time in which news reach all members, in seconds."""
+        rounds = self._table.retransmissions() / 2 + 2
+        return rounds * self._settings.heartbeat_interval_s
+
+    def start(self, now: float) -> list[Action]:
+        """Announce the start to the platform and to the seeds."""
+        self._last_tick = now
+        self._joining.restart(now)
+        return [*self._platform_calls(now), *self._contact_peers()]
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due; call once every heartbeat interval."""
+        actions = self._check_gap(now)
+        self._last_tick = now
+        self._ticks += 1
+        actions += self._liveness.follow_probes(now)
+        actions += self._liveness.expire_suspicions(now)
+        actions += self._forget(now)
+        actions += self._liveness.probe_next(now)
+        if not self._joining.confirmed_by:
+            actions += self._contact_peers()
+        elif self._ticks % RECONNECT_TICKS == 0:
+            actions += self._contact_lost(1)
+        actions += self._platform_calls(now)
+        return actions + self._check_ready(now)
+
+    def receive(
+        self, sender: str, address: str, sequence: int, message: Message, now: float
+    ) -> list[Action]:
+        """Take one message of a peer.
+
+        Args:
+            sender: The instance that signed the envelope.
+            address: ``ip:port`` it came from.
+            sequence: The envelope's sequence number.
+            message: The message.
+            now: Monotonic seconds.
+        """
+        actions = self._check_gap(now)
+        if sender == self.own.instance:
+            return actions
+        self._liveness.heard(sender, now)
+        if isinstance(message, Heartbeat):
+            actions += self._heartbeat(sender, address, sequence, message, now)
+        elif isinstance(message, ProbeRequest):
+            actions += self._liveness.relay(address, message, now)
+        elif isinstance(message, ProbeReply):
+            actions += self._liveness.take_reply(message, now)
+        elif isinstance(message, ViewRequest):
+            actions.append(self._gossip.page(address, message.after, sequence))
+        elif isinstance(message, ViewReply):
+            actions += self._view_reply(address, message, now)
+        return actions + self._check_ready(now)
+
+    def refused_incarnation(self, sender: str) -> list[Action]:
+        """Tell a peer that its incarnation is older than the one known here."""
+        member = self._table.get(sender)
+        if member is None:
+            return []
+        correction = Heartbeat(self.own, (member,), False, 0)
+        return [self._gossip.send(member.peer_address, correction)]
+
+    def set_local(
+        self, generation: int, load: float, shares_version: int, now: float
+    ) -> list[Action]:
+        """Change what the own record says; load is a share from 0.0 to 1.0."""
+        changed = self.own._replace(
+            generation=generation,
+            load=round(round(load / LOAD_STEP) * LOAD_STEP, 2),
+            shares_version=shares_version,
+        )
+        if changed != self.own:
+            self._table.own = changed._replace(revision=changed.revision + 1)
+        return self._check_ready(now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Announce at once that this instance takes no new work soon."""
+        self._leaving = True
+        return self._announce_status(MemberStatus.LEAVING, now)
+
+    def receive_records(self, records: Iterable[Member], now: float) -> list[Action]:
+        """Take the member records of the platform: addresses to contact."""
+        self._joining.platform_read(now)
+        actions: list[Action] = []
+        for record in records:
+            if record.instance == self.own.instance:
+                actions += self._hear_of_self(record, now)
+            elif self._table.get(record.instance) is None:
+                self._joining.add_candidate(record.peer_address, record.instance, now)
+        if not self._joining.confirmed_by:
+            actions += self._contact_peers()
+        return actions + self._check_ready(now)
+
+    def receive_listings(
+        self, listings: Iterable[InstanceListing], now: float
+    ) -> list[Action]:
+        """Take the platform's lagging list: only a hint who is leaving."""
+        actions: list[Action] = []
+        for instance in self._listings.replace(listings):
+            if instance == self.own.instance:
+                actions += self._own_mark_changed(now)
+            else:
+                actions += self._mark_changed(instance)
+        return actions
+
+    def _own_mark_changed(self, now: float) -> list[Action]:
+        if self._leaving:
+            return []
+        is_marked = self.own.instance in self._listings.leaving
+        status = MemberStatus.LEAVING if is_marked else MemberStatus.ALIVE
+        return self._announce_status(status, now)
+
+    def _mark_changed(self, instance: str) -> list[Action]:
+        member = self._table.get(instance)
+        if member is None or member.status != MemberStatus.ALIVE:
+            return []
+        marked = self._listings.marked(member)
+        if marked == member:
+            return [MemberChanged(member, MemberStatus.LEAVING)]
+        # The hint makes the instance read the list itself and announce it.
+        hint = Heartbeat(self.own, (marked,), False, 0)
+        send = self._gossip.send(member.peer_address, hint)
+        return [MemberChanged(marked, member.status), send]
+
+    def _announce_status(self, status: MemberStatus, now: float) -> list[Action]:
+        own = self.own
+        # A lower status needs a new incarnation to win over the former one.
+        raised = int(status < own.status)
+        self._table.own = own._replace(
+            status=status,
+            incarnation=own.incarnation + raised,
+            revision=own.revision + 1,
+        )
+        return [
+            MemberChanged(self.own, own.status),
+            *self._gossip.to_some(LEAVE_FANOUT),
+            self._write_record(now),
+        ]
+
+    def _check_gap(self, now: float) -> list[Action]:
+        gap_s = now - self._last_tick
+        if gap_s <= self._settings.lease_s:
+            return []
+        return self._rejoin(self.own.incarnation + 1, gap_s, now)
+
+    def _rejoin(self, incarnation: int, gap_s: float, now: float) -> list[Action]:
+        self._last_tick = now
+        self._table.own = self.own._replace(
+            incarnation=incarnation, session=incarnation, ready=False
+        )
+        self._liveness.restart(now)
+        self._joining.restart(now)
+        return [
+            Rejoin(incarnation, gap_s),
+            self._write_record(now),
+            *self._contact_peers(),
+        ]
+
+    def _check_ready(self, now: float) -> list[Action]:
+        self._joining.confirm_without_peer(self._table.living(), now)
+        if self.own.ready or not self._joining.confirmed_by:
+            return []
+        others = self._table.members_by_instance.values()
+        newest = max((member.generation for member in others), default=0)
+        if self.own.generation < newest:
+            return []
+        own = self.own._replace(ready=True, revision=self.own.revision + 1)
+        self._table.own = own
+        return [
+            BecameReady(self._joining.confirmed_by),
+            MemberChanged(own, own.status),
+            *self._gossip.to_some(JOIN_FANOUT),
+        ]
+
+    def _forget(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for instance in self._table.with_status(MemberStatus.DEAD):
+            if now - self._table.changed_at_by_instance[instance] >= FORGET_AFTER_S:
+                self._liveness.forget(instance)
+                actions.append(MemberForgotten(instance))
+                actions += self._delete_record(instance)
+        for candidate in self._joining.expired_candidates(now, FORGET_AFTER_S):
+            actions += self._delete_record(candidate.instance)
+        return actions
+
+    def _delete_record(self, instance: str) -> list[Action]:
+        present = [member.instance for member in self.view().present()]
+        if instance in self._listings.listed or not present:
+            return []
+        is_duty = rank(instance, present)[0] == self.own.instance
+        return [DeleteRecord(instance)] if is_duty else []
+
+    def _contact_peers(self) -> list[Action]:
+        present = self._gossip.pick(JOIN_FANOUT)
+        greetings = self._gossip.greet(member.peer_address for member in present)
+        return [*greetings, *self._contact_lost(JOIN_FANOUT)]
+
+    def _contact_lost(self, count: int) -> list[Action]:
+        living = {member.peer_address for member in self._table.living()}
+        members = self._table.members_by_instance.values()
+        lost = {member.peer_address for member in members} - living
+        lost |= {candidate.address for candidate in self._joining.candidates()} - living
+        chosen = self._rng.sample(sorted(lost), min(count, len(lost)))
+        return list(self._gossip.greet(chosen))
+
+    def _platform_calls(self, now: float) -> list[Action]:
+        fleet = len(self._table.members_by_instance) + 1
+        joining = self._joining.needs_platform()
+        return list(self._listings.due(self.own, now, fleet, joining))
+
+    def _write_record(self, now: float) -> Action:
+        fleet = len(self._table.members_by_instance) + 1
+        return self._listings.write(self.own, now, fleet)
+
+    def _learn(self, record: Member, now: float) -> list[Action]:
+        if record.instance == self.own.instance:
+            return self._hear_of_self(record, now)
+        self._joining.drop_candidate(record.peer_address)
+        return self._liveness.learn(record, now)
+
+    def _hear_of_self(self, record: Member, now: float) -> list[Action]:
+        own = self.own
+        if record.session > own.session:
+            # An earlier process of this name, whose clock was ahead of ours.
+            return self._rejoin(record.incarnation + 1, 0.0, now)
+        if record.incarnation < own.incarnation:
+            return []
+        if record.incarnation == own.incarnation and not _is_disputed(record):
+            if record.status > own.status:
+                self._listings.read_soon(now)
+            return []
+        raised = own._replace(incarnation=record.incarnation + 1)
+        self._table.own = raised
+        return [
+            MemberChanged(raised, own.status),
+            *self._gossip.to_some(REFUTE_FANOUT),
+        ]
+
+    def _heartbeat(
+        self, sender: str, address: str, sequence: int, message: Heartbeat, now: float
+    ) -> list[Action]:
+        if message.member.instance != sender:
+            return []
+        actions = self._learn(message.member, now)
+        for record in message.deltas:
+            actions += self._learn(record, now)
+        if not message.is_ack:
+            ack = self._gossip.heartbeat(sender, address, is_ack=True, echo=sequence)
+            return [*actions, ack]
+        actions += self._liveness.answer_relay(message)
+        if self._joining.wants_page(now):
+            actions.append(self._ask_page(address, "", now))
+        return actions
+
+    def _view_reply(self, address: str, message: ViewReply, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for record in message.members:
+            actions += self._learn(record, now)
+        if not self._joining.page_expected(message.echo):
+            return actions
+        if message.last or not message.members:
+            self._joining.confirm_by_peer()
+            return actions
+        after = message.members[-1].instance
+        return [*actions, self._ask_page(address, after, now)]
+
+    def _ask_page(self, address: str, after: str, now: float) -> Action:
+        send = self._gossip.send(address, ViewRequest(after))
+        self._joining.page_asked(send.sequence, now)
+        return send
+
+
+def _is_disputed(record: Member) -> bool:
+    return record.status in (MemberStatus.SUSPECT, MemberStatus.DEAD)
--- /dev/null
+++ b/almondspool/coordination/probes.py
@@ -0,0 +1,106 @@
+"""Heartbeats that wait for an answer, and the order of their targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+
+class Probe(NamedTuple):
+    """A heartbeat that was not answered yet.
+
+    Attributes:
+        target: The instance it was sent to.
+        first_sequence: Sequence number of the first attempt.
+        started_at: Monotonic seconds of the first attempt.
+    """
+
+    target: str
+    first_sequence: int
+    started_at: float
+
+
+class Relay(NamedTuple):
+    """A heartbeat sent for another instance.
+
+    Attributes:
+        asker_address: Where to send the answer.
+        echo: The asker's sequence number.
+        expires_at: Monotonic seconds.
+    """
+
+    asker_address: str
+    echo: int
+    expires_at: float
+
+
+class Probes:
+    """Keeps the unanswered heartbeats and picks the next target."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Shuffle targets with the given generator."""
+        self._rng = rng
+        self._round: list[str] = []
+        self._probes_by_target: dict[str, Probe] = {}
+        self._relays_by_sequence: dict[int, Relay] = {}
+
+    def next_target(self, instances: Iterable[str]) -> str | None:
+        """Return the next instance of a shuffled round, or None without any."""
+        present = set(instances)
+        while self._round:
+            target = self._round.pop()
+            if target in present:
+                return target
+        self._round = sorted(present)
+        self._rng.shuffle(self._round)
+        return self._round.pop() if self._round else None
+
+    def sent(self, target: str, sequence: int, now: float) -> None:
+        """Note a heartbeat to a target; a waiting one keeps its start."""
+        self._probes_by_target.setdefault(target, Probe(target, sequence, now))
+
+    def answered(self, target: str) -> None:
+        """Drop the probe of an instance that was heard."""
+        self._probes_by_target.pop(target, None)
+
+    def answered_by_relay(self, target: str, echo: int) -> bool:
+        """Drop the probe that a relayed answer belongs to; False if there is none."""
+        probe = self._probes_by_target.get(target)
+        if probe is None or echo < probe.first_sequence:
+            return False
+        del self._probes_by_target[target]
+        return True
+
+    def waiting(self, now: float, age_s: float) -> list[Probe]:
+        """Return the probes at least so many seconds old, oldest first."""
+        return sorted(
+            (
+                probe
+                for probe in self._probes_by_target.values()
+                if now - probe.started_at >= age_s
+            ),
+            key=lambda probe: (probe.started_at, probe.target),
+        )
+
+    def add_relay(self, sequence: int, relay: Relay, now: float) -> None:
+        """Remember a heartbeat that was sent for another instance."""
+        expired = [
+            key
+            for key, waiting in self._relays_by_sequence.items()
+            if waiting.expires_at <= now
+        ]
+        for key in expired:
+            del self._relays_by_sequence[key]
+        self._relays_by_sequence[sequence] = relay
+
+    def take_relay(self, sequence: int) -> Relay | None:
+        """Return and drop the relay that an answer belongs to."""
+        return self._relays_by_sequence.pop(sequence, None)
+
+    def clear(self) -> None:
+        """Drop everything that waits."""
+        self._probes_by_target.clear()
+        self._relays_by_sequence.clear()
--- /dev/null
+++ b/almondspool/events.py
@@ -0,0 +1,31 @@
+"""Named events inside one process."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+VIEW_CHANGED = "view.changed"
+REJOINED = "member.rejoined"
+READY = "member.ready"
+
+
+class Events:
+    """Registry of callbacks by event name."""
+
+    def __init__(self) -> None:
+        """Start without subscribers."""
+        self._callbacks_by_name: dict[str, list[Callable[[object], None]]]
+        self._callbacks_by_name = collections.defaultdict(list)
+
+    def subscribe(self, name: str, callback: Callable[[object], None]) -> None:
+        """Call back with the payload of each event of this name."""
+        self._callbacks_by_name[name].append(callback)
+
+    def emit(self, name: str, payload: object) -> None:
+        """Call the subscribers of an event in the order of their subscription."""
+        for callback in tuple(self._callbacks_by_name[name]):
+            callback(payload)
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -131,6 +131,52 @@
     echo: int
 
 
+class ProbeRequest(NamedTuple):
+    """Asks a peer to send a heartbeat to a target that did not answer.
+
+    Attributes:
+        target: The instance to probe.
+        address: The target's peer address.
+        echo: Sequence number of the heartbeat that was not answered.
+    """
+
+    target: str
+    address: str
+    echo: int
+
+
+class ProbeReply(NamedTuple):
+    """Tells the asker that the target answered.
+
+    Attributes:
+        member: The target's own record from its answer.
+        echo: The echo of the request.
+    """
+
+    member: Member
+    echo: int
+
+
+class ViewRequest(NamedTuple):
+    """Asks a peer for its members whose names come after a given one."""
+
+    after: str
+
+
+class ViewReply(NamedTuple):
+    """One page of a peer's members, ordered by name.
+
+    Attributes:
+        members: The records.
+        last: Whether no page follows.
+        echo: Sequence number of the request.
+    """
+
+    members: tuple[Member, ...]
+    last: bool
+    echo: int
+
+
 # Order is the wire form: append only, and raise PROTOCOL_VERSION on other changes.
 MESSAGE_TYPES: tuple[type, ...] = (
     LegBatch,
@@ -142,6 +188,10 @@
     ClaimAsk,
     ClaimReply,
     Heartbeat,
+    ProbeRequest,
+    ProbeReply,
+    ViewRequest,
+    ViewReply,
 )
 _INDEX_BY_TYPE = {kind: index for index, kind in enumerate(MESSAGE_TYPES)}
 _DECODER_BY_INDEX = [msgspec.msgpack.Decoder(kind) for kind in MESSAGE_TYPES]
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -28,6 +28,10 @@
         generation: The document generation it runs.
         load: Busy share from 0.0 to 1.0.
         shares_version: The version of the connection shares it acts on.
+        revision: Grows with each change of the record within one incarnation.
+        session: The incarnation at which it last started or re-joined; it then held
+            no connection and no lease. Refuting a suspicion leaves it as it is.
+        ready: Whether its view and generation were confirmed since it joined.
     """
 
     instance: str
@@ -39,6 +43,9 @@
     generation: int = 0
     load: float = 0.0
     shares_version: int = 0
+    revision: int = 0
+    session: int = 0
+    ready: bool = True
 
 
 class View(NamedTuple):
@@ -51,5 +58,13 @@
         return tuple(
             member
             for _, member in sorted(self.members_by_instance.items())
-            if member.status == MemberStatus.ALIVE
+            if member.status == MemberStatus.ALIVE and member.ready
+        )
+
+    def present(self) -> tuple[Member, ...]:
+        """Return the members not known to be dead or leaving, ordered by name."""
+        return tuple(
+            member
+            for _, member in sorted(self.members_by_instance.items())
+            if member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
         )
