--- a/almondspool/coordination/gossip.py
+++ b/almondspool/coordination/gossip.py
@@ -8,7 +8,6 @@
 from almondspool.coordination.member_table import (
     FRAME_BYTES,
     MAX_DATAGRAM_BYTES,
-    record_bytes,
 )
 from almondspool.protocol.peer import Heartbeat, ViewReply
 from almondspool.state.members import Member, MemberStatus
@@ -21,6 +20,8 @@
     from almondspool.coordination.member_table import MemberTable
 
 SAMPLES_PER_HEARTBEAT = 1
+# Keeps a member within 3 KB a second whatever there is to tell.
+DELTA_BYTES = 400
 
 
 class Gossip:
@@ -43,14 +44,10 @@
     ) -> SendDatagram:
         """Return a heartbeat or ack with what the target should know."""
         deltas = self._dispute(target)
-        room = MAX_DATAGRAM_BYTES - FRAME_BYTES - record_bytes(self._table.own)
-        room -= sum(record_bytes(member) for member in deltas)
-        fresh = self._table.take_deltas(target, room)
-        room -= sum(record_bytes(member) for member in fresh)
+        fresh = self._table.take_deltas(target, DELTA_BYTES)
         skip = frozenset(member.instance for member in fresh) | {target}
         samples = self._table.sample(self._rng, SAMPLES_PER_HEARTBEAT, skip)
-        deltas += fresh
-        deltas += (member for member in samples if record_bytes(member) <= room)
+        deltas += [*fresh, *samples]
         return self.send(
             address, Heartbeat(self._table.own, tuple(deltas), is_ack, echo)
         )
--- a/almondspool/coordination/listings.py
+++ b/almondspool/coordination/listings.py
@@ -16,6 +16,7 @@
 RECORD_INTERVAL_S = 300.0
 LISTING_INTERVAL_S = 15.0
 JOIN_RETRY_S = 2.0
+WRITE_RETRY_S = 10.0
 # From this many instances on, the whole fleet's platform calls stay constant.
 LISTING_FLEET = 8
 JITTER = 0.2
@@ -54,6 +55,10 @@
         self._next_write_at = now + self._interval(RECORD_INTERVAL_S, fleet)
         return WriteRecord(own)
 
+    def write_soon(self, now: float) -> None:
+        """Write the own record again after a failure, jittered."""
+        self._next_write_at = now + self._interval(WRITE_RETRY_S, 1)
+
     def read_soon(self, now: float) -> None:
         """Read the platform at the next tick, but not twice within a second or two."""
         self._next_read_at = min(self._next_read_at, now + JOIN_RETRY_S)
--- /dev/null
+++ b/almondspool/coordination/member_records.py
@@ -0,0 +1,130 @@
+"""Platform calls of the membership: member records and the list of instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import prometheus_client
+from returns.pipeline import is_successful
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.member_actions import (
+    DeleteRecord,
+    ReadPlatform,
+    WriteRecord,
+)
+from almondspool.state.members import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from almondspool.coordination.member_actions import Action
+    from almondspool.coordination.membership import Membership
+    from almondspool.logs import EventLog
+    from almondspool.protocol.platform import PlatformInterface, PlatformObject
+
+    Decide = Callable[[float], list[Action]]
+
+KIND = "member"
+PlatformAction = WriteRecord | ReadPlatform | DeleteRecord
+
+
+class MemberRecords:
+    """Executes the membership's platform actions, one at a time."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        platform: PlatformInterface,
+        log: EventLog,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        """Report what was read to the membership."""
+        self._membership = membership
+        self._platform = platform
+        self._log = log
+        self._version_by_instance: dict[str, int] = {}
+        self._refused = prometheus_client.Counter(
+            "almondspool_member_records_refused",
+            "Member records in the platform that cannot be decoded.",
+            registry=registry,
+        )
+
+    def execute(self, action: PlatformAction) -> list[Decide]:
+        """Make the calls of one action and return the decisions that follow."""
+        if isinstance(action, WriteRecord):
+            return self._write()
+        if isinstance(action, DeleteRecord):
+            return self._delete(action.instance)
+        return self._read()
+
+    def _write(self) -> list[Decide]:
+        # The newest record, as the action may have waited behind a slow call.
+        own = self._membership.own
+        value = msgspec.msgpack.encode(own)
+        for _attempt in range(2):
+            version = self._version_by_instance.get(own.instance, 0)
+            result = self._platform.put(KIND, own.instance, value, version)
+            if is_successful(result):
+                self._version_by_instance[own.instance] = result.unwrap().version
+                return []
+            error = result.failure()
+            if error.code != ResultCode.PLATFORM_CONFLICT:
+                break
+            self._read_version(own.instance)
+        self._log.write("member.record_failed", code=error.code.name, reason=error)
+        return [self._membership.record_failed]
+
+    def _read_version(self, instance: str) -> None:
+        result = self._platform.get(KIND, instance)
+        if is_successful(result):
+            self._version_by_instance[instance] = result.unwrap().version
+        else:
+            self._version_by_instance.pop(instance, None)
+
+    def _delete(self, instance: str) -> list[Decide]:
+        version = self._version_by_instance.pop(instance, 0)
+        if version:
+            result = self._platform.delete(KIND, instance, version)
+            done = is_successful(result)
+            self._log.write("member.record_deleted", instance=instance, done=done)
+        return []
+
+    def _read(self) -> list[Decide]:
+        decisions: list[Decide] = []
+        listed = self._platform.list(KIND)
+        if is_successful(listed):
+            objects_by_name = listed.unwrap().objects_by_name
+            records = tuple(self._decode(objects_by_name.values()))
+            decisions.append(lambda now: self._membership.receive_records(records, now))
+        instances = self._platform.instances()
+        if is_successful(instances):
+            listings = instances.unwrap()
+            decisions.append(
+                lambda now: self._membership.receive_listings(listings, now)
+            )
+        return decisions
+
+    def _decode(self, objects: Iterable[PlatformObject]) -> Iterable[Member]:
+        for item in objects:
+            self._version_by_instance[item.name] = item.version
+            try:
+                member = msgspec.msgpack.decode(item.value, type=Member)
+            except msgspec.MsgspecError as error:
+                self._refuse(item, str(error))
+                continue
+            if member.instance != item.name:
+                self._refuse(item, f"it names instance {member.instance}")
+                continue
+            yield member
+
+    def _refuse(self, item: PlatformObject, reason: str) -> None:
+        self._refused.inc()
+        self._log.write(
+            "member.record_refused",
+            code=ResultCode.PLATFORM_REPLY_INVALID.name,
+            name=item.name,
+            version=item.version,
+            reason=reason,
+        )
--- a/almondspool/coordination/member_table.py
+++ b/almondspool/coordination/member_table.py
@@ -15,7 +15,7 @@
 MAX_DATAGRAM_BYTES = 1200
 # Signature, envelope and message frame, with the longest instance name.
 FRAME_BYTES = 200
-RETRANSMIT_FACTOR = 2
+MIN_RETRANSMISSIONS = 4
 
 
 def record_bytes(member: Member) -> int:
@@ -102,9 +102,8 @@
 
     def retransmissions(self) -> int:
         """Return how often a changed record is sent."""
-        return RETRANSMIT_FACTOR * math.ceil(
-            math.log2(len(self.members_by_instance) + 2)
-        )
+        rounds = math.ceil(math.log2(len(self.members_by_instance) + 2))
+        return max(MIN_RETRANSMISSIONS, rounds)
 
     def take_deltas(self, target: str, room_bytes: int) -> list[Member]:
         """Return the least sent deltas that fit, and count them as sent."""
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -101,7 +101,7 @@
 
     def spread_time_s(self) -> float:
         """Return a time in which news reach all members, in seconds."""
-        rounds = self._table.retransmissions() / 2 + 2
+        rounds = self._table.retransmissions()
         return rounds * self._settings.heartbeat_interval_s
 
     def start(self, now: float) -> list[Action]:
@@ -193,6 +193,11 @@
             actions += self._contact_peers()
         return actions + self._check_ready(now)
 
+    def record_failed(self, now: float) -> list[Action]:
+        """Write the own record again soon: the platform did not take it."""
+        self._listings.write_soon(now)
+        return []
+
     def receive_listings(
         self, listings: Iterable[InstanceListing], now: float
     ) -> list[Action]:
--- /dev/null
+++ b/almondspool/coordination/membership_task.py
@@ -0,0 +1,267 @@
+"""Green threads that run the membership: heartbeats, ticks and platform calls."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+import prometheus_client
+from eventlet import event, queue
+
+from almondspool.coordination.member_actions import (
+    BecameReady,
+    MemberChanged,
+    MemberForgotten,
+    Rejoin,
+    SendDatagram,
+)
+from almondspool.coordination.member_records import MemberRecords, PlatformAction
+from almondspool.coordination.membership import Membership, MembershipSettings
+from almondspool.events import READY, REJOINED, VIEW_CHANGED
+from almondspool.protocol.peer import PeerCodec
+from almondspool.state.members import Member, MemberStatus
+from almondspool.transport.heartbeats import HeartbeatMetrics, HeartbeatSocket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from almondspool.coordination.member_actions import Action
+    from almondspool.events import Events
+    from almondspool.logs import EventLog
+    from almondspool.protocol.platform import PlatformInterface
+    from almondspool.state.members import View
+    from almondspool.transport.heartbeats import Datagram
+    from almondspool.transport.timers import TimerHandle, TimerService
+
+MAX_INBOX = 4096
+
+
+class LocalState(NamedTuple):
+    """What the own record says beside its identity.
+
+    Attributes:
+        generation: The document generation in force here.
+        load: Busy share from 0.0 to 1.0.
+        shares_version: The version of the connection shares acted on.
+    """
+
+    generation: int
+    load: float
+    shares_version: int
+
+
+class MembershipTask:
+    """Owns the membership and its socket; everything passes through one inbox.
+
+    Subscribers of REJOINED must have closed all connections and given up all leases
+    when they return: only then does the task announce the new session.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        heartbeats: HeartbeatSocket,
+        records: MemberRecords,
+        timers: TimerService,
+        events: Events,
+        log: EventLog,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        """Keep the parts; start() begins to run them."""
+        self._membership = membership
+        self._heartbeats = heartbeats
+        self._records = records
+        self._timers = timers
+        self._events = events
+        self._log = log
+        self._members = prometheus_client.Gauge(
+            "almondspool_members",
+            "Known instances by status.",
+            ["status"],
+            registry=registry,
+        )
+        self._inbox: queue.LightQueue = queue.LightQueue(MAX_INBOX)
+        self._platform_inbox: queue.LightQueue = queue.LightQueue()
+        self._threads: list[eventlet.greenthread.GreenThread] = []
+        self._ticks: TimerHandle | None = None
+
+    def start(self, heartbeat_interval_s: float) -> None:
+        """Announce this instance and begin to send heartbeats."""
+        membership = self._membership
+        self._threads = [
+            eventlet.spawn(self._run),
+            eventlet.spawn(self._run_platform),
+            eventlet.spawn(
+                self._heartbeats.receive_forever,
+                self._on_datagram,
+                self._on_old_incarnation,
+            ),
+        ]
+        self._post(membership.start)
+        self._ticks = self._timers.subscribe(
+            heartbeat_interval_s, lambda: self._post(membership.tick)
+        )
+
+    def stop(self) -> None:
+        """End the green threads and close the socket."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+        for thread in self._threads:
+            thread.kill()
+        self._heartbeats.close()
+
+    def view(self) -> View:
+        """Return the membership as it is now."""
+        return self._membership.view()
+
+    def own(self) -> Member:
+        """Return the own record."""
+        return self._membership.own
+
+    def may_act(self) -> bool:
+        """Return whether this instance may act on its view and leases now."""
+        return self._membership.may_act(self._timers.now())
+
+    def listed(self) -> frozenset[str]:
+        """Return the instances in the platform's list when it was last read."""
+        return self._membership.listed()
+
+    def spread_time_s(self) -> float:
+        """Return a time in which news reach all instances, in seconds."""
+        return self._membership.spread_time_s()
+
+    def on_view_changed(self, callback: Callable[[object], None]) -> None:
+        """Call back with a MemberChanged or MemberForgotten on each change."""
+        self._events.subscribe(VIEW_CHANGED, callback)
+
+    def set_local(self, state: LocalState) -> None:
+        """Change what the own record says."""
+        self._post(lambda now: self._membership.set_local(*state, now))
+
+    def announce_leaving(self) -> None:
+        """Announce that this instance leaves; returns once peers were told."""
+        done = event.Event()
+
+        def leave(now: float) -> list[Action]:
+            actions = self._membership.leave(now)
+            self._execute(actions)
+            done.send(None)
+            return []
+
+        self._post(leave)
+        done.wait()
+
+    def _post(self, decide: Callable[[float], Sequence[Action]]) -> None:
+        self._inbox.put(decide)
+
+    def _run(self) -> None:
+        while True:
+            decide = self._inbox.get()
+            self._execute(decide(self._timers.now()))
+
+    def _execute(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendDatagram):
+                self._heartbeats.send(self._membership.own.instance, action)
+            elif isinstance(action, PlatformAction):
+                self._platform_inbox.put(action)
+            else:
+                self._report(action)
+
+    def _report(self, action: Action) -> None:
+        if isinstance(action, Rejoin):
+            self._log.write("member.rejoin", **action._asdict())
+            self._events.emit(REJOINED, action)
+        elif isinstance(action, BecameReady):
+            self._log.write("member.ready", source=action.source)
+            self._events.emit(READY, action)
+        elif isinstance(action, MemberChanged):
+            self._log_change(action)
+            self._events.emit(VIEW_CHANGED, action)
+        elif isinstance(action, MemberForgotten):
+            self._log.write("member.forgotten", instance=action.instance)
+            self._events.emit(VIEW_CHANGED, action)
+        self._count_members()
+
+    def _log_change(self, action: MemberChanged) -> None:
+        member = action.member
+        self._log.write(
+            "member.changed",
+            instance=member.instance,
+            status=member.status.name,
+            former="NEW" if action.former is None else action.former.name,
+            incarnation=member.incarnation,
+            ready=member.ready,
+        )
+
+    def _count_members(self) -> None:
+        members = self.view().members_by_instance.values()
+        for status in MemberStatus:
+            count = sum(member.status == status for member in members)
+            self._members.labels(status.name).set(count)
+
+    def _on_datagram(self, datagram: Datagram) -> None:
+        self._post(
+            lambda now: self._membership.receive(
+                datagram.sender,
+                datagram.address,
+                datagram.sequence,
+                datagram.message,
+                now,
+            )
+        )
+
+    def _on_old_incarnation(self, sender: str) -> None:
+        self._post(lambda now: self._membership.refused_incarnation(sender))
+
+    def _run_platform(self) -> None:
+        while True:
+            for decide in self._records.execute(self._platform_inbox.get()):
+                self._post(decide)
+
+
+def create_membership_task(
+    settings: object,
+    platform: PlatformInterface,
+    timers: TimerService,
+    events: Events,
+    log: EventLog,
+    registry: prometheus_client.CollectorRegistry,
+) -> MembershipTask:
+    """Build the task and bind its socket.
+
+    Args:
+        settings: The checked settings of the instance.
+        platform: Calls to the platform.
+        timers: The timer service.
+        events: Where changes are announced.
+        log: The event log.
+        registry: Takes the metrics.
+
+    Raises:
+        AlmondspoolError: With ADDRESS_IN_USE.
+    """
+    own = Member(
+        instance=settings.instance,
+        incarnation=int(timers.wall_time() * 1000),
+        zone=settings.zone,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+    )
+    membership_settings = MembershipSettings(
+        heartbeat_interval_s=settings.heartbeat_interval_s,
+        suspect_after_s=settings.suspect_after_s,
+        dead_after_s=settings.dead_after_s,
+        lease_s=settings.lease_s,
+        seed_peers=tuple(settings.seed_peers),
+    )
+    rng = random.Random(f"{own.instance}/{own.incarnation}")
+    membership = Membership(own, membership_settings, rng)
+    metrics = HeartbeatMetrics(registry)
+    codec = PeerCodec(settings.peer_key)
+    heartbeats = HeartbeatSocket(settings.peer_address, codec, timers, log, metrics)
+    records = MemberRecords(membership, platform, log, registry)
+    return MembershipTask(
+        membership, heartbeats, records, timers, events, log, registry
+    )
--- /dev/null
+++ b/almondspool/transport/heartbeats.py
@@ -0,0 +1,280 @@
+"""UDP socket for heartbeats: signs, checks and counts datagrams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import prometheus_client
+from eventlet.green import socket
+
+from almondspool.codes import ResultCode
+from almondspool.errors import AlmondspoolError, PeerError
+from almondspool.protocol.peer import (
+    Heartbeat,
+    PeerCodec,
+    ProbeReply,
+    ProbeRequest,
+    ViewReply,
+    ViewRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondspool.coordination.member_actions import Message, SendDatagram
+    from almondspool.logs import EventLog
+    from almondspool.transport.timers import TimerService
+
+RECEIVE_BYTES = 65_536
+REPLAY_WINDOW = 256
+MAX_SENDERS = 4096
+REFUSAL_LOG_INTERVAL_S = 10.0
+DATAGRAM_TYPES = (Heartbeat, ProbeRequest, ProbeReply, ViewRequest, ViewReply)
+
+
+class Datagram(NamedTuple):
+    """A checked datagram.
+
+    Attributes:
+        sender: The instance that signed it.
+        address: ``ip:port`` it came from.
+        incarnation: The sender's incarnation.
+        sequence: The sender's sequence number.
+        message: The one message.
+    """
+
+    sender: str
+    address: str
+    incarnation: int
+    sequence: int
+    message: Message
+
+
+class OldIncarnationError(PeerError):
+    """The sender's incarnation is lower than one it used before.
+
+    Attributes:
+        sender: The instance.
+    """
+
+    code = ResultCode.PEER_REPLAY
+
+    def __init__(self, sender: str, incarnation: int, known: int) -> None:
+        """Name the sender and both incarnations."""
+        super().__init__(
+            f"instance {sender} sent incarnation {incarnation} after {known}"
+        )
+        self.sender = sender
+
+
+class _Window(NamedTuple):
+    incarnation: int
+    highest: int
+    seen: int
+
+
+class ReplayGuard:
+    """Refuses datagrams that were received before or are too old.
+
+    For each sender it keeps the highest incarnation and a window of the sequence
+    numbers received in it, so that reordered datagrams are still taken.
+    """
+
+    def __init__(self) -> None:
+        """Start without senders."""
+        self._windows_by_sender: dict[str, _Window] = {}
+
+    def check(self, sender: str, incarnation: int, sequence: int) -> None:
+        """Accept a datagram once.
+
+        Raises:
+            PeerError: With PEER_REPLAY.
+        """
+        window = self._windows_by_sender.pop(sender, None)
+        try:
+            window = _advance(window, sender, incarnation, sequence)
+        finally:
+            if window is not None:
+                self._windows_by_sender[sender] = window
+        if len(self._windows_by_sender) > MAX_SENDERS:
+            oldest = next(iter(self._windows_by_sender))
+            del self._windows_by_sender[oldest]
+
+
+def _advance(
+    window: _Window | None, sender: str, incarnation: int, sequence: int
+) -> _Window:
+    if window is None or incarnation > window.incarnation:
+        return _Window(incarnation, sequence, 1)
+    if incarnation < window.incarnation:
+        raise OldIncarnationError(sender, incarnation, window.incarnation)
+    shift = sequence - window.highest
+    if shift > 0:
+        seen = (window.seen << shift | 1) if shift < REPLAY_WINDOW else 1
+        return _Window(incarnation, sequence, seen & ((1 << REPLAY_WINDOW) - 1))
+    bit = 1 << -shift if -shift < REPLAY_WINDOW else 0
+    if not bit or window.seen & bit:
+        raise PeerError(
+            f"instance {sender} repeats sequence {sequence} after {window.highest}",
+            ResultCode.PEER_REPLAY,
+        )
+    return window._replace(seen=window.seen | bit)
+
+
+class HeartbeatMetrics:
+    """Counters of the heartbeat socket."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        """Register the counters."""
+        self.bytes = prometheus_client.Counter(
+            "almondspool_heartbeat_bytes",
+            "Bytes of heartbeat datagrams without IP and UDP headers.",
+            ["direction"],
+            registry=registry,
+        )
+        self.datagrams = prometheus_client.Counter(
+            "almondspool_heartbeat_datagrams",
+            "Heartbeat datagrams.",
+            ["direction"],
+            registry=registry,
+        )
+        self.refused = prometheus_client.Counter(
+            "almondspool_heartbeat_refused",
+            "Heartbeat datagrams refused, by result code.",
+            ["code"],
+            registry=registry,
+        )
+
+
+class HeartbeatSocket:
+    """Owns the UDP socket of an instance."""
+
+    def __init__(
+        self,
+        address: str,
+        codec: PeerCodec,
+        timers: TimerService,
+        log: EventLog,
+        metrics: HeartbeatMetrics,
+    ) -> None:
+        """Bind the socket.
+
+        Args:
+            address: The own peer address, ``ip:port``.
+            codec: Signs and checks envelopes.
+            timers: Tells the time for the log's rate limit.
+            log: The event log.
+            metrics: The counters.
+
+        Raises:
+            AlmondspoolError: With ADDRESS_IN_USE.
+        """
+        self._codec = codec
+        self._timers = timers
+        self._log = log
+        self._metrics = metrics
+        self._guard = ReplayGuard()
+        self._logged_at_by_code: dict[ResultCode, float] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self._socket.bind(_split(address))
+        except OSError as error:
+            self._socket.close()
+            raise AlmondspoolError(
+                f"cannot bind UDP {address}: {error}", ResultCode.ADDRESS_IN_USE
+            ) from error
+
+    def send(self, sender: str, action: SendDatagram) -> None:
+        """Sign and send one datagram; a failure is like a lost one."""
+        data = self._codec.encode(
+            sender, action.incarnation, action.sequence, (action.message,)
+        )
+        try:
+            self._socket.sendto(data, _split(action.address))
+        except OSError as error:
+            self._refuse(PeerError(str(error), ResultCode.PEER_UNREACHABLE), action[0])
+            return
+        self._count("out", data)
+
+    def receive_forever(
+        self,
+        on_datagram: Callable[[Datagram], None],
+        on_old_incarnation: Callable[[str], None],
+    ) -> None:
+        """Pass each accepted datagram on until the socket is closed.
+
+        Args:
+            on_datagram: Takes checked datagrams.
+            on_old_incarnation: Takes the name of a sender whose clock went back.
+        """
+        while True:
+            try:
+                data, source = self._socket.recvfrom(RECEIVE_BYTES)
+            except ConnectionRefusedError:
+                continue
+            except OSError:
+                return
+            self._count("in", data)
+            address = f"{source[0]}:{source[1]}"
+            try:
+                datagram = self.check(data, address)
+            except PeerError as error:
+                self._refuse(error, address)
+                if isinstance(error, OldIncarnationError):
+                    on_old_incarnation(error.sender)
+                continue
+            on_datagram(datagram)
+
+    def check(self, data: bytes, address: str) -> Datagram:
+        """Check and decode one datagram.
+
+        Raises:
+            PeerError: With PEER_KEY, PEER_VERSION, PEER_MALFORMED or PEER_REPLAY.
+        """
+        envelope, messages = self._codec.decode(data)
+        if len(messages) != 1 or not isinstance(messages[0], DATAGRAM_TYPES):
+            names = ", ".join(type(message).__name__ for message in messages)
+            raise PeerError(f"instance {envelope.sender} sent a datagram of [{names}]")
+        message = messages[0]
+        if isinstance(message, Heartbeat) and message.member.instance != (
+            envelope.sender
+        ):
+            raise PeerError(
+                f"instance {envelope.sender} sent the heartbeat of"
+                f" {message.member.instance}"
+            )
+        self._guard.check(envelope.sender, envelope.incarnation, envelope.sequence)
+        return Datagram(
+            envelope.sender, address, envelope.incarnation, envelope.sequence, message
+        )
+
+    def close(self) -> None:
+        """Close the socket, which ends receive_forever."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # An unconnected UDP socket reports ENOTCONN but still wakes readers.
+            pass
+        self._socket.close()
+
+    def _count(self, direction: str, data: bytes) -> None:
+        self._metrics.bytes.labels(direction).inc(len(data))
+        self._metrics.datagrams.labels(direction).inc()
+
+    def _refuse(self, error: PeerError, address: str) -> None:
+        code = error.code
+        self._metrics.refused.labels(code.name).inc()
+        now = self._timers.now()
+        if now - self._logged_at_by_code.get(code, -REFUSAL_LOG_INTERVAL_S) < (
+            REFUSAL_LOG_INTERVAL_S
+        ):
+            return
+        self._logged_at_by_code[code] = now
+        self._log.write(
+            "heartbeat.refused", code=code.name, address=address, reason=error
+        )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
