--- /dev/null
+++ b/almondspool/coordination/leg_router.py
@@ -0,0 +1,188 @@
+"""Sends legs to the instance that holds connections and routes results back."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.protocol.peer import (
+    CancelLegs,
+    LegAssignment,
+    LegBatch,
+    LegResults,
+)
+from almondspool.protocol.upstream import LegResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from almondspool.logs import EventLog
+    from almondspool.state.document import Upstream
+    from almondspool.state.members import View
+
+
+class RoutedLeg(NamedTuple):
+    """A leg on its way: the holder that runs it and who waits for the result."""
+
+    holder: str
+    upstream_id: str
+    deliver: Callable[[LegResult], None]
+
+
+class HolderChoice(NamedTuple):
+    """The instance chosen to run a leg, and why."""
+
+    instance: str
+    reason: str
+
+
+class LegTransport(NamedTuple):
+    """How the router reaches the own gatherer and those of other instances."""
+
+    submit_local: Callable[[LegBatch, Callable[[LegResults], None]], None]
+    cancel_local: Callable[[tuple[str, ...]], None]
+    send_peer: Callable[[str, NamedTuple], bool]
+
+
+class LegRouter:
+    """Keeps the legs in flight of one instance's requests.
+
+    Every leg given to send() is answered by exactly one call of its deliver().
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        transport: LegTransport,
+        holders_of: Callable[[Upstream], tuple[str, ...]],
+        view: Callable[[], View],
+        log: EventLog,
+    ) -> None:
+        """Keep the ways to reach gatherers.
+
+        Args:
+            instance: The own instance.
+            transport: Ways to the own gatherer and to peers.
+            holders_of: Instances with connections to an upstream, best first.
+            view: The present membership.
+            log: The event log.
+        """
+        self._instance = instance
+        self._transport = transport
+        self._holders_of = holders_of
+        self._view = view
+        self._log = log
+        self._routed_by_leg_id: dict[str, RoutedLeg] = {}
+        self._batch_numbers = itertools.count(1)
+
+    def send(
+        self,
+        priority: int,
+        pairs: Iterable[tuple[Upstream, LegAssignment]],
+        deliver: Callable[[LegResult], None],
+    ) -> None:
+        """Send legs, one batch for each holder.
+
+        Args:
+            priority: Priority class of the request.
+            pairs: Each leg with the upstream that should run it.
+            deliver: Called once with the result of each leg.
+        """
+        assignments_by_holder: dict[str, list[LegAssignment]] = {}
+        unroutable: list[LegAssignment] = []
+        for upstream, assignment in pairs:
+            choice = self._choose_holder(upstream)
+            if choice is None:
+                unroutable.append(assignment)
+                continue
+            routed = RoutedLeg(choice.instance, upstream.upstream_id, deliver)
+            self._routed_by_leg_id[assignment.leg.leg_id] = routed
+            assignments_by_holder.setdefault(choice.instance, []).append(assignment)
+        for assignment in unroutable:
+            deliver(_not_sent(assignment, "no live holder of connections"))
+        for holder, assignments in assignments_by_holder.items():
+            self._send_batch(holder, priority, tuple(assignments))
+
+    def cancel(self, leg_ids: Iterable[str]) -> None:
+        """Forget legs and tell their holders to stop them."""
+        ids_by_holder: dict[str, list[str]] = {}
+        for leg_id in leg_ids:
+            routed = self._routed_by_leg_id.pop(leg_id, None)
+            if routed is not None:
+                ids_by_holder.setdefault(routed.holder, []).append(leg_id)
+        for holder, ids in ids_by_holder.items():
+            if holder == self._instance:
+                self._transport.cancel_local(tuple(ids))
+            else:
+                self._transport.send_peer(holder, CancelLegs(tuple(ids)))
+
+    def on_results(self, results: LegResults) -> None:
+        """Hand results to those who wait; late and unknown ones are dropped."""
+        for result in results.results:
+            routed = self._routed_by_leg_id.pop(result.leg_id, None)
+            if routed is None:
+                self._log.write("leg.unexpected", leg=result.leg_id)
+                continue
+            routed.deliver(result)
+
+    def on_channel_down(self, instance: str) -> None:
+        """Fail the legs sent to a peer whose channel closed; they may have run."""
+        lost = [
+            (leg_id, routed)
+            for leg_id, routed in self._routed_by_leg_id.items()
+            if routed.holder == instance
+        ]
+        for leg_id, routed in lost:
+            del self._routed_by_leg_id[leg_id]
+            routed.deliver(
+                LegResult(
+                    leg_id,
+                    ResultCode.LEG_NO_HOLDER,
+                    upstream_id=routed.upstream_id,
+                    detail=f"channel to instance {instance} closed",
+                    was_run=True,
+                )
+            )
+
+    def _choose_holder(self, upstream: Upstream) -> HolderChoice | None:
+        holders = self._holders_of(upstream)
+        members = self._view().members_by_instance
+        serving = {member.instance for member in self._view().serving()}
+        live = [holder for holder in holders if holder in serving]
+        if self._instance in live:
+            return HolderChoice(self._instance, "own connections")
+        for holder in live:
+            if members[holder].zone == upstream.zone:
+                return HolderChoice(holder, "holder in the upstream's zone")
+        if live:
+            return HolderChoice(live[0], "first live holder")
+        return None
+
+    def _send_batch(
+        self, holder: str, priority: int, assignments: tuple[LegAssignment, ...]
+    ) -> None:
+        batch_id = f"{self._instance}.{next(self._batch_numbers)}"
+        batch = LegBatch(batch_id, int(priority), assignments)
+        self._log.write(
+            "legs.sent", batch=batch_id, holder=holder, legs=len(assignments)
+        )
+        if holder == self._instance:
+            self._transport.submit_local(batch, self.on_results)
+        elif not self._transport.send_peer(holder, batch):
+            refused = tuple(
+                _not_sent(assignment, f"queue to instance {holder} is full")
+                for assignment in assignments
+            )
+            self.on_results(LegResults(refused))
+
+
+def _not_sent(assignment: LegAssignment, detail: str) -> LegResult:
+    return LegResult(
+        assignment.leg.leg_id,
+        ResultCode.LEG_NO_HOLDER,
+        shard=assignment.leg.shard,
+        upstream_id=assignment.upstream_id,
+        detail=detail,
+        was_run=False,
+    )
--- /dev/null
+++ b/almondspool/daemon.py
@@ -0,0 +1,87 @@
+"""The almondspoold daemon: reads settings, starts the application, obeys signals."""
+
+from __future__ import annotations
+
+import os
+
+os.environ.setdefault("EVENTLET_HUB", "asyncio")  # grpclib needs an asyncio loop.
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+from absl import app, flags, logging as absl_logging  # noqa: E402
+
+from almondspool.application import Application, make_application  # noqa: E402
+from almondspool.codes import ResultCode, exit_code  # noqa: E402
+from almondspool.errors import SettingsError  # noqa: E402
+from almondspool.logs import AbslLineFormatter, EventLog  # noqa: E402
+from almondspool.settings import load_settings  # noqa: E402
+
+_SIGNAL_POLL_S = 0.05
+
+_SETTINGS = flags.DEFINE_string("settings", None, "The settings file, in YAML.")
+
+
+class _StopSignals:
+    """Counts stop signals; the main green thread polls the count."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        signal.signal(signal.SIGTERM, self._receive)
+        signal.signal(signal.SIGINT, self._receive)
+
+    def _receive(self, number: int, frame: object) -> None:
+        self.count += 1
+
+
+def main(argv: list[str]) -> int:
+    """Run the daemon until it is told to stop.
+
+    Returns:
+        The exit code: 0 after a graceful stop, else that of a result code.
+    """
+    absl_logging.get_absl_handler().setFormatter(AbslLineFormatter())
+    absl_logging.set_verbosity(absl_logging.INFO)
+    log = EventLog()
+    if not _SETTINGS.value:
+        log.write("daemon.refused", detail="--settings is required")
+        return exit_code(ResultCode.USAGE)
+    try:
+        settings = load_settings(_SETTINGS.value)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return exit_code(error.code)
+    signals = _StopSignals()
+    application = make_application(settings, log)
+    try:
+        application.start()
+    except OSError as error:
+        log.write("daemon.refused", detail=str(error))
+        return exit_code(ResultCode.ADDRESS_IN_USE)
+    return _run(application, signals, log)
+
+
+def _run(application: Application, signals: _StopSignals, log: EventLog) -> int:
+    while signals.count == 0:
+        eventlet.sleep(_SIGNAL_POLL_S)
+    application.begin_stop()
+    while not application.stopped:
+        if signals.count > 1:
+            application.abort_stop()
+            return exit_code(ResultCode.INTERRUPTED)
+        eventlet.sleep(_SIGNAL_POLL_S)
+    log.write("daemon.stopped")
+    return exit_code(ResultCode.OK)
+
+
+def run() -> None:
+    """Entry point of the almondspoold command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/almondspool/protocol/caller.py
+++ b/almondspool/protocol/caller.py
@@ -209,3 +209,34 @@
 def encode_answer(answer: SearchAnswer) -> bytes:
     """Return an answer as JSON."""
     return msgspec.json.encode(as_json_value(answer))
+
+
+_STATUS_BY_CODE = {
+    ResultCode.OK: 200,
+    ResultCode.PARTIAL: 200,
+    ResultCode.FAILED: 200,
+    ResultCode.OUTCOME_UNKNOWN: 202,
+    ResultCode.STILL_RUNNING: 202,
+    ResultCode.REQUEST_DUPLICATE: 409,
+    ResultCode.REQUEST_TOO_LARGE: 413,
+    ResultCode.SERVICE_UNKNOWN: 404,
+    ResultCode.SHARD_UNKNOWN: 404,
+}
+_STATUS_BY_GROUP = {1: 400, 2: 503, 3: 200}
+_MS_PER_S = 1000
+
+
+def http_status(code: ResultCode) -> int:
+    """Return the HTTP status of an answer with a result code."""
+    if code in _STATUS_BY_CODE:
+        return _STATUS_BY_CODE[code]
+    return _STATUS_BY_GROUP.get(int(code) // 100, 500)
+
+
+def http_headers(answer: SearchAnswer) -> tuple[tuple[str, str], ...]:
+    """Return the headers of an answer: the result code and when to come back."""
+    headers = [("X-Result-Code", str(int(answer.code)))]
+    if answer.retry_after_ms:
+        seconds = -(-answer.retry_after_ms // _MS_PER_S)
+        headers.append(("Retry-After", str(seconds)))
+    return tuple(headers)
--- /dev/null
+++ b/almondspool/transport/metrics.py
@@ -0,0 +1,62 @@
+"""Metrics of the daemon, in one registry."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 5.0)
+
+
+class Metrics:
+    """The counters, gauges and histograms of one instance."""
+
+    def __init__(self) -> None:
+        """Register every metric in an own registry."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "almondspool_requests",
+            "Requests by result code.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.request_seconds = Histogram(
+            "almondspool_request_seconds",
+            "Time from arrival to answer, in seconds.",
+            ["priority"],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.legs = Counter(
+            "almondspool_legs",
+            "Legs sent, by the reason for sending.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.leg_results = Counter(
+            "almondspool_leg_results",
+            "Leg results by result code.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.shards_missing = Counter(
+            "almondspool_shards_missing",
+            "Shards absent from answers, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.peer_refusals = Counter(
+            "almondspool_peer_refusals",
+            "Peer messages refused, by result code.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.generation = Gauge(
+            "almondspool_generation",
+            "Generation of the document in force.",
+            registry=self.registry,
+        )
+        self.requests_in_flight = Gauge(
+            "almondspool_requests_in_flight",
+            "Requests admitted and not yet answered.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/almondspool/transport/peer_channel.py
@@ -0,0 +1,351 @@
+"""Channels between instances: one bidirectional gRPC stream for each direction."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+import eventlet.asyncio
+import eventlet.queue
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+
+from almondspool.codes import ResultCode
+from almondspool.errors import PeerError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from grpclib.server import Stream
+
+    from almondspool.logs import EventLog
+    from almondspool.protocol.peer import PeerCodec
+
+_METHOD = "/almondspool.Peer/Exchange"
+_KEEPALIVE_INTERVAL_S = 2.0
+_KEEPALIVE_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 1.0
+_RECONNECT_DELAY_S = 0.2
+_MAX_QUEUED_MESSAGES = 10_000
+_MAX_MESSAGES_PER_ENVELOPE = 256
+_CHANNEL_ERRORS = (
+    OSError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    asyncio.TimeoutError,
+    PeerError,
+)
+
+
+class PeerMessage(NamedTuple):
+    """A message that arrived, its sender and how to answer on the same stream."""
+
+    sender: str
+    message: NamedTuple
+    reply: Callable[[NamedTuple], None]
+
+
+class ChannelDown(NamedTuple):
+    """The channel to a peer closed; what was sent on it may or may not have arrived."""
+
+    instance: str
+    detail: str
+
+
+class BytesCodec(CodecBase):
+    """Passes signed envelopes through unchanged; PeerCodec does the work."""
+
+    __content_subtype__ = "almondspool"
+
+    def encode(self, message: bytes, message_type: type) -> bytes:
+        """Return the envelope as it is."""
+        return message
+
+    def decode(self, data: bytes, message_type: type) -> bytes:
+        """Return the envelope as it is."""
+        return data
+
+
+class _Identity(NamedTuple):
+    instance: str
+    incarnation: int
+
+
+class _Outbox:
+    """Messages of one stream, signed into envelopes by its writer."""
+
+    def __init__(self, identity: Callable[[], _Identity], codec: PeerCodec) -> None:
+        self._identity = identity
+        self._codec = codec
+        self._queue: asyncio.Queue[NamedTuple] = asyncio.Queue(_MAX_QUEUED_MESSAGES)
+        self._head: list[NamedTuple] = []
+        self._sequence = 0
+        self.bytes_sent = 0
+
+    def put(self, message: NamedTuple) -> bool:
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    def clear(self) -> None:
+        self._head.clear()
+        while not self._queue.empty():
+            self._queue.get_nowait()
+
+    async def wait(self) -> None:
+        if not self._head:
+            self._head.append(await self._queue.get())
+
+    async def next_envelope(self) -> bytes:
+        await self.wait()
+        messages, self._head = self._head, []
+        while not self._queue.empty() and len(messages) < _MAX_MESSAGES_PER_ENVELOPE:
+            messages.append(self._queue.get_nowait())
+        self._sequence += 1
+        instance, incarnation = self._identity()
+        data = self._codec.encode(
+            instance, incarnation, self._sequence, tuple(messages)
+        )
+        self.bytes_sent += len(data)
+        return data
+
+
+class _Inbox:
+    """Checks envelopes of one stream and hands their messages on."""
+
+    def __init__(
+        self, codec: PeerCodec, deliver: Callable[[str, NamedTuple], None]
+    ) -> None:
+        self._codec = codec
+        self._deliver = deliver
+        self._last_sequence = 0
+
+    def accept(self, data: bytes) -> None:
+        envelope, messages = self._codec.decode(data)
+        if envelope.sequence <= self._last_sequence:
+            raise PeerError(
+                f"instance {envelope.sender} repeated sequence {envelope.sequence}",
+                ResultCode.PEER_REPLAY,
+            )
+        self._last_sequence = envelope.sequence
+        for message in messages:
+            self._deliver(envelope.sender, message)
+
+
+class PeerChannels:
+    """Owns the peer listener and one outgoing stream for each peer in use.
+
+    Messages that arrive, and ChannelDown notices, are put on ``inbox``. A message is
+    delivered at most once; there is no retry here.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        codec: PeerCodec,
+        log: EventLog,
+        count_refusal: Callable[[ResultCode], None],
+    ) -> None:
+        """Keep who we are, the codec, and where refusals are counted."""
+        self._instance = instance
+        self._codec = codec
+        self._log = log
+        self._count_refusal = count_refusal
+        self._incarnation = 0
+        self._channel_by_instance: dict[str, _PeerChannel] = {}
+        self._server: Server | None = None
+        self.inbox: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self.messages_received: collections.Counter[str] = collections.Counter()
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """Use an incarnation in all further envelopes."""
+        self._incarnation = incarnation
+
+    def identity(self) -> _Identity:
+        """Return the instance and incarnation that sign envelopes."""
+        return _Identity(self._instance, self._incarnation)
+
+    def listen(self, address: str) -> None:
+        """Start the listener on ``ip:port``.
+
+        Raises:
+            OSError: If the address is in use.
+        """
+        host, port = address.rsplit(":", 1)
+        self._server = Server([self], codec=BytesCodec(), config=_config())
+        eventlet.asyncio.spawn_for_awaitable(self._server.start(host, int(port))).wait()
+
+    def send(self, instance: str, address: str, message: NamedTuple) -> bool:
+        """Queue a message to a peer; False if its queue is full.
+
+        Args:
+            instance: The peer.
+            address: Its ``ip:port``; a changed one replaces the channel.
+            message: One of the types in protocol.peer.
+        """
+        channel = self._channel_by_instance.get(instance)
+        if channel is None or channel.address != address:
+            if channel is not None:
+                channel.close()
+            channel = _PeerChannel(self, instance, address, self._codec, self._log)
+            self._channel_by_instance[instance] = channel
+        return channel.put(message)
+
+    def drop(self, instance: str) -> None:
+        """Close the channel to a peer that is gone."""
+        channel = self._channel_by_instance.pop(instance, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close the listener and every channel."""
+        for instance in list(self._channel_by_instance):
+            self.drop(instance)
+        if self._server is not None:
+            self._server.close()
+
+    def refuse(self, peer: str, error: PeerError) -> None:
+        """Count and log a refused envelope."""
+        self._count_refusal(error.code)
+        self._log.write(
+            "peer.refused", peer=peer, code=int(error.code), detail=str(error)
+        )
+
+    def deliver(
+        self, sender: str, message: NamedTuple, reply: Callable[[NamedTuple], None]
+    ) -> None:
+        """Put a message that arrived on the inbox."""
+        self.messages_received[type(message).__name__] += 1
+        self.inbox.put(PeerMessage(sender, message, reply))
+
+    def notify_down(self, instance: str, detail: str) -> None:
+        """Put a ChannelDown notice on the inbox."""
+        self.inbox.put(ChannelDown(instance, detail))
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the gRPC method table."""
+        return {_METHOD: Handler(self._serve, Cardinality.STREAM_STREAM, bytes, bytes)}
+
+    async def _serve(self, stream: Stream) -> None:
+        outbox = _Outbox(self.identity, self._codec)
+        inbox = _Inbox(
+            self._codec,
+            lambda sender, message: self.deliver(sender, message, outbox.put),
+        )
+        await stream.send_initial_metadata()
+        writer = asyncio.get_running_loop().create_task(_write_all(stream, outbox))
+        try:
+            async for data in stream:
+                inbox.accept(data)
+        except PeerError as error:
+            self.refuse(str(stream.peer.addr()), error)
+        except _CHANNEL_ERRORS:
+            pass  # The client's side reports the closed channel.
+        finally:
+            writer.cancel()
+
+
+class _PeerChannel:
+    """The outgoing stream to one peer, owned by one coroutine."""
+
+    def __init__(
+        self,
+        owner: PeerChannels,
+        instance: str,
+        address: str,
+        codec: PeerCodec,
+        log: EventLog,
+    ) -> None:
+        self.address = address
+        self._owner = owner
+        self._instance = instance
+        self._codec = codec
+        self._log = log
+        self._closed = False
+        self._outbox = _Outbox(owner.identity, codec)
+        self._task: asyncio.Task | None = None
+        eventlet.asyncio.spawn_for_awaitable(self._run())
+
+    def put(self, message: NamedTuple) -> bool:
+        return self._outbox.put(message)
+
+    def close(self) -> None:
+        self._closed = True
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        self._task = asyncio.current_task()
+        with contextlib.suppress(asyncio.CancelledError):
+            while not self._closed:
+                await self._outbox.wait()
+                detail = await self._exchange()
+                self._outbox.clear()
+                self._owner.notify_down(self._instance, detail)
+                await asyncio.sleep(_RECONNECT_DELAY_S)
+
+    async def _exchange(self) -> str:
+        host, port = self.address.rsplit(":", 1)
+        channel = Channel(host, int(port), codec=BytesCodec(), config=_config())
+        try:
+            await asyncio.wait_for(channel.__connect__(), _CONNECT_TIMEOUT_S)
+            async with channel.request(
+                _METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+            ) as stream:
+                await stream.send_request()
+                await self._pump(stream)
+            return "stream ended"
+        except PeerError as error:
+            self._owner.refuse(self._instance, error)
+            return str(error)
+        except _CHANNEL_ERRORS as error:
+            return f"{type(error).__name__}: {error}"
+        finally:
+            channel.close()
+
+    async def _pump(self, stream: object) -> None:
+        loop = asyncio.get_running_loop()
+        writer = loop.create_task(_write_all(stream, self._outbox))
+        reader = loop.create_task(self._read_all(stream))
+        try:
+            done, _ = await asyncio.wait(
+                {writer, reader}, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            writer.cancel()
+            reader.cancel()
+
+    async def _read_all(self, stream: object) -> None:
+        inbox = _Inbox(self._codec, self._deliver)
+        async for data in stream:
+            inbox.accept(data)
+
+    def _deliver(self, sender: str, message: NamedTuple) -> None:
+        self._owner.deliver(sender, message, self._outbox.put)
+
+
+async def _write_all(stream: object, outbox: _Outbox) -> None:
+    while True:
+        await stream.send_message(await outbox.next_envelope())
+
+
+def _config() -> Configuration:
+    return Configuration(
+        _keepalive_time=_KEEPALIVE_INTERVAL_S,
+        _keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
+        _keepalive_permit_without_calls=True,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=_KEEPALIVE_INTERVAL_S,
+    )
