--- /dev/null
+++ b/almondspool/coordination/request_run.py
@@ -0,0 +1,155 @@
+"""Drives one search session: carries out its actions and feeds it results."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet.queue
+
+from almondspool.coordination.search_actions import (
+    CancelLeg,
+    Finish,
+    SendLeg,
+    ShareSuspicion,
+)
+from almondspool.protocol.peer import LegAssignment
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from almondspool.coordination.leg_router import LegRouter
+    from almondspool.coordination.search import SearchSession
+    from almondspool.coordination.search_actions import Action
+    from almondspool.logs import EventLog
+    from almondspool.protocol.caller import SearchAnswer, SearchRequest
+    from almondspool.protocol.peer import Suspicion
+    from almondspool.protocol.upstream import LegResult
+    from almondspool.state.document import Section, Upstream
+    from almondspool.transport.metrics import Metrics
+    from almondspool.transport.timers import TimerService
+
+
+class RunServices(NamedTuple):
+    """What a run uses of its instance.
+
+    Attributes:
+        timers: The time.
+        router: Sends legs and routes their results.
+        log: The event log.
+        metrics: Leg counters.
+        share_suspicion: Tells all instances of a crashed upstream.
+        log_decisions: Whether each routing decision gets a line.
+    """
+
+    timers: TimerService
+    router: LegRouter
+    log: EventLog
+    metrics: Metrics
+    share_suspicion: Callable[[Suspicion], None]
+    log_decisions: bool
+
+
+class RequestRun:
+    """One request on its green thread, from the first leg to the answer."""
+
+    def __init__(
+        self,
+        services: RunServices,
+        request: SearchRequest,
+        session: SearchSession,
+        current_section: Callable[[], Section | None],
+        priority: int,
+    ) -> None:
+        """Keep the session and its surroundings.
+
+        Args:
+            services: What the run uses of its instance.
+            request: The caller's request.
+            session: The decisions.
+            current_section: Returns the section in force.
+            priority: Priority class, for the holders' queues.
+        """
+        self._services = services
+        self._request = request
+        self._session = session
+        self._current_section = current_section
+        self._priority = priority
+        self._inbox: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._upstreams_by_id: dict[str, Upstream] = {}
+
+    def run(self) -> SearchAnswer:
+        """Return the final answer; blocks the calling green thread."""
+        actions = self._session.start(self._services.timers.now())
+        while True:
+            answer = self._carry_out(actions)
+            if answer is not None:
+                return answer
+            actions = self._next_actions()
+
+    def _next_actions(self) -> Sequence[Action]:
+        result = self._next_result()
+        now = self._services.timers.now()
+        if result is None:
+            return self._session.on_timer(now)
+        self._services.metrics.leg_results.labels(result.code.name).inc()
+        return self._session.on_result(now, result)
+
+    def _next_result(self) -> LegResult | None:
+        if not self._inbox.empty():
+            return self._inbox.get_nowait()
+        wake = self._session.next_wake
+        wait_s = None if wake is None else wake - self._services.timers.now()
+        if wait_s is not None and wait_s <= 0:
+            return None
+        try:
+            return self._inbox.get(timeout=wait_s)
+        except eventlet.queue.Empty:
+            return None
+
+    def _carry_out(self, actions: Sequence[Action]) -> SearchAnswer | None:
+        sends = [action for action in actions if isinstance(action, SendLeg)]
+        cancels = [action for action in actions if isinstance(action, CancelLeg)]
+        if cancels:
+            self._services.router.cancel(cancel.leg_id for cancel in cancels)
+        if sends:
+            self._send(sends)
+        answer = None
+        for action in actions:
+            if isinstance(action, ShareSuspicion):
+                self._services.share_suspicion(action.suspicion)
+            if isinstance(action, Finish):
+                answer = action.answer
+        return answer
+
+    def _send(self, sends: Sequence[SendLeg]) -> None:
+        section = self._current_section()
+        if section is not None:
+            self._upstreams_by_id = section.upstreams_by_id
+        for send in sends:
+            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
+            if self._services.log_decisions:
+                self._log_decision(send)
+        pairs = [
+            (
+                self._upstreams_by_id[send.upstream_id],
+                LegAssignment(send.upstream_id, send.leg),
+            )
+            for send in sends
+        ]
+        self._services.router.send(self._priority, pairs, self._inbox.put)
+
+    def _log_decision(self, send: SendLeg) -> None:
+        candidates = [
+            f"{candidate.upstream_id}:{candidate.score_s:.4f}"
+            for candidate in send.candidates
+        ]
+        self._services.log.write(
+            "leg.routed",
+            request=self._request.request_id,
+            leg=send.leg.leg_id,
+            shard=send.leg.shard,
+            snapshot=send.leg.snapshot,
+            upstream=send.upstream_id,
+            reason=send.reason,
+            candidates=candidates,
+        )
