--- /dev/null
+++ b/almondspool/standins/launcher.py
@@ -0,0 +1,358 @@
+"""Starts a whole cluster of processes on loopback for demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import signal
+import socket
+import tempfile
+from collections.abc import Sequence
+from types import TracebackType
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from absl import app, flags
+
+from almondspool.standins.control_client import ControlClient
+from almondspool.standins.deployments import (
+    LOOPBACK,
+    PLANS_BY_NAME,
+    Deployment,
+    build_deployment,
+    count_searchers,
+)
+from almondspool.standins.processes import Child, answers_ok
+from almondspool.standins.searcher_settings import (
+    SearcherProcessSettings,
+    SearcherSettings,
+    dump_process_settings,
+)
+
+# Below the range from which the kernel takes ports of outgoing connections.
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
+PORT_ATTEMPTS = 100
+FIXED_PORTS = 2
+PORTS_PER_INSTANCE = 2
+PEER_KEY = "loopback-cluster-key"
+PLATFORM = "platform"
+
+
+class Instance(NamedTuple):
+    """One daemon of a cluster and its addresses."""
+
+    name: str
+    zone: str
+    caller_address: str
+    peer_address: str
+
+
+class Cluster:
+    """A platform, searchers and daemons; a context manager that stops them all.
+
+    Attributes:
+        deployment: The deployment the searchers hold.
+        directory: Where settings, sections and logs are written.
+        instances_by_name: The daemons' addresses.
+        platform_address: ``ip:port`` of the object API.
+        platform: Control client of the platform.
+        section_paths_by_team: Files of the configuration document.
+    """
+
+    def __init__(
+        self,
+        deployment: str = "demo",
+        *,
+        instances: int = 3,
+        searcher_processes: int = 1,
+        settings: dict[str, object] | None = None,
+        platform_flags: Sequence[str] = (),
+        **deployment_options: object,
+    ) -> None:
+        """Plan a cluster; nothing is started.
+
+        Args:
+            deployment: A key of PLANS_BY_NAME.
+            instances: Number of daemons, spread over the zones.
+            searcher_processes: Processes among which the searchers are split.
+            settings: Further settings of every daemon.
+            platform_flags: Further flags of the platform stand-in.
+            deployment_options: Passed to build_deployment.
+        """
+        searchers = count_searchers(PLANS_BY_NAME[deployment])
+        count = FIXED_PORTS + searcher_processes + searchers
+        ports = _free_ports(count + PORTS_PER_INSTANCE * instances)
+        self._temporary = tempfile.TemporaryDirectory(prefix="almondspool-")
+        self.directory = pathlib.Path(self._temporary.name)
+        self._http = urllib3.PoolManager(maxsize=4)
+        self._children_by_name: dict[str, Child] = {}
+        self._searcher_controls_by_name: dict[str, str] = {}
+        self._process_by_upstream_id: dict[str, str] = {}
+        self.platform_address = _loopback(ports.start)
+        self._platform_control = _loopback(ports.start + 1)
+        self.platform = ControlClient(self._platform_control, self._http)
+        first_control = ports.start + FIXED_PORTS
+        first_searcher = first_control + searcher_processes
+        self.deployment: Deployment = build_deployment(
+            deployment, first_searcher, **deployment_options
+        )
+        self.instances_by_name = _plan_instances(
+            self.deployment, instances, first_searcher + searchers
+        )
+        self._listed_by_name: dict[str, dict[str, object]] = {}
+        self.section_paths_by_team = self._write_sections()
+        self._plan_platform(platform_flags)
+        self._plan_searchers(searcher_processes, first_control)
+        self._plan_daemons(settings or {})
+
+    def __enter__(self) -> Cluster:
+        """Return the cluster; start() or the start_* methods run it."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop every process, also after an error, and remove the directory."""
+        self.stop()
+        self._http.clear()
+        self._temporary.cleanup()
+
+    def start(self) -> None:
+        """Start everything and wait until each process is ready."""
+        self.start_standins()
+        self.start_daemons()
+
+    def start_standins(self) -> None:
+        """Start the platform and the searchers and wait for their control ports."""
+        controls = {PLATFORM: self._platform_control, **self._searcher_controls_by_name}
+        for name in controls:
+            self._children_by_name[name].start()
+        for name, address in controls.items():
+            self._wait_for(name, f"http://{address}/control/ready")
+
+    def start_daemons(self, ready_path: str = "/readyz") -> None:
+        """Start every daemon, list it at the platform and wait for readiness."""
+        for name in self.instances_by_name:
+            self._children_by_name[name].start()
+            self._list_instance(name)
+        for name in self.instances_by_name:
+            self.wait_ready(name, ready_path)
+
+    def wait_ready(self, name: str, ready_path: str = "/readyz") -> None:
+        """Wait until a daemon answers 200.
+
+        Raises:
+            StartError: With the end of its log, when it ends or stays unready.
+        """
+        address = self.instances_by_name[name].caller_address
+        self._wait_for(name, f"http://{address}{ready_path}")
+
+    def child(self, name: str) -> Child:
+        """Return the process of a name: an instance, ``platform`` or ``searchers-N``.
+
+        The id of an upstream gives the process that hosts it.
+        """
+        return self._children_by_name[self._process_by_upstream_id.get(name, name)]
+
+    def kill(self, name: str) -> None:
+        """End a process at once; a daemon leaves the platform's list after its lag."""
+        self.child(name).send(signal.SIGKILL)
+        self.child(name).wait()
+        self._unlist_instance(name)
+
+    def freeze(self, name: str) -> None:
+        """Suspend a process."""
+        self.child(name).send(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a suspended process run again."""
+        self.child(name).send(signal.SIGCONT)
+
+    def terminate(self, name: str, timeout_s: float = 60.0) -> int | None:
+        """Stop a process gracefully and return its exit code, None if it runs on."""
+        if name in self._listed_by_name:
+            self._list_instance(name, leaving=True)
+        self.child(name).send(signal.SIGTERM)
+        code = self.child(name).wait(timeout_s)
+        self._unlist_instance(name)
+        return code
+
+    def restart(self, name: str, ready_path: str = "/readyz") -> None:
+        """Start an ended process again and wait for it."""
+        self.child(name).start()
+        if name in self.instances_by_name:
+            self._list_instance(name)
+            self.wait_ready(name, ready_path)
+            return
+        address = self._searcher_controls_by_name.get(name, self._platform_control)
+        self._wait_for(name, f"http://{address}/control/ready")
+
+    def searcher_control(self, upstream_id: str) -> ControlClient:
+        """Return the control client of the process that hosts an upstream."""
+        name = self._process_by_upstream_id[upstream_id]
+        return ControlClient(self._searcher_controls_by_name[name], self._http)
+
+    def searcher_controls(self) -> list[ControlClient]:
+        """Return a control client of each searcher process."""
+        addresses = self._searcher_controls_by_name.values()
+        return [ControlClient(address, self._http) for address in addresses]
+
+    def kill_searcher(self, upstream_id: str) -> None:
+        """Close one searcher's listener and connections."""
+        self.searcher_control(upstream_id).change_searcher(upstream_id, down=True)
+
+    def revive_searcher(self, upstream_id: str) -> None:
+        """Let a killed searcher listen again, cold."""
+        self.searcher_control(upstream_id).change_searcher(upstream_id, down=False)
+
+    def stop(self) -> dict[str, int | None]:
+        """Stop every process, daemons first, and return the exit codes by name."""
+        daemons = list(self.instances_by_name)
+        standins = [name for name in self._children_by_name if name not in daemons]
+        for name in daemons:
+            self.resume(name)
+            self.child(name).send(signal.SIGTERM)
+        return {
+            name: self._children_by_name[name].stop() for name in daemons + standins
+        }
+
+    def _wait_for(self, name: str, url: str) -> None:
+        self._children_by_name[name].wait_until(lambda: answers_ok(self._http, url))
+
+    def _list_instance(self, name: str, *, leaving: bool = False) -> None:
+        instance = self.instances_by_name[name]
+        self._listed_by_name[name] = {
+            "instance": name,
+            "address": instance.peer_address,
+            "zone": instance.zone,
+            "leaving": leaving,
+        }
+        self.platform.set_instances(list(self._listed_by_name.values()))
+
+    def _unlist_instance(self, name: str) -> None:
+        if self._listed_by_name.pop(name, None) is not None:
+            self.platform.set_instances(list(self._listed_by_name.values()))
+
+    def _write_sections(self) -> dict[str, pathlib.Path]:
+        paths_by_team = {}
+        for team, text in self.deployment.section_texts_by_team.items():
+            paths_by_team[team] = self._write(f"section-{team}.yaml", text)
+        return paths_by_team
+
+    def _write(self, name: str, text: str) -> pathlib.Path:
+        path = self.directory / name
+        path.write_text(text)
+        return path
+
+    def _add_child(self, name: str, *arguments: str) -> None:
+        self._children_by_name[name] = Child(name, arguments, str(self.directory))
+
+    def _plan_platform(self, platform_flags: Sequence[str]) -> None:
+        self._add_child(
+            PLATFORM,
+            "almondspool.standins.platform",
+            f"--address={self.platform_address}",
+            f"--control_address={self._platform_control}",
+            *platform_flags,
+        )
+
+    def _plan_searchers(self, processes: int, first_control: int) -> None:
+        searchers = list(self.deployment.searchers_by_id.values())
+        for number in range(processes):
+            name = f"searchers-{number + 1}"
+            control = _loopback(first_control + number)
+            self._searcher_controls_by_name[name] = control
+            self._plan_searcher_process(name, control, searchers[number::processes])
+
+    def _plan_searcher_process(
+        self, name: str, control: str, hosted: Sequence[SearcherSettings]
+    ) -> None:
+        for searcher in hosted:
+            self._process_by_upstream_id[searcher.upstream_id] = name
+        datasets = tuple(self.deployment.datasets_by_team.values())
+        settings = SearcherProcessSettings(control, datasets, tuple(hosted))
+        path = self._write(f"{name}.yaml", dump_process_settings(settings))
+        self._add_child(name, "almondspool.standins.searcher", f"--settings={path}")
+
+    def _plan_daemons(self, further: dict[str, object]) -> None:
+        peers = [item.peer_address for item in self.instances_by_name.values()]
+        for name, instance in self.instances_by_name.items():
+            settings = {
+                "instance": name,
+                "zone": instance.zone,
+                "region": self.deployment.name,
+                "caller_address": instance.caller_address,
+                "peer_address": instance.peer_address,
+                "platform_address": self.platform_address,
+                "peer_key": PEER_KEY,
+                "seed_peers": [peer for peer in peers if peer != instance.peer_address],
+                **further,
+            }
+            text = msgspec.yaml.encode(settings).decode()
+            path = self._write(f"{name}.yaml", text)
+            self._add_child(name, "almondspool.daemon", f"--settings={path}")
+
+
+def _loopback(port: int) -> str:
+    return f"{LOOPBACK}:{port}"
+
+
+def _plan_instances(
+    deployment: Deployment, count: int, first_port: int
+) -> dict[str, Instance]:
+    instances_by_name = {}
+    for number in range(count):
+        zone = deployment.zones[number % len(deployment.zones)]
+        name = f"{zone}-{number // len(deployment.zones) + 1}"
+        port = first_port + PORTS_PER_INSTANCE * number
+        instances_by_name[name] = Instance(
+            name, zone, _loopback(port), _loopback(port + 1)
+        )
+    return instances_by_name
+
+
+def _free_ports(count: int) -> range:
+    chooser = random.SystemRandom()
+    for _ in range(PORT_ATTEMPTS):
+        start = chooser.randrange(LOWEST_PORT, HIGHEST_PORT - count)
+        ports = range(start, start + count)
+        if all(_is_free(port) for port in ports):
+            return ports
+    raise OSError(f"no {count} consecutive free ports on {LOOPBACK}")
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            if kind == socket.SOCK_STREAM:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
+def main(argv: list[str]) -> None:
+    """Run a deployment until interrupted."""
+    del argv
+    values = flags.FLAGS
+    with Cluster(values.deployment, instances=values.instances) as cluster:
+        cluster.start_standins()
+        cluster.start_daemons(ready_path="/healthz")
+        print(f"platform {cluster.platform_address}")
+        for instance in cluster.instances_by_name.values():
+            print(f"{instance.name} {instance.caller_address}")
+        print(f"sections and logs in {cluster.directory}; Ctrl-C stops", flush=True)
+        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+
+
+if __name__ == "__main__":
+    flags.DEFINE_enum("deployment", "demo", list(PLANS_BY_NAME), "What to run.")
+    flags.DEFINE_integer("instances", 3, "Number of daemons.", lower_bound=0)
+    app.run(main)
--- /dev/null
+++ b/almondspool/standins/leg_runs.py
@@ -0,0 +1,319 @@
+"""Runs the legs of one searcher stand-in in its slots."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+
+import eventlet
+import eventlet.queue
+import msgspec
+
+from almondspool.protocol.caller import Record
+from almondspool.standins.faults import FaultKind, FaultSwitches, Journal
+from almondspool.standins.records import Dataset, find_records, records_by_shard
+from almondspool.standins.searcher_settings import SearcherSettings
+
+COLD_SLOWDOWN = 4.0
+SERVICE_TIME_SPREAD = 0.2
+POLL_FROZEN_S = 0.02
+
+OK = "ok"
+SHED = "shed"
+DRAINING = "draining"
+SNAPSHOT_GONE = "snapshot_gone"
+SHARD_UNKNOWN = "shard_unknown"
+CANCELLED = "cancelled"
+DEADLINE = "deadline"
+
+_SLOT_GRANTED = "slot"
+_CRASHED = "crashed"
+
+
+class WireLeg(msgspec.Struct):
+    """A leg as it arrives in the body of a request."""
+
+    leg_id: str
+    request_id: str
+    team: str
+    snapshot: int
+    shard: str
+    query: dict[str, str]
+    deadline_ms: int
+    idempotent: bool = True
+
+
+class WireRecord(msgspec.Struct):
+    """A found record as it is sent."""
+
+    record_id: str
+    fields: dict[str, str]
+
+
+class WireResult(msgspec.Struct):
+    """The result of a leg as it is sent, one line each."""
+
+    leg_id: str
+    status: str
+    snapshot: int
+    shard: str
+    records: list[WireRecord] = []
+    detail: str = ""
+    was_run: bool = False
+
+
+class LegEntry(msgspec.Struct):
+    """Journal entry of a leg that got a slot.
+
+    Attributes:
+        upstream_id: The searcher.
+        leg_id: The leg.
+        request_id: The request it belongs to.
+        snapshot: The snapshot it ran on.
+        shard: The shard it searched.
+        idempotent: False for a booking, whose effect this entry is.
+        finished: Whether it ran to its end.
+    """
+
+    upstream_id: str
+    leg_id: str
+    request_id: str
+    snapshot: int
+    shard: str
+    idempotent: bool
+    finished: bool = False
+
+
+class CrashError(Exception):
+    """The leg crashes the searcher."""
+
+
+class LegRun:
+    """One leg on its way through a searcher's queue and slot."""
+
+    def __init__(self, leg: WireLeg) -> None:
+        """Start the leg's deadline."""
+        self.leg = leg
+        self._ends = time.monotonic() + leg.deadline_ms / 1000
+        self._messages: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+
+    def send(self, message: str) -> None:
+        """Wake the leg with the news of a slot, a cancellation or a crash."""
+        self._messages.put(message)
+
+    def wait(self, duration_s: float | None = None) -> str:
+        """Wait for a message, the deadline or the end of a duration in seconds.
+
+        Returns:
+            The message, DEADLINE, or an empty string when the duration ended.
+        """
+        left_s = max(0.0, self._ends - time.monotonic())
+        is_last = duration_s is None or left_s <= duration_s
+        try:
+            return self._messages.get(timeout=left_s if is_last else duration_s)
+        except eventlet.queue.Empty:
+            return DEADLINE if is_last else ""
+
+
+class SearchIndex:
+    """The records of one team by snapshot and shard, generated on first use."""
+
+    def __init__(self, dataset: Dataset) -> None:
+        """Index a dataset."""
+        self._dataset = dataset
+        self._by_key: dict[tuple[str, int], dict[str, tuple[Record, ...]]] = {}
+
+    def search(
+        self, snapshot: int, shard: str, query: dict[str, str]
+    ) -> list[WireRecord]:
+        """Return the records of a shard that match a query."""
+        service_id = shard.rpartition("/")[0]
+        key = (service_id, snapshot)
+        if key not in self._by_key:
+            self._by_key[key] = records_by_shard(self._dataset, service_id, snapshot)
+        found = find_records(self._by_key[key][shard], query)
+        return [WireRecord(record.record_id, record.fields) for record in found]
+
+
+class LegRunner:
+    """The slots and the queue of one searcher.
+
+    Attributes:
+        draining: True when it takes no new legs.
+        snapshots: The snapshots it serves.
+    """
+
+    def __init__(
+        self,
+        settings: SearcherSettings,
+        index: SearchIndex,
+        faults: FaultSwitches,
+        journal: Journal,
+        on_crash: Callable[[float], None],
+    ) -> None:
+        """Run legs by the settings; on_crash gets the seconds to stay down."""
+        self._settings = settings
+        self._index = index
+        self._faults = faults
+        self._journal = journal
+        self._on_crash = on_crash
+        self._random = random.Random(settings.upstream_id)
+        self._waiting: deque[LegRun] = deque()
+        self._runs_by_leg_id: dict[str, LegRun] = {}
+        self._running = 0
+        self._started = time.monotonic()
+        self.draining = False
+        self.snapshots = set(settings.shards_by_snapshot)
+
+    @property
+    def running(self) -> int:
+        """Legs in the slots."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """Legs that wait for a slot."""
+        return len(self._waiting)
+
+    def warmth(self) -> float:
+        """Return 0.0 just after a start to 1.0 when warm."""
+        if not self._settings.cold_start_s:
+            return 1.0
+        elapsed_s = time.monotonic() - self._started
+        return min(1.0, elapsed_s / self._settings.cold_start_s)
+
+    def restart(self) -> None:
+        """Become cold again."""
+        self._started = time.monotonic()
+
+    def abort(self) -> None:
+        """End every leg without a result, as a crash does."""
+        for run in list(self._runs_by_leg_id.values()):
+            run.send(_CRASHED)
+
+    def cancel(self, leg_ids: list[str]) -> None:
+        """Stop the named legs, wherever they are."""
+        for leg_id in leg_ids:
+            run = self._runs_by_leg_id.get(leg_id)
+            if run is not None:
+                run.send(CANCELLED)
+
+    def run(self, leg: WireLeg) -> WireResult:
+        """Run one leg and return its result.
+
+        Raises:
+            CrashError: When the leg crashes the searcher.
+        """
+        refusal = self._refuse(leg)
+        if refusal:
+            return _result(leg, refusal, f"{self._settings.upstream_id}: {refusal}")
+        run = LegRun(leg)
+        self._runs_by_leg_id[leg.leg_id] = run
+        try:
+            return self._run_in_slot(run)
+        finally:
+            self._runs_by_leg_id.pop(leg.leg_id, None)
+
+    def _refuse(self, leg: WireLeg) -> str:
+        if self.draining:
+            return DRAINING
+        if leg.snapshot not in self.snapshots:
+            return SNAPSHOT_GONE
+        if leg.shard not in self._settings.shards_by_snapshot[leg.snapshot]:
+            return SHARD_UNKNOWN
+        if len(self._waiting) >= self._settings.queue_limit:
+            return SHED
+        return ""
+
+    def _run_in_slot(self, run: LegRun) -> WireResult:
+        message = self._acquire_slot(run)
+        if message == _CRASHED:
+            raise CrashError(run.leg.leg_id)
+        if message != _SLOT_GRANTED:
+            return _result(run.leg, message)
+        try:
+            return self._serve(run)
+        finally:
+            self._release_slot()
+
+    def _acquire_slot(self, run: LegRun) -> str:
+        if self._running < self._settings.slots:
+            self._running += 1
+            return _SLOT_GRANTED
+        self._waiting.append(run)
+        message = run.wait()
+        if message != _SLOT_GRANTED and run in self._waiting:
+            self._waiting.remove(run)
+        elif message != _SLOT_GRANTED:
+            # The slot was granted while the leg was ending.
+            self._release_slot()
+        return message
+
+    def _release_slot(self) -> None:
+        if self._waiting:
+            self._waiting.popleft().send(_SLOT_GRANTED)
+        else:
+            self._running -= 1
+
+    def _serve(self, run: LegRun) -> WireResult:
+        leg = run.leg
+        entry = LegEntry(
+            self._settings.upstream_id,
+            leg.leg_id,
+            leg.request_id,
+            leg.snapshot,
+            leg.shard,
+            leg.idempotent,
+        )
+        self._journal.add(entry)
+        message = run.wait(self._service_time_s())
+        self._check_crash(leg, message)
+        if message in (CANCELLED, DEADLINE):
+            return _result(leg, message, was_run=True)
+        self._wait_while_frozen()
+        entry.finished = True
+        records = self._index.search(leg.snapshot, leg.shard, leg.query)
+        return _result(leg, OK, was_run=True, records=records)
+
+    def _service_time_s(self) -> float:
+        upstream_id = self._settings.upstream_id
+        spread = self._random.uniform(-SERVICE_TIME_SPREAD, SERVICE_TIME_SPREAD)
+        time_ms = self._settings.service_time_ms * (1.0 + spread)
+        time_ms *= 1.0 + COLD_SLOWDOWN * (1.0 - self.warmth())
+        for kind in (FaultKind.STRAGGLE, FaultKind.SLOW):
+            fault = self._faults.take(kind, upstream_id)
+            if fault is not None:
+                time_ms = time_ms * fault.factor + fault.delay_ms
+        delay = self._faults.take(FaultKind.DELAY, upstream_id)
+        if delay is not None:
+            time_ms += delay.delay_ms
+        return time_ms / 1000
+
+    def _check_crash(self, leg: WireLeg, message: str) -> None:
+        kind = FaultKind.CRASH_ON
+        upstream_id = self._settings.upstream_id
+        if message == _CRASHED:
+            raise CrashError(leg.leg_id)
+        for fault in self._faults.all_on(kind, upstream_id):
+            if leg.query.get(fault.field) == fault.value:
+                self._on_crash(fault.restart_s)
+                raise CrashError(leg.leg_id)
+
+    def _wait_while_frozen(self) -> None:
+        while self._faults.is_on(FaultKind.FREEZE, self._settings.upstream_id):
+            eventlet.sleep(POLL_FROZEN_S)
+
+
+def _result(
+    leg: WireLeg,
+    status: str,
+    detail: str = "",
+    *,
+    was_run: bool = False,
+    records: list[WireRecord] | None = None,
+) -> WireResult:
+    return WireResult(
+        leg.leg_id, status, leg.snapshot, leg.shard, records or [], detail, was_run
+    )
--- /dev/null
+++ b/almondspool/standins/platform.py
@@ -0,0 +1,301 @@
+"""Platform stand-in: an object API over HTTP with a lagging instance list."""
+
+# ruff: noqa: E402
+from __future__ import annotations
+
+import eventlet
+import eventlet.event
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+import base64
+import time
+from collections import deque
+from typing import NamedTuple
+
+import msgspec
+from absl import app, flags
+
+from almondspool.protocol.platform import PlatformObject
+from almondspool.standins.faults import (
+    CallCounters,
+    ControlPort,
+    FaultKind,
+    FaultSwitches,
+    Journal,
+)
+from almondspool.standins.object_store import (
+    HistoryGoneError,
+    ObjectStore,
+    ValueTooLargeError,
+    VersionConflictError,
+)
+from almondspool.standins.web import (
+    DropConnection,
+    Listener,
+    Request,
+    Response,
+    json_response,
+)
+
+RETRY_AFTER_S = 1
+MAX_WATCH_S = 120.0
+DEFAULT_CALLS_PER_S = 2000
+DEFAULT_HISTORY_LIMIT = 10_000
+
+
+def _define_flags() -> None:
+    flags.DEFINE_string("address", None, "ip:port of the object API.", required=True)
+    flags.DEFINE_string(
+        "control_address", None, "ip:port of the control port.", required=True
+    )
+    flags.DEFINE_integer(
+        "calls_per_s", DEFAULT_CALLS_PER_S, "Calls per second before 429 replies."
+    )
+    flags.DEFINE_float(
+        "listing_lag_s", 2.0, "Seconds until a change of the instance list is seen."
+    )
+    flags.DEFINE_integer(
+        "history_limit", DEFAULT_HISTORY_LIMIT, "Changes kept for watches."
+    )
+
+
+class ListedInstance(msgspec.Struct, forbid_unknown_fields=True):
+    """One entry of the instance list."""
+
+    instance: str
+    address: str
+    zone: str
+    leaving: bool = False
+
+
+class WriteEntry(msgspec.Struct):
+    """Journal entry of a write that took effect.
+
+    Attributes:
+        kind: The object's kind.
+        name: The object's name.
+        version: The version it got.
+        deleted: Whether it was deleted.
+        replied: False when the reply was dropped by a fault.
+    """
+
+    kind: str
+    name: str
+    version: int
+    deleted: bool
+    replied: bool = True
+
+
+class _Listing(NamedTuple):
+    visible_from: float
+    instances: list[ListedInstance]
+
+
+class InstanceList:
+    """The list of instances, of which each change is seen after a lag."""
+
+    def __init__(self, lag_s: float) -> None:
+        """Show each change lag_s seconds after it was set."""
+        self._lag_s = lag_s
+        self._listings: deque[_Listing] = deque([_Listing(0.0, [])])
+
+    def replace(self, instances: list[ListedInstance], now: float) -> None:
+        """Set the whole list; ``now`` is monotonic seconds."""
+        self._listings.append(_Listing(now + self._lag_s, instances))
+
+    def seen(self, now: float) -> list[ListedInstance]:
+        """Return the list as callers see it at a time."""
+        while len(self._listings) > 1 and self._listings[1].visible_from <= now:
+            self._listings.popleft()
+        return self._listings[0].instances
+
+
+class Platform(ControlPort):
+    """The object API and its control port."""
+
+    def __init__(self, store: ObjectStore, listing: InstanceList, cap: int) -> None:
+        """Serve a store and a list, with at most cap calls a second."""
+        super().__init__(FaultSwitches(), Journal(), CallCounters(time.monotonic))
+        self.store = store
+        self.listing = listing
+        self._cap = cap
+        self._recent: deque[float] = deque()
+
+    def route(self, request: Request) -> Response | None:
+        """Add the route that sets the instance list."""
+        if (request.method, request.path[1:]) == ("PUT", ("instances",)):
+            decoded = msgspec.json.decode(request.body, type=list[ListedInstance])
+            self.listing.replace(decoded, time.monotonic())
+            return json_response({})
+        return super().route(request)
+
+    def handle_call(self, request: Request) -> Response:
+        """Answer one call of the object API, faults included."""
+        if request.path[:1] != ("v1",) or len(request.path) < 2:
+            return json_response({"error": "no such path"}, 404)
+        target = request.path[2] if len(request.path) > 2 else request.path[1]
+        self.faults.wait_while_frozen(request.connection, target)
+        if self.faults.take(FaultKind.REFUSE, target, request.method):
+            raise DropConnection
+        self.counters.count(_call_name(request))
+        self.faults.sleep_added_delay(target, request.method)
+        if self.faults.take(FaultKind.OUTAGE, target, request.method):
+            return Response(503, b"{}", retry_after_s=RETRY_AFTER_S)
+        if not self._within_cap():
+            return Response(429, b"{}", retry_after_s=RETRY_AFTER_S)
+        response = self._dispatch(request, target)
+        self.faults.wait_while_frozen(request.connection, target)
+        return self._damage(response, target, request.method)
+
+    def _within_cap(self) -> bool:
+        now = time.monotonic()
+        while self._recent and self._recent[0] <= now - 1.0:
+            self._recent.popleft()
+        if len(self._recent) >= self._cap:
+            return False
+        self._recent.append(now)
+        return True
+
+    def _dispatch(self, request: Request, target: str) -> Response:
+        try:
+            return self._run(request, target)
+        except VersionConflictError as error:
+            return json_response({"version": error.current}, 409)
+        except ValueTooLargeError as error:
+            return json_response({"error": str(error)}, 413)
+        except HistoryGoneError as error:
+            return json_response({"error": str(error)}, 410)
+        except (KeyError, ValueError) as error:
+            return json_response({"error": f"bad parameter: {error}"}, 400)
+
+    def _run(self, request: Request, target: str) -> Response:
+        match request.method, request.path[1:]:
+            case "GET", ("objects", kind):
+                return self._list(kind)
+            case "GET", ("objects", kind, name):
+                found = self.store.get(kind, name, self._stale_version(kind))
+                return json_response(_encode(found)) if found else _not_found()
+            case "PUT", ("objects", kind, name):
+                return self._put(request, kind, name)
+            case "DELETE", ("objects", kind, name):
+                return self._delete(request, kind, name)
+            case "GET", ("watch", kind):
+                return self._watch(request, kind)
+            case "GET", ("instances",):
+                seen = self.listing.seen(time.monotonic())
+                return json_response({"instances": seen})
+        return _not_found()
+
+    def _stale_version(self, kind: str) -> int | None:
+        fault = self.faults.take(FaultKind.STALE_READ, kind, "GET")
+        return fault.version if fault else None
+
+    def _list(self, kind: str) -> Response:
+        stale = self._stale_version(kind)
+        version = self.store.version if stale is None else stale
+        objects = [_encode(item) for item in self.store.list(kind, stale)]
+        return json_response({"version": version, "objects": objects})
+
+    def _put(self, request: Request, kind: str, name: str) -> Response:
+        expected = int(request.query["expected"])
+        written = self.store.put(kind, name, request.body, expected)
+        self._journal_write(written)
+        value = {"kind": kind, "name": name, "version": written.version}
+        return json_response(value)
+
+    def _delete(self, request: Request, kind: str, name: str) -> Response:
+        if not self.store.delete(kind, name, int(request.query["expected"])):
+            return _not_found()
+        self._journal_write(
+            PlatformObject(kind, name, self.store.version, b"", deleted=True)
+        )
+        return json_response({})
+
+    def _journal_write(self, written: PlatformObject) -> None:
+        method = "DELETE" if written.deleted else "PUT"
+        kind = FaultKind.DROP_REPLY_AFTER_EFFECT
+        dropped = self.faults.take(kind, written.kind, method)
+        self.journal.add(
+            WriteEntry(
+                written.kind,
+                written.name,
+                written.version,
+                written.deleted,
+                replied=dropped is None,
+            )
+        )
+        if dropped:
+            raise DropConnection
+
+    def _watch(self, request: Request, kind: str) -> Response:
+        after = int(request.query["after"])
+        wait_s = min(int(request.query.get("wait_ms", "0")) / 1000, MAX_WATCH_S)
+        events = self.store.watch(kind, after, wait_s)
+        version = events[-1].version if events else max(after, self.store.version)
+        return json_response(
+            {"version": version, "events": [_encode(event) for event in events]}
+        )
+
+    def _damage(self, response: Response, target: str, method: str) -> Response:
+        if self.faults.take(FaultKind.MALFORMED, target, method):
+            return response._replace(body=b"{not json")
+        if self.faults.take(FaultKind.TRUNCATED, target, method):
+            return response._replace(body=response.body[: len(response.body) // 2])
+        return response
+
+
+def _call_name(request: Request) -> str:
+    if request.path[1] == "objects" and request.method == "GET":
+        return "list" if len(request.path) == 3 else "get"
+    if request.path[1] == "objects":
+        return request.method.lower()
+    return request.path[1]
+
+
+def _encode(item: PlatformObject) -> dict[str, object]:
+    return {
+        "kind": item.kind,
+        "name": item.name,
+        "version": item.version,
+        "value": base64.b64encode(item.value).decode(),
+        "deleted": item.deleted,
+    }
+
+
+def _not_found() -> Response:
+    return json_response({"error": "no such object"}, 404)
+
+
+def serve_platform(address: str, control_address: str, platform: Platform) -> Listener:
+    """Open the object API and the control port of a platform."""
+    listener = Listener(address, platform.handle_call)
+    platform.faults.subscribe(lambda: _follow_faults(listener, platform.faults))
+    listener.open()
+    Listener(control_address, platform.handle).open()
+    return listener
+
+
+def _follow_faults(listener: Listener, faults: FaultSwitches) -> None:
+    listener.unsilence_connections()
+    if faults.is_on(FaultKind.SILENT_CONNECTION):
+        listener.silence_connections()
+
+
+def main(argv: list[str]) -> None:
+    """Run the platform stand-in until it is ended by a signal."""
+    del argv
+    values = flags.FLAGS
+    platform = Platform(
+        ObjectStore(values.history_limit),
+        InstanceList(values.listing_lag_s),
+        values.calls_per_s,
+    )
+    serve_platform(values.address, values.control_address, platform)
+    eventlet.event.Event().wait()
+
+
+if __name__ == "__main__":
+    _define_flags()
+    app.run(main)
--- /dev/null
+++ b/almondspool/standins/processes.py
@@ -0,0 +1,114 @@
+"""Child processes of the launcher, each ended only through its own handle."""
+
+from __future__ import annotations
+
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+
+import urllib3
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.02
+LOG_TAIL_CHARACTERS = 2000
+
+
+class StartError(Exception):
+    """A child process ended or stayed unready after its start."""
+
+
+class Child:
+    """One child process with its log file.
+
+    Attributes:
+        name: Its name within the cluster.
+        log_path: The file with its standard output and error.
+    """
+
+    def __init__(self, name: str, arguments: Sequence[str], directory: str) -> None:
+        """Prepare ``python -m`` arguments; start() runs them."""
+        self.name = name
+        self.log_path = pathlib.Path(directory) / f"{name}.log"
+        self._arguments = [sys.executable, "-W", "ignore", "-m", *arguments]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """The process id.
+
+        Raises:
+            StartError: When it was never started.
+        """
+        if self._process is None:
+            raise StartError(f"{self.name} was not started")
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start the process; its log is appended to."""
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def is_running(self) -> bool:
+        """Return whether the process was started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.is_running():
+            self._process.send_signal(number)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
+        """Return the exit code, or None when it runs on after timeout_s seconds."""
+        try:
+            return self._process.wait(timeout_s) if self._process else None
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
+        """End the process gracefully, by force after timeout_s seconds."""
+        if self._process is None:
+            return None
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        if self.wait(timeout_s) is None:
+            self.send(signal.SIGKILL)
+        return self.wait()
+
+    def wait_until(
+        self, condition: Callable[[], bool], timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait for a condition that the started process brings about.
+
+        Raises:
+            StartError: With the end of the log, when it ends or stays unready.
+        """
+        give_up = time.monotonic() + timeout_s
+        while not condition():
+            if not self.is_running():
+                raise StartError(f"{self.name} ended at start:\n{self.log_tail()}")
+            if time.monotonic() > give_up:
+                raise StartError(
+                    f"{self.name} unready after {timeout_s} s:\n{self.log_tail()}"
+                )
+            time.sleep(POLL_S)
+
+    def log_tail(self) -> str:
+        """Return the end of the log."""
+        return self.log_path.read_text(errors="replace")[-LOG_TAIL_CHARACTERS:]
+
+
+def answers_ok(http: urllib3.PoolManager, url: str) -> bool:
+    """Return whether a GET of the URL is answered with 200."""
+    try:
+        return http.request("GET", url, timeout=1.0, retries=False).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
--- /dev/null
+++ b/almondspool/standins/searcher.py
@@ -0,0 +1,336 @@
+"""Searcher stand-in: many searchers in one process, each on its own port."""
+
+# ruff: noqa: E402
+from __future__ import annotations
+
+import eventlet
+import eventlet.event
+import eventlet.queue
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+from absl import app, flags
+
+from almondspool.standins.faults import (
+    CallCounters,
+    ControlPort,
+    Fault,
+    FaultKind,
+    FaultSwitches,
+    Journal,
+)
+from almondspool.standins.leg_runs import (
+    CrashError,
+    LegRunner,
+    SearchIndex,
+    WireLeg,
+    WireResult,
+)
+from almondspool.standins.searcher_settings import (
+    SearcherProcessSettings,
+    SearcherSettings,
+    load_process_settings,
+)
+from almondspool.standins.web import (
+    DropConnection,
+    Listener,
+    Request,
+    Response,
+    json_response,
+)
+
+FLOOD_CHUNK_BYTES = 64 * 1024
+FLOOD_PAUSE_S = 0.01
+
+_DAMAGE_KINDS = (
+    FaultKind.DROP_REPLY_AFTER_EFFECT,
+    FaultKind.MALFORMED,
+    FaultKind.TRUNCATED,
+    FaultKind.DOUBLED,
+    FaultKind.WRONG_REQUEST,
+    FaultKind.WRONG_SNAPSHOT,
+    FaultKind.OVERSIZED,
+    FaultKind.NEVER_ENDING,
+)
+
+
+class _LegsBody(msgspec.Struct):
+    legs: list[WireLeg]
+
+
+class _CancelBody(msgspec.Struct):
+    leg_ids: list[str]
+
+
+class _SearcherState(msgspec.Struct, forbid_unknown_fields=True):
+    draining: bool | None = None
+    down: bool | None = None
+    snapshots: list[int] | None = None
+
+
+class ViolationEntry(msgspec.Struct):
+    """Journal entry of a connection beyond the limit."""
+
+    upstream_id: str
+    open_connections: int
+
+
+class Searcher:
+    """One searcher: its listener, its slots and its faults."""
+
+    def __init__(
+        self,
+        settings: SearcherSettings,
+        index: SearchIndex,
+        faults: FaultSwitches,
+        journal: Journal,
+        counters: CallCounters,
+    ) -> None:
+        """Build a searcher; open() makes it listen."""
+        self._settings = settings
+        self._faults = faults
+        self._journal = journal
+        self._counters = counters
+        self._is_down = False
+        self.runner = LegRunner(settings, index, faults, journal, self._crash)
+        self.listener = Listener(
+            settings.address,
+            self._handle,
+            max_connections=settings.connections,
+            connect_cost_s=settings.connect_cost_ms / 1000,
+            on_violation=self._record_violation,
+        )
+
+    def open(self) -> None:
+        """Start to listen."""
+        self.listener.open()
+
+    def follow_faults(self) -> None:
+        """Apply the faults that concern the listener."""
+        upstream_id = self._settings.upstream_id
+        self.listener.unsilence_connections()
+        if self._faults.is_on(FaultKind.SILENT_CONNECTION, upstream_id):
+            self.listener.silence_connections()
+        self._apply_listening()
+
+    def change(self, state: _SearcherState) -> None:
+        """Apply a change ordered over the control port."""
+        if state.draining is not None:
+            self.runner.draining = state.draining
+        if state.snapshots is not None:
+            held = self._settings.shards_by_snapshot.keys()
+            self.runner.snapshots = set(state.snapshots) & held
+        if state.down is not None:
+            self._set_down(state.down)
+
+    def _set_down(self, is_down: bool) -> None:
+        was_down, self._is_down = self._is_down, is_down
+        if is_down and not was_down:
+            self.runner.abort()
+        if was_down and not is_down:
+            self.runner.restart()
+        self._apply_listening()
+
+    def _apply_listening(self) -> None:
+        refuses = self._faults.is_on(FaultKind.REFUSE, self._settings.upstream_id)
+        if self._is_down or refuses:
+            self.listener.close()
+        else:
+            self.listener.open()
+        if self._is_down:
+            self.listener.close_connections()
+
+    def _crash(self, restart_s: float) -> None:
+        self._set_down(True)
+        eventlet.spawn_after(restart_s, self._set_down, False)
+
+    def _record_violation(self, open_connections: int) -> None:
+        self._journal.add(ViolationEntry(self._settings.upstream_id, open_connections))
+
+    def _handle(self, request: Request) -> Response:
+        upstream_id = self._settings.upstream_id
+        self._faults.wait_while_frozen(request.connection, upstream_id)
+        self._counters.count("/".join(request.path))
+        if self._faults.take(FaultKind.OUTAGE, upstream_id):
+            return Response(503)
+        try:
+            response = self._route(request)
+        except msgspec.DecodeError as error:
+            return json_response({"error": str(error)}, 400)
+        self._faults.wait_while_frozen(request.connection, upstream_id)
+        return response
+
+    def _route(self, request: Request) -> Response:
+        match request.method, request.path:
+            case "POST", ("v1", "legs"):
+                legs = msgspec.json.decode(request.body, type=_LegsBody).legs
+                stream = self._stream_results(legs, request)
+                return Response(200, stream, "application/x-ndjson")
+            case "POST", ("v1", "cancel"):
+                body = msgspec.json.decode(request.body, type=_CancelBody)
+                self.runner.cancel(body.leg_ids)
+                return json_response({})
+            case "GET", ("v1", "load"):
+                return self._load()
+            case "GET", ("v1", "health"):
+                return self._health()
+        return json_response({"error": "no such path"}, 404)
+
+    def _load(self) -> Response:
+        lie = self._faults.take(FaultKind.LIE_LOAD, self._settings.upstream_id)
+        runner = self.runner
+        return json_response(
+            {
+                "running": lie.running if lie else runner.running,
+                "queued": lie.queued if lie else runner.queued,
+                "draining": False if lie else runner.draining,
+                "warmth": 1.0 if lie else runner.warmth(),
+            }
+        )
+
+    def _health(self) -> Response:
+        lie = self._faults.take(FaultKind.LIE_HEALTH, self._settings.upstream_id)
+        is_healthy = lie.healthy if lie else not self.runner.draining
+        return json_response({}, 200 if is_healthy else 503)
+
+    def _stream_results(self, legs: list[WireLeg], request: Request) -> Iterator[bytes]:
+        # The legs start before the reply does, so that a dropped reply has an effect.
+        results: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        for leg in legs:
+            eventlet.spawn(self._run_leg, leg, results)
+        return self._result_lines(len(legs), results, request)
+
+    def _run_leg(self, leg: WireLeg, results: eventlet.queue.LightQueue) -> None:
+        try:
+            results.put(self.runner.run(leg))
+        except CrashError:
+            results.put(None)
+
+    def _result_lines(
+        self, count: int, results: eventlet.queue.LightQueue, request: Request
+    ) -> Iterator[bytes]:
+        upstream_id = self._settings.upstream_id
+        for _ in range(count):
+            result = results.get()
+            if result is None:
+                raise DropConnection
+            self._faults.wait_while_frozen(request.connection, upstream_id)
+            yield from self._encode(result)
+
+    def _encode(self, result: WireResult) -> Iterator[bytes]:
+        for kind in _DAMAGE_KINDS:
+            fault = self._faults.take(kind, self._settings.upstream_id)
+            if fault is not None:
+                yield from damage_line(fault, result)
+                return
+        yield encode_line(result)
+
+
+def encode_line(result: WireResult) -> bytes:
+    """Return a result as one line of JSON."""
+    return msgspec.json.encode(result) + b"\n"
+
+
+def damage_line(fault: Fault, result: WireResult) -> Iterator[bytes]:
+    """Yield what a searcher with a fault sends in place of one result.
+
+    Raises:
+        DropConnection: When the fault cuts the reply off.
+    """
+    line = encode_line(result)
+    match fault.kind:
+        case FaultKind.DROP_REPLY_AFTER_EFFECT:
+            raise DropConnection
+        case FaultKind.MALFORMED:
+            yield b"{not json}\n"
+        case FaultKind.TRUNCATED:
+            yield line[: len(line) // 2]
+            raise DropConnection
+        case FaultKind.DOUBLED:
+            yield line
+            yield line
+        case FaultKind.WRONG_REQUEST:
+            other = msgspec.structs.replace(result, leg_id=result.leg_id + "-other")
+            yield encode_line(other)
+        case FaultKind.WRONG_SNAPSHOT:
+            other = msgspec.structs.replace(result, snapshot=result.snapshot + 1)
+            yield encode_line(other)
+        case FaultKind.OVERSIZED:
+            padding = "x" * fault.size_bytes
+            yield encode_line(msgspec.structs.replace(result, detail=padding))
+        case FaultKind.NEVER_ENDING:
+            while True:
+                yield b"x" * FLOOD_CHUNK_BYTES
+                eventlet.sleep(FLOOD_PAUSE_S)
+
+
+class SearcherProcess(ControlPort):
+    """The searchers of a process and their control port."""
+
+    def __init__(self, settings: SearcherProcessSettings) -> None:
+        """Build every searcher of the settings."""
+        super().__init__(FaultSwitches(), Journal(), CallCounters(time.monotonic))
+        index_by_team = {
+            dataset.team: SearchIndex(dataset) for dataset in settings.datasets
+        }
+        self.searchers_by_id = {
+            searcher.upstream_id: Searcher(
+                searcher,
+                index_by_team[searcher.team],
+                self.faults,
+                self.journal,
+                self.counters,
+            )
+            for searcher in settings.searchers
+        }
+        self.faults.subscribe(self._follow_faults)
+
+    def open(self) -> None:
+        """Start to listen on every searcher's port."""
+        for searcher in self.searchers_by_id.values():
+            searcher.open()
+
+    def route(self, request: Request) -> Response | None:
+        """Add the route that changes one searcher."""
+        match request.method, request.path[1:]:
+            case "PUT", ("searchers", upstream_id):
+                searcher = self.searchers_by_id.get(upstream_id)
+                if searcher is None:
+                    return json_response({"error": f"no searcher {upstream_id}"}, 404)
+                state = msgspec.json.decode(request.body, type=_SearcherState)
+                searcher.change(state)
+                return json_response({})
+        return super().route(request)
+
+    def journal_value(self) -> dict[str, object]:
+        """Return the journal with each searcher's connection counts."""
+        value = super().journal_value()
+        value["connections"] = {
+            upstream_id: searcher.listener.counts()._asdict()
+            for upstream_id, searcher in self.searchers_by_id.items()
+        }
+        return value
+
+    def _follow_faults(self) -> None:
+        for searcher in self.searchers_by_id.values():
+            searcher.follow_faults()
+
+
+def main(argv: list[str]) -> None:
+    """Run the searchers until they are ended by a signal."""
+    del argv
+    settings = load_process_settings(flags.FLAGS.settings)
+    process = SearcherProcess(settings)
+    process.open()
+    Listener(settings.control_address, process.handle).open()
+    eventlet.event.Event().wait()
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("settings", None, "Settings file (YAML).", required=True)
+    app.run(main)
--- /dev/null
+++ b/almondspool/standins/web.py
@@ -0,0 +1,297 @@
+"""HTTP server of the stand-ins, with control over each TCP connection."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import traceback
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+
+import eventlet
+import eventlet.wsgi
+import msgspec
+
+TCP_ESTABLISHED = 1
+PEER_POLL_S = 0.02
+LISTEN_BACKLOG = 512
+
+_REASON_BY_STATUS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    503: "Service Unavailable",
+}
+
+
+class Response(NamedTuple):
+    """An HTTP response; the body may be a stream of chunks."""
+
+    status: int
+    body: bytes | Iterable[bytes] = b""
+    content_type: str = "application/json"
+    retry_after_s: int = 0
+
+
+class Request(NamedTuple):
+    """A decoded HTTP request.
+
+    Attributes:
+        method: The HTTP method.
+        path: Path segments without empty ones.
+        query: The first value of each query parameter.
+        body: The whole body.
+        connection: The TCP connection it came over.
+    """
+
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str]
+    body: bytes
+    connection: Connection
+
+
+class DropConnection(Exception):  # noqa: N818
+    """Raised by a handler to close the connection without a reply."""
+
+
+def json_response(value: Any, status: int = 200) -> Response:
+    """Return a response with a JSON body."""
+    return Response(status, msgspec.json.encode(value))
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of an ``ip:port`` text."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Connection:
+    """One accepted TCP connection.
+
+    Attributes:
+        silent: True when it must no longer be answered.
+    """
+
+    def __init__(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Wrap an accepted socket and its peer's address."""
+        self.silent = False
+        self._sock = sock
+        self.peer = peer
+
+    def is_open(self) -> bool:
+        """Return whether neither end has closed, as the kernel sees it."""
+        try:
+            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except (OSError, ValueError):
+            return False
+        return struct.unpack("B", info)[0] == TCP_ESTABLISHED
+
+    def close(self) -> None:
+        """Close both directions; idempotent."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def wait_while(self, condition: Callable[[], bool]) -> None:
+        """Block while the condition holds and the peer keeps the connection.
+
+        Raises:
+            DropConnection: When the peer closed it.
+        """
+        while condition():
+            if not self.is_open():
+                raise DropConnection
+            eventlet.sleep(PEER_POLL_S)
+
+    def serve(self, server: eventlet.wsgi.Server) -> None:
+        """Run HTTP requests on the connection until it ends."""
+        try:
+            server.process_request([self.peer, self._sock, eventlet.wsgi.STATE_IDLE])
+        except (OSError, ValueError):
+            pass
+        finally:
+            self.close()
+            self._sock.close()
+
+
+class ConnectionCounts(NamedTuple):
+    """TCP connections of one listener: open now, at most at a time, refused."""
+
+    open: int
+    peak: int
+    violations: int
+    accepted: int
+
+
+class Listener:
+    """Accepts connections on one address and hands requests to a handler.
+
+    Connections beyond the limit are accepted, closed at once and counted.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Callable[[Request], Response],
+        *,
+        max_connections: int | None = None,
+        connect_cost_s: float = 0.0,
+        on_violation: Callable[[int], None] | None = None,
+    ) -> None:
+        """Prepare a listener on ``ip:port``; open() binds it."""
+        self._address = address
+        self._handler = handler
+        self._max_connections = max_connections
+        self._connect_cost_s = connect_cost_s
+        self._on_violation = on_violation
+        self._sock: socket.socket | None = None
+        self._by_peer: dict[tuple[str, int], Connection] = {}
+        self._peak = 0
+        self._violations = 0
+        self._accepted = 0
+
+    def open(self) -> None:
+        """Bind and accept in a green thread; idempotent."""
+        if self._sock is not None:
+            return
+        self._sock = eventlet.listen(
+            parse_address(self._address), backlog=LISTEN_BACKLOG, reuse_port=False
+        )
+        eventlet.spawn(self._accept_loop, self._sock)
+
+    def close(self) -> None:
+        """Refuse new connections; open ones stay."""
+        if self._sock is not None:
+            sock, self._sock = self._sock, None
+            _close_listening(sock)
+
+    def close_connections(self) -> None:
+        """Cut every open connection."""
+        for connection in list(self._by_peer.values()):
+            connection.close()
+
+    def silence_connections(self) -> None:
+        """Stop answering the connections open now."""
+        for connection in self._by_peer.values():
+            connection.silent = True
+
+    def unsilence_connections(self) -> None:
+        """Answer every connection again."""
+        for connection in self._by_peer.values():
+            connection.silent = False
+
+    def counts(self) -> ConnectionCounts:
+        """Return the connection counts."""
+        return ConnectionCounts(
+            self._count_open(), self._peak, self._violations, self._accepted
+        )
+
+    def _count_open(self) -> int:
+        return sum(connection.is_open() for connection in self._by_peer.values())
+
+    def _accept_loop(self, sock: socket.socket) -> None:
+        server = eventlet.wsgi.Server(
+            sock,
+            parse_address(self._address),
+            self._run_application,
+            log_output=False,
+            minimum_chunk_size=1,
+            debug=False,
+        )
+        while self._sock is sock:
+            try:
+                accepted, peer = sock.accept()
+            except OSError:
+                return
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._admit(Connection(accepted, peer), server)
+
+    def _admit(self, connection: Connection, server: eventlet.wsgi.Server) -> None:
+        if self._sock is None:
+            connection.close()
+            return
+        open_count = self._count_open() + 1
+        self._peak = max(self._peak, open_count)
+        self._accepted += 1
+        if self._max_connections is not None and open_count > self._max_connections:
+            self._violations += 1
+            connection.close()
+            if self._on_violation:
+                self._on_violation(open_count)
+            return
+        self._by_peer[connection.peer] = connection
+        eventlet.spawn(self._serve, connection, server)
+
+    def _serve(self, connection: Connection, server: eventlet.wsgi.Server) -> None:
+        try:
+            if self._connect_cost_s:
+                eventlet.sleep(self._connect_cost_s)
+            connection.serve(server)
+        finally:
+            if self._by_peer.get(connection.peer) is connection:
+                del self._by_peer[connection.peer]
+
+    def _run_application(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        peer = (environ["REMOTE_ADDR"], int(environ["REMOTE_PORT"]))
+        connection = self._by_peer[peer]
+        try:
+            response = self._handler(_decode(environ, connection))
+        except DropConnection:
+            connection.close()
+            eventlet.wsgi.WSGI_LOCAL.already_handled = True
+            return []
+        except Exception:
+            traceback.print_exc()
+            raise
+        return _send(response, connection, start_response)
+
+
+def _close_listening(sock: socket.socket) -> None:
+    # Shutdown wakes the green thread that waits in accept.
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    sock.close()
+
+
+def _decode(environ: dict[str, Any], connection: Connection) -> Request:
+    query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
+    return Request(
+        environ["REQUEST_METHOD"],
+        tuple(part for part in environ["PATH_INFO"].split("/") if part),
+        {key: values[0] for key, values in query.items()},
+        environ["wsgi.input"].read(),
+        connection,
+    )
+
+
+def _send(
+    response: Response, connection: Connection, start_response: Callable[..., Any]
+) -> Iterable[bytes]:
+    status = f"{response.status} {_REASON_BY_STATUS.get(response.status, 'Status')}"
+    headers = [("Content-Type", response.content_type)]
+    if response.retry_after_s:
+        headers.append(("Retry-After", str(response.retry_after_s)))
+    start_response(status, headers)
+    if isinstance(response.body, bytes):
+        return [response.body]
+    return _stream(response.body, connection)
+
+
+def _stream(chunks: Iterable[bytes], connection: Connection) -> Iterable[bytes]:
+    try:
+        yield from chunks
+    except DropConnection:
+        connection.close()
+        raise
