Add the platform's HTTP client and the policy around its calls

Cause: the platform can be slow or gone for long and counts every call, so no instance may hammer it, also not when it comes back. Ruled out: retries inside the client, since a write whose reply was lost may have taken effect; only its caller can settle that by reading back. Conclusion: PlatformCalls guards any PlatformInterface; refused calls are told apart from failed ones, for a write that never started had no effect.

--- /dev/null
+++ b/almondspool/coordination/platform_calls.py
@@ -0,0 +1,168 @@
+"""The platform behind one circuit breaker, with calls counted and capped."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.platform_circuit import (
+    CallOutcome,
+    CallRefusal,
+    PlatformCircuit,
+    Refusal,
+)
+from almondspool.errors import CallNotStartedError, PlatformError
+from almondspool.protocol.platform import (
+    InstanceListing,
+    ObjectList,
+    PlatformInterface,
+    PlatformObject,
+    WatchEvents,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from typing import TypeVar
+
+    from almondspool.logs import EventLog
+    from almondspool.transport.timers import TimerService
+
+    _Value = TypeVar("_Value")
+
+_CODE_BY_REFUSAL = {
+    Refusal.CIRCUIT_OPEN: ResultCode.PLATFORM_UNAVAILABLE,
+    Refusal.RATE_CAP: ResultCode.PLATFORM_RATE_LIMITED,
+}
+_OUTCOME_BY_CODE = {
+    ResultCode.PLATFORM_UNAVAILABLE: CallOutcome.UNAVAILABLE,
+    ResultCode.PLATFORM_RATE_LIMITED: CallOutcome.RATE_LIMITED,
+}
+
+
+def make_platform_calls(
+    platform: PlatformInterface,
+    timers: TimerService,
+    log: EventLog,
+    calls_per_s: float,
+    rng: random.Random,
+) -> PlatformCalls:
+    """Return a platform whose calls are guarded, counted and capped.
+
+    Args:
+        platform: The platform's client.
+        timers: The source of time.
+        log: Gets a line for each change of the circuit's state.
+        calls_per_s: Cap on the calls started per second.
+        rng: Source of the back-off's jitter.
+    """
+    return PlatformCalls(platform, timers, log, PlatformCircuit(calls_per_s, rng))
+
+
+class PlatformCalls(PlatformInterface):
+    """Passes calls on as long as the circuit and the cap allow.
+
+    Attributes:
+        calls_by_method: Calls that were started, by method.
+        refusals_by_reason: Calls that were not started, by reason.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformInterface,
+        timers: TimerService,
+        log: EventLog,
+        circuit: PlatformCircuit,
+    ) -> None:
+        """Guard a platform with a circuit."""
+        self._platform = platform
+        self._timers = timers
+        self._log = log
+        self._circuit = circuit
+        self.calls_by_method: Counter[str] = Counter()
+        self.refusals_by_reason: Counter[str] = Counter()
+
+    def get(self, kind: str, name: str) -> Result[PlatformObject, PlatformError]:
+        """Read one object."""
+        return self._guard("get", lambda _: self._platform.get(kind, name))
+
+    def list(self, kind: str) -> Result[ObjectList, PlatformError]:
+        """Read all objects of a kind."""
+        return self._guard("list", lambda _: self._platform.list(kind))
+
+    def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> Result[PlatformObject, PlatformError]:
+        """Write one object if its version is the expected one; 0 to create."""
+        return self._guard(
+            "put", lambda _: self._platform.put(kind, name, value, expected_version)
+        )
+
+    def delete(
+        self, kind: str, name: str, expected_version: int
+    ) -> Result[None, PlatformError]:
+        """Delete one object if its version is the expected one."""
+        return self._guard(
+            "delete", lambda _: self._platform.delete(kind, name, expected_version)
+        )
+
+    def watch(
+        self, kind: str, after_version: int, wait_s: float
+    ) -> Result[WatchEvents, PlatformError]:
+        """Wait for changes of a kind after a version, at most wait_s seconds.
+
+        The one probe of a half-open circuit does not wait.
+        """
+        return self._guard(
+            "watch",
+            lambda is_probe: self._platform.watch(
+                kind, after_version, 0.0 if is_probe else wait_s
+            ),
+        )
+
+    def instances(self) -> Result[tuple[InstanceListing, ...], PlatformError]:
+        """Read the lagging list of live and leaving instances."""
+        return self._guard("instances", lambda _: self._platform.instances())
+
+    def _guard(
+        self, method: str, call: Callable[[bool], Result[_Value, PlatformError]]
+    ) -> Result[_Value, PlatformError]:
+        admission = self._circuit.admit(self._timers.now())
+        if isinstance(admission, CallRefusal):
+            return Failure(self._refuse(method, admission))
+        self.calls_by_method[method] += 1
+        result = call(admission.is_probe)
+        state = self._circuit.state
+        outcome, retry_after_s = _classify(result)
+        self._circuit.record(self._timers.now(), admission, outcome, retry_after_s)
+        if self._circuit.state is not state:
+            self._log.write(
+                "platform.circuit",
+                state=self._circuit.state,
+                was=state,
+                method=method,
+                outcome=outcome.value,
+            )
+        return result
+
+    def _refuse(self, method: str, refusal: CallRefusal) -> PlatformError:
+        self.refusals_by_reason[refusal.reason] += 1
+        return CallNotStartedError(
+            f"platform call {method} not started: {refusal.reason},"
+            f" again in {refusal.retry_after_s:.1f} s",
+            _CODE_BY_REFUSAL[refusal.reason],
+            retry_after_s=refusal.retry_after_s,
+        )
+
+
+def _classify(
+    result: Result[_Value, PlatformError],
+) -> tuple[CallOutcome, float]:
+    if isinstance(result, Success):
+        return CallOutcome.ANSWERED, 0.0
+    error = result.failure()
+    outcome = _OUTCOME_BY_CODE.get(error.code, CallOutcome.ANSWERED)
+    return outcome, error.retry_after_s
--- a/almondspool/errors.py
+++ b/almondspool/errors.py
@@ -54,10 +54,31 @@
 
 
 class PlatformError(AlmondspoolError):
-    """A call to the platform's object API failed."""
+    """A call to the platform's object API failed.
+
+    Attributes:
+        current_version: The object's version, where a conflict's reply tells it.
+        retry_after_s: When to call again, in seconds, where the refusal tells it.
+    """
 
     code = ResultCode.PLATFORM_UNAVAILABLE
 
+    def __init__(
+        self,
+        message: str,
+        code: ResultCode | None = None,
+        current_version: int = 0,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Keep the message, a more exact code and what the reply told besides."""
+        super().__init__(message, code)
+        self.current_version = current_version
+        self.retry_after_s = retry_after_s
+
+
+class CallNotStartedError(PlatformError):
+    """Our own circuit or cap refused a platform call; a write had no effect."""
+
 
 class PeerError(AlmondspoolError):
     """A message from a peer instance is refused."""
