Decide one request at the instance that the caller reached

A SearchSession takes leg results and timer calls and returns actions: legs to send or cancel, suspicions to share, and one answer.

Conclusion: the thin path can be wired to make_context and make_session.

--- /dev/null
+++ b/almondspool/coordination/answers.py
@@ -0,0 +1,191 @@
+"""Builds answers: coverage, merged records and the result code."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondspool.codes import ResultCode, describe
+from almondspool.protocol.caller import (
+    NO_COVERAGE,
+    Coverage,
+    MissingShard,
+    Record,
+    SearchAnswer,
+    ShardOutcome,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable, Mapping
+
+    from almondspool.coordination.shard_run import ShardRun
+    from almondspool.protocol.caller import SearchRequest
+
+RETRY_AFTER_PARTIAL_MS = 200
+RETRY_AFTER_REFUSED_MS = 1000
+
+_NEVER_RETRY_CODES = frozenset(
+    {
+        ResultCode.OK,
+        ResultCode.FAILED,
+        ResultCode.OUTCOME_UNKNOWN,
+        ResultCode.SERVICE_UNKNOWN,
+        ResultCode.SHARD_UNKNOWN,
+        ResultCode.DEADLINE_EXPIRED,
+        ResultCode.REQUEST_STALE,
+        ResultCode.FIELD_INVALID,
+    }
+)
+
+
+def count_coverage(runs_by_shard: Mapping[str, ShardRun]) -> Coverage:
+    """Count the settled shards of a snapshot's map by outcome."""
+    counts = dict.fromkeys(ShardOutcome, 0)
+    missing = []
+    for shard_id, run in sorted(runs_by_shard.items()):
+        counts[run.outcome] += 1
+        if run.outcome != ShardOutcome.ANSWERED:
+            missing.append(MissingShard(shard_id, run.outcome, run.code))
+    return Coverage(
+        total=len(runs_by_shard),
+        answered=counts[ShardOutcome.ANSWERED],
+        late=counts[ShardOutcome.LATE],
+        failed=counts[ShardOutcome.FAILED],
+        not_sent=counts[ShardOutcome.NOT_SENT],
+        missing=tuple(missing),
+    )
+
+
+def merge_records(runs_by_shard: Mapping[str, ShardRun]) -> tuple[Record, ...]:
+    """Return the records of all shards ordered by id, each id once.
+
+    While a repartition runs, a record can be in two shards of one snapshot; the one
+    of the first shard by name is kept.
+    """
+    records_by_id: dict[str, Record] = {}
+    for _, run in sorted(runs_by_shard.items()):
+        for record in run.records:
+            records_by_id.setdefault(record.record_id, record)
+    return tuple(record for _, record in sorted(records_by_id.items()))
+
+
+def _not_run_code(codes: Iterable[ResultCode]) -> ResultCode:
+    seen = set(codes)
+    if ResultCode.LEG_SUSPECT in seen:
+        return ResultCode.NOT_RUN_QUARANTINED
+    if ResultCode.LEG_SHED in seen:
+        return ResultCode.NOT_RUN_OVERLOADED
+    return ResultCode.NOT_RUN_NO_UPSTREAM
+
+
+def _non_idempotent_code(run: ShardRun) -> ResultCode:
+    if run.code == ResultCode.LEG_FAILED:
+        return ResultCode.FAILED
+    return ResultCode.OUTCOME_UNKNOWN
+
+
+def retry_after_ms(code: ResultCode, rng: random.Random) -> int:
+    """Return when to come back, in milliseconds, spread so that callers don't meet."""
+    if code in _NEVER_RETRY_CODES:
+        return 0
+    base = RETRY_AFTER_REFUSED_MS
+    if code in (ResultCode.PARTIAL, ResultCode.STILL_RUNNING):
+        base = RETRY_AFTER_PARTIAL_MS
+    return base + rng.randrange(base)
+
+
+def refuse(
+    request: SearchRequest,
+    code: ResultCode,
+    instance: str,
+    retry_after: int = 0,
+    detail: str = "",
+) -> SearchAnswer:
+    """Return the answer to a request of which nothing was sent.
+
+    Args:
+        request: The refused request.
+        code: Why it was refused.
+        instance: The refusing instance.
+        retry_after: When to come back, in milliseconds.
+        detail: What was wrong, with the names involved.
+    """
+    return SearchAnswer(
+        request_id=request.request_id,
+        code=code,
+        coverage=NO_COVERAGE,
+        retry_after_ms=retry_after,
+        message=detail or describe(code),
+        instance=instance,
+    )
+
+
+class AnswerBuilder:
+    """Builds the answer to one request."""
+
+    def __init__(
+        self,
+        request: SearchRequest,
+        instance: str,
+        generation: int,
+        arrived: float,
+        rng: random.Random,
+    ) -> None:
+        """Answer a request that arrived at a monotonic second."""
+        self._request = request
+        self._instance = instance
+        self._generation = generation
+        self._arrived = arrived
+        self._rng = rng
+
+    def refuse(self, now: float, code: ResultCode, detail: str = "") -> SearchAnswer:
+        """Return an answer without coverage."""
+        retry_after = retry_after_ms(code, self._rng)
+        answer = refuse(self._request, code, self._instance, retry_after, detail)
+        return answer._replace(
+            generation=self._generation, elapsed_ms=(now - self._arrived) * 1000
+        )
+
+    def conclude(
+        self,
+        now: float,
+        snapshot: int,
+        runs_by_shard: Mapping[str, ShardRun],
+        has_run_before: bool,
+    ) -> SearchAnswer:
+        """Return the answer of a request whose shards are settled.
+
+        Args:
+            now: Monotonic seconds.
+            snapshot: The snapshot that the shards were searched on.
+            runs_by_shard: The settled shards.
+            has_run_before: Whether legs may have run on an abandoned snapshot.
+        """
+        runs = runs_by_shard.values()
+        has_run = has_run_before or any(run.may_have_run for run in runs)
+        coverage = count_coverage(runs_by_shard)
+        code = _code_of(self._request, coverage, runs_by_shard, has_run)
+        is_broken = code == ResultCode.INTERNAL
+        return self.refuse(now, code)._replace(
+            snapshot=snapshot if has_run else 0,
+            coverage=coverage,
+            records=() if is_broken else merge_records(runs_by_shard),
+        )
+
+
+def _code_of(
+    request: SearchRequest,
+    coverage: Coverage,
+    runs_by_shard: Mapping[str, ShardRun],
+    has_run: bool,
+) -> ResultCode:
+    if not coverage.adds_up() or coverage.total != len(runs_by_shard):
+        return ResultCode.INTERNAL
+    if coverage.answered == coverage.total:
+        return ResultCode.OK
+    runs = runs_by_shard.values()
+    if not has_run:
+        return _not_run_code(run.code for run in runs)
+    if request.idempotent:
+        return ResultCode.PARTIAL
+    return _non_idempotent_code(next(iter(runs)))
--- /dev/null
+++ b/almondspool/coordination/quarantine.py
@@ -0,0 +1,133 @@
+"""Requests that crash upstreams: suspect after one crash, refused after two."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import xxhash
+
+from almondspool.protocol.peer import Suspicion
+
+if TYPE_CHECKING:
+    from almondspool.protocol.caller import SearchRequest
+
+QUARANTINE_CRASHES = 2
+MAX_ENTRIES = 4096
+MAX_UPSTREAMS_PER_ENTRY = 4
+
+
+class Verdict(enum.StrEnum):
+    """How a request may run."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+class _Entry(NamedTuple):
+    crashes: int
+    expires_ms_by_upstream: dict[str, int]
+
+    def expires_ms(self) -> int:
+        return max(self.expires_ms_by_upstream.values())
+
+
+def fingerprint(request: SearchRequest) -> str:
+    """Return a digest of what a request runs, whoever sends it under whatever id."""
+    content = (
+        request.team,
+        sorted(request.query.items()),
+        "search" if request.idempotent else request.shard,
+    )
+    return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(content))
+
+
+class Quarantine:
+    """Remembers which requests cut off upstreams, here and at peers.
+
+    Merging is commutative and idempotent: an entry keeps the latest expiry of each
+    upstream and the highest crash count. Times are ms since the epoch.
+    """
+
+    def __init__(self, quarantine_s: float) -> None:
+        """Forget a crash after this many seconds."""
+        self._lifetime_ms = int(quarantine_s * 1000)
+        self._entries_by_fingerprint: dict[str, _Entry] = {}
+
+    def verdict(self, now_ms: int, digest: str) -> Verdict:
+        """Return how a request with this fingerprint may run."""
+        entry = self._entries_by_fingerprint.get(digest)
+        if entry is None or entry.expires_ms() <= now_ms:
+            return Verdict.CLEAR
+        if self._live_crashes(now_ms, entry) >= QUARANTINE_CRASHES:
+            return Verdict.QUARANTINED
+        return Verdict.SUSPECT
+
+    def note_cut_off(self, now_ms: int, digest: str, upstream_id: str) -> Suspicion:
+        """Record a crash seen by this instance and return the message for peers."""
+        expires_ms = now_ms + self._lifetime_ms
+        self.merge(now_ms, Suspicion(digest, 1, upstream_id, expires_ms))
+        entry = self._entries_by_fingerprint[digest]
+        crashes = self._live_crashes(now_ms, entry)
+        return Suspicion(digest, crashes, upstream_id, expires_ms)
+
+    def merge(self, now_ms: int, suspicion: Suspicion) -> None:
+        """Take in a suspicion of a peer; an expired or overlong one is cut."""
+        latest_ms = now_ms + self._lifetime_ms
+        expires_ms = min(suspicion.expires_ms, latest_ms)
+        if expires_ms <= now_ms or suspicion.crashes < 1:
+            return
+        digest = suspicion.fingerprint
+        entry = self._entries_by_fingerprint.get(digest)
+        if entry is None or entry.expires_ms() <= now_ms:
+            entry = _Entry(0, {})
+            self._make_room(now_ms)
+        expiries = dict(entry.expires_ms_by_upstream)
+        upstream_id = suspicion.upstream_id
+        expiries[upstream_id] = max(expires_ms, expiries.get(upstream_id, 0))
+        crashes = max(entry.crashes, min(suspicion.crashes, QUARANTINE_CRASHES))
+        entry = _Entry(crashes, _latest(expiries))
+        self._entries_by_fingerprint[digest] = entry
+
+    def clear(self, now_ms: int, digest: str) -> bool:
+        """Drop the suspicion of a request that has run whole since.
+
+        A quarantined request stays so until it expires.
+        """
+        if self.verdict(now_ms, digest) != Verdict.SUSPECT:
+            return False
+        del self._entries_by_fingerprint[digest]
+        return True
+
+    def quarantined(self, now_ms: int) -> tuple[str, ...]:
+        """Return the refused fingerprints, ordered."""
+        return tuple(
+            digest
+            for digest in sorted(self._entries_by_fingerprint)
+            if self.verdict(now_ms, digest) == Verdict.QUARANTINED
+        )
+
+    def __len__(self) -> int:
+        """Return the number of entries kept."""
+        return len(self._entries_by_fingerprint)
+
+    def _live_crashes(self, now_ms: int, entry: _Entry) -> int:
+        expiries = entry.expires_ms_by_upstream.values()
+        live = sum(expires_ms > now_ms for expires_ms in expiries)
+        return max(live, entry.crashes)
+
+    def _make_room(self, now_ms: int) -> None:
+        if len(self._entries_by_fingerprint) < MAX_ENTRIES:
+            return
+        oldest = min(
+            self._entries_by_fingerprint,
+            key=lambda digest: self._entries_by_fingerprint[digest].expires_ms(),
+        )
+        del self._entries_by_fingerprint[oldest]
+
+
+def _latest(expiries: dict[str, int]) -> dict[str, int]:
+    ordered = sorted(expiries.items(), key=lambda item: (-item[1], item[0]))
+    return dict(ordered[:MAX_UPSTREAMS_PER_ENTRY])
--- /dev/null
+++ b/almondspool/coordination/replicas.py
@@ -0,0 +1,276 @@
+"""Choice of the replica that runs a leg: the better of two random ones."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.latency import DecayedPeak, LatencyHistogram
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Sequence
+
+    from almondspool.protocol.upstream import LoadReport
+    from almondspool.state.document import Section, Upstream
+
+INITIAL_LATENCY_S = 0.010
+MINIMUM_LATENCY_S = 0.0005
+ZONE_COST_S = 0.004
+FAILURE_LATENCY_S = 0.5
+SHED_LATENCY_S = 0.05
+REPORT_LIFETIME_S = 5.0
+REPORT_TRUST = 0.75
+MAX_REPORT_FACTOR = 2.0
+DRAINING_LIFETIME_S = 5.0
+RAMP_S = 20.0
+MINIMUM_RAMP_SHARE = 0.1
+HEDGE_QUANTILE = 0.95
+HEDGE_MINIMUM_SAMPLES = 20
+HEDGE_FLOOR_S = 0.002
+HEDGE_DEFAULT_S = 0.050
+HEDGE_SIBLING_FACTOR = 2.0
+
+_FAILURE_CODES = frozenset(
+    {
+        ResultCode.LEG_TIMEOUT,
+        ResultCode.LEG_REFUSED,
+        ResultCode.LEG_CUT_OFF,
+        ResultCode.LEG_NO_HOLDER,
+        ResultCode.LEG_REPLY_MALFORMED,
+        ResultCode.LEG_REPLY_OVERSIZED,
+        ResultCode.LEG_FAILED,
+    }
+)
+
+
+class Candidate(NamedTuple):
+    """An upstream that was weighed, and its score; the lower score wins.
+
+    Attributes:
+        upstream_id: The upstream.
+        score_s: Expected wait in seconds.
+    """
+
+    upstream_id: str
+    score_s: float
+
+
+class Choice(NamedTuple):
+    """A chosen upstream, or an empty id, with what was weighed and why."""
+
+    upstream_id: str
+    candidates: tuple[Candidate, ...]
+    reason: str
+
+
+class _UpstreamStats:
+    __slots__ = (
+        "draining_until",
+        "first_seen",
+        "histogram",
+        "in_flight",
+        "peak",
+        "report",
+        "reported_at",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.first_seen = now
+        self.in_flight = 0
+        self.draining_until = -math.inf
+        self.peak = DecayedPeak(INITIAL_LATENCY_S)
+        self.histogram = LatencyHistogram()
+        self.report: LoadReport | None = None
+        self.reported_at = -math.inf
+
+
+class ReplicaChooser:
+    """Chooses replicas and learns from what became of the legs.
+
+    Memory: LATENCY_BYTES of ``latency`` and a load report for each upstream.
+    """
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        """Choose for an instance in an availability zone."""
+        self._zone = zone
+        self._rng = rng
+        self._stats_by_upstream: dict[str, _UpstreamStats] = {}
+
+    def choose(
+        self,
+        now: float,
+        section: Section,
+        replicas: Sequence[str],
+        tried: Collection[str] = (),
+    ) -> Choice:
+        """Choose one of the replicas that was not tried yet.
+
+        Args:
+            now: Monotonic seconds.
+            section: The section in force, for zones and drained upstreams.
+            replicas: Upstreams that hold the shard.
+            tried: Upstreams that had a leg of this shard already.
+        """
+        allowed = self._allowed(section, replicas, tried)
+        if not allowed:
+            return Choice("", (), "no_replica_left")
+        working, reason = self._without_draining(now, allowed)
+        warm = self._without_cold(now, working)
+        pair = self._rng.sample(warm, min(2, len(warm)))
+        candidates = tuple(self._weigh(now, section, each) for each in pair)
+        best = min(candidates, key=lambda candidate: candidate.score_s)
+        return Choice(best.upstream_id, candidates, reason)
+
+    def begin(self, now: float, upstream_id: str) -> None:
+        """Count a leg sent to an upstream."""
+        self._stats(now, upstream_id).in_flight += 1
+
+    def observe(
+        self, now: float, upstream_id: str, latency_s: float, code: ResultCode
+    ) -> None:
+        """Count the end of a leg that ``begin`` counted.
+
+        Args:
+            now: Monotonic seconds.
+            upstream_id: Who ran the leg.
+            latency_s: Seconds from sending to the result or to giving up.
+            code: OK, a failure, or LEG_CANCELLED when the result was not awaited.
+        """
+        stats = self._stats(now, upstream_id)
+        stats.in_flight = max(0, stats.in_flight - 1)
+        if code == ResultCode.OK:
+            stats.histogram.add(latency_s)
+            stats.peak.add(now, latency_s)
+        elif code == ResultCode.LEG_DRAINING:
+            stats.draining_until = now + DRAINING_LIFETIME_S
+        elif code == ResultCode.LEG_CANCELLED:
+            stats.peak.raise_to(now, latency_s)
+        elif code == ResultCode.LEG_SHED:
+            stats.peak.raise_to(now, max(latency_s, SHED_LATENCY_S))
+        elif code in _FAILURE_CODES:
+            stats.peak.raise_to(now, max(latency_s, FAILURE_LATENCY_S))
+
+    def note_report(self, now: float, upstream_id: str, report: LoadReport) -> None:
+        """Take an upstream's load report as a hint that ages."""
+        stats = self._stats(now, upstream_id)
+        stats.report = report
+        stats.reported_at = now
+        if report.draining:
+            stats.draining_until = now + DRAINING_LIFETIME_S
+        else:
+            stats.draining_until = -math.inf
+
+    def hedge_delay_s(self, upstream_id: str, siblings: Sequence[str] = ()) -> float:
+        """Return how long to wait for an upstream before a hedge, in seconds.
+
+        An upstream that has become slow must not put off its own hedges: the delay
+        is at most HEDGE_SIBLING_FACTOR times that of its fastest sibling.
+        """
+        own = self._quantile_s(upstream_id)
+        others = [
+            self._quantile_s(sibling)
+            for sibling in siblings
+            if sibling != upstream_id and self._has_history(sibling)
+        ]
+        limit = min(others, default=math.inf) * HEDGE_SIBLING_FACTOR
+        return max(HEDGE_FLOOR_S, min(own, limit))
+
+    def in_flight(self, upstream_id: str) -> int:
+        """Return this instance's legs in flight at an upstream."""
+        stats = self._stats_by_upstream.get(upstream_id)
+        return stats.in_flight if stats else 0
+
+    def forget_absent(self, upstream_ids: Collection[str]) -> None:
+        """Drop what is known of upstreams that left the document."""
+        kept = set(upstream_ids)
+        for upstream_id in self._stats_by_upstream.keys() - kept:
+            del self._stats_by_upstream[upstream_id]
+
+    def _stats(self, now: float, upstream_id: str) -> _UpstreamStats:
+        stats = self._stats_by_upstream.get(upstream_id)
+        if stats is None:
+            stats = self._stats_by_upstream[upstream_id] = _UpstreamStats(now)
+        return stats
+
+    def _allowed(
+        self, section: Section, replicas: Sequence[str], tried: Collection[str]
+    ) -> list[str]:
+        return [
+            upstream_id
+            for upstream_id in replicas
+            if upstream_id in section.upstreams_by_id
+            and upstream_id not in section.drained
+            and upstream_id not in tried
+        ]
+
+    def _without_draining(
+        self, now: float, allowed: list[str]
+    ) -> tuple[list[str], str]:
+        working = [
+            upstream_id
+            for upstream_id in allowed
+            if self._stats(now, upstream_id).draining_until <= now
+        ]
+        if working:
+            return working, "best_of_two" if len(working) > 1 else "only_replica"
+        return allowed, "only_draining_replicas"
+
+    def _without_cold(self, now: float, working: list[str]) -> list[str]:
+        # One draw for all: several cold upstreams share the ramp's traffic.
+        draw = self._rng.random()
+        warm = [
+            upstream_id
+            for upstream_id in working
+            if self._ramp_share(now, upstream_id) > draw
+        ]
+        return warm or working
+
+    def _ramp_share(self, now: float, upstream_id: str) -> float:
+        stats = self._stats(now, upstream_id)
+        share = (now - stats.first_seen) / RAMP_S
+        if stats.report and now - stats.reported_at < REPORT_LIFETIME_S:
+            share = stats.report.warmth
+        return max(MINIMUM_RAMP_SHARE, min(1.0, share))
+
+    def _weigh(self, now: float, section: Section, upstream_id: str) -> Candidate:
+        stats = self._stats(now, upstream_id)
+        upstream = section.upstreams_by_id[upstream_id]
+        latency_s = max(MINIMUM_LATENCY_S, stats.peak.value(now))
+        score_s = latency_s * (stats.in_flight + 1)
+        score_s *= self._report_factor(now, stats, upstream)
+        if upstream.zone != self._zone:
+            score_s += ZONE_COST_S
+        return Candidate(upstream_id, score_s)
+
+    def _report_factor(
+        self, now: float, stats: _UpstreamStats, upstream: Upstream
+    ) -> float:
+        """Return 1.0 for no or an idle report, up to MAX_REPORT_FACTOR for a busy one.
+
+        A report is consulted in a share of the choices that falls with its age, and
+        its influence is capped both ways, so that a false one can neither starve an
+        upstream nor flood it.
+        """
+        freshness = 1.0 - (now - stats.reported_at) / REPORT_LIFETIME_S
+        if stats.report is None or self._rng.random() >= REPORT_TRUST * freshness:
+            return 1.0
+        busy = max(0, stats.report.running + stats.report.queued)
+        factor = 1.0 + busy / max(1, upstream.slots) / 2.0
+        return min(MAX_REPORT_FACTOR, factor)
+
+    def _has_history(self, upstream_id: str) -> bool:
+        stats = self._stats_by_upstream.get(upstream_id)
+        return stats is not None and stats.histogram.total >= HEDGE_MINIMUM_SAMPLES
+
+    def _quantile_s(self, upstream_id: str) -> float:
+        if not self._has_history(upstream_id):
+            return HEDGE_DEFAULT_S
+        stats = self._stats_by_upstream[upstream_id]
+        return stats.histogram.recent_quantile_s(HEDGE_QUANTILE)
+
+
+def make_chooser(zone: str, rng: random.Random) -> ReplicaChooser:
+    """Return a chooser for an instance in an availability zone."""
+    return ReplicaChooser(zone, rng)
--- /dev/null
+++ b/almondspool/coordination/request_deadline.py
@@ -0,0 +1,45 @@
+"""Deadline of one request, shrunk for its legs."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+ANSWER_MARGIN_S = 0.005
+MAX_ANSWER_MARGIN_SHARE = 0.1
+HOP_MARGIN_S = 0.004
+MINIMUM_LEG_MS = 2
+MINIMUM_RESTART_S = 0.020
+
+
+class RequestDeadline(NamedTuple):
+    """When a request must be answered, in monotonic seconds.
+
+    Attributes:
+        finish_at: When the answer is built, a margin before the caller's deadline.
+        send_before: After this nothing may be sent: the end of a claim's lease.
+    """
+
+    finish_at: float
+    send_before: float = math.inf
+
+    def leg_ms(self, now: float) -> int:
+        """Return the time a leg sent now has, in milliseconds."""
+        return int((self.finish_at - now - HOP_MARGIN_S) * 1000)
+
+    def may_send(self, now: float) -> bool:
+        """Return whether a leg sent now is allowed and could come back in time."""
+        return now < self.send_before and self.leg_ms(now) >= MINIMUM_LEG_MS
+
+    def may_restart(self, now: float) -> bool:
+        """Return whether there is time to begin the whole request again."""
+        return now + MINIMUM_RESTART_S <= self.finish_at
+
+
+def make_deadline(
+    arrived: float, deadline_ms: int, send_before: float = math.inf
+) -> RequestDeadline:
+    """Return the deadline of a request that arrived at a monotonic second."""
+    deadline_s = deadline_ms / 1000
+    margin_s = min(ANSWER_MARGIN_S, deadline_s * MAX_ANSWER_MARGIN_SHARE)
+    return RequestDeadline(arrived + deadline_s - margin_s, send_before)
--- /dev/null
+++ b/almondspool/coordination/search.py
@@ -0,0 +1,400 @@
+"""Decisions of one request at the instance that the caller reached."""
+
+from __future__ import annotations
+
+import collections
+import math
+from typing import TYPE_CHECKING
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.answers import AnswerBuilder
+from almondspool.coordination.cut_offs import CutOffs
+from almondspool.coordination.quarantine import Verdict, fingerprint
+from almondspool.coordination.request_deadline import make_deadline
+from almondspool.coordination.search_actions import (
+    CancelLeg,
+    Finish,
+    SendLeg,
+    ShareSuspicion,
+)
+from almondspool.coordination.shard_run import (
+    OpenLeg,
+    ShardRun,
+    check_result,
+    has_newer_snapshot,
+    select_shards,
+)
+from almondspool.coordination.wakes import WakeQueue
+from almondspool.errors import RequestError
+from almondspool.protocol.upstream import Leg
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondspool.coordination.replicas import Choice
+    from almondspool.coordination.request_deadline import RequestDeadline
+    from almondspool.coordination.search_actions import Action
+    from almondspool.coordination.search_context import SearchContext
+    from almondspool.protocol.caller import SearchRequest
+    from almondspool.protocol.upstream import LegResult
+    from almondspool.state.document import Section
+
+MAX_ATTEMPTS = 3
+BUDGET_WAITS_S = (0.010, 0.040)
+
+
+class SearchSession:
+    """One request from start to answer.
+
+    The driver carries out the returned actions in order, feeds every LegResult to
+    ``on_result``, and calls ``on_timer`` at ``next_wake``. Times are monotonic
+    seconds. ``Finish`` is returned exactly once.
+
+    Attributes:
+        next_wake: When to call ``on_timer``; None once finished.
+        discarded_by_reason: Counts of results that were not used.
+    """
+
+    def __init__(
+        self,
+        context: SearchContext,
+        request: SearchRequest,
+        current_section: Callable[[], Section | None],
+        generation: int,
+        arrived: float,
+        epoch_offset_s: float,
+        send_before: float,
+    ) -> None:
+        """Use make_session."""
+        self._context = context
+        self._request = request
+        self._current_section = current_section
+        self._section = current_section()
+        self._answers = AnswerBuilder(
+            request, context.instance, generation, arrived, context.rng
+        )
+        self._arrived = arrived
+        self._epoch_offset_s = epoch_offset_s
+        self._deadline = self._make_deadline(send_before)
+        self._cut_offs = CutOffs(context.quarantine, fingerprint(request))
+        self._actions: list[Action] = []
+        self._pending: collections.deque[tuple[ShardRun, str]] = collections.deque()
+        self._run_by_leg: dict[str, ShardRun] = {}
+        self._closed_reason_by_leg: dict[str, str] = {}
+        self._runs_by_shard: dict[str, ShardRun] = {}
+        self._unsettled = 0
+        self._wakes = WakeQueue()
+        self._snapshot = 0
+        self._is_suspect = False
+        self._is_restarted = False
+        self._has_run = False
+        self._is_finished = False
+        self.next_wake: float | None = None
+        self.discarded_by_reason: collections.Counter[str] = collections.Counter()
+
+    def start(self, now: float) -> tuple[Action, ...]:
+        """Send the first legs, or refuse the request."""
+        section = self._section
+        verdict = self._cut_offs.verdict(self._epoch_ms(now))
+        if verdict == Verdict.QUARANTINED:
+            self._refuse(now, ResultCode.NOT_RUN_QUARANTINED)
+        elif section is None or not section.snapshots_by_id:
+            self._refuse(now, ResultCode.NOT_RUN_NO_CONFIGURATION)
+        else:
+            self._is_suspect = verdict == Verdict.SUSPECT
+            self._begin(now, section)
+        return self._take_actions(now)
+
+    def on_result(self, now: float, result: LegResult) -> tuple[Action, ...]:
+        """Take the result of a leg; one that is not awaited is discarded."""
+        run = self._run_by_leg.pop(result.leg_id, None)
+        if run is None:
+            reason = self._closed_reason_by_leg.get(result.leg_id, "unknown_leg")
+            self.discarded_by_reason[reason] += 1
+            return ()
+        leg = run.open_by_leg.pop(result.leg_id)
+        self._closed_reason_by_leg[leg.leg_id] = "duplicate"
+        checked = check_result(run, leg, self._snapshot, result)
+        if checked.discard_reason:
+            self.discarded_by_reason[checked.discard_reason] += 1
+        latency_s = now - leg.sent_at
+        self._context.chooser.observe(now, leg.upstream_id, latency_s, checked.code)
+        if checked.code == ResultCode.OK:
+            self._on_answer(now, run, result)
+        else:
+            self._on_failure(now, run, leg, checked.code, checked.was_run)
+        return self._take_actions(now)
+
+    def on_timer(self, now: float) -> tuple[Action, ...]:
+        """Hedge, retry or finish at the deadline, whatever is due."""
+        while not self._is_finished and (run := self._wakes.pop_due(now)):
+            self._on_wake(now, run)
+        return self._take_actions(now)
+
+    def _make_deadline(self, send_before: float) -> RequestDeadline:
+        deadline_ms = self._request.deadline_ms
+        if not deadline_ms and self._section is not None:
+            deadline_ms = self._section.deadline_ms
+        return make_deadline(self._arrived, deadline_ms, send_before)
+
+    def _begin(self, now: float, section: Section) -> None:
+        if now >= self._deadline.finish_at:
+            self._refuse(now, ResultCode.DEADLINE_EXPIRED)
+            return
+        snapshot = section.newest_snapshot()
+        try:
+            shards = select_shards(self._request, section, snapshot)
+        except RequestError as error:
+            self._refuse(now, error.code, str(error))
+            return
+        self._snapshot = snapshot.snapshot_id
+        self._runs_by_shard = {shard.shard_id: ShardRun(shard) for shard in shards}
+        self._unsettled = len(shards)
+        self._pending.extend((run, "first") for run in self._runs_by_shard.values())
+
+    def _take_actions(self, now: float) -> tuple[Action, ...]:
+        if not self._is_finished:
+            self._send_pending(now)
+            if self._unsettled == 0:
+                self._finish(now, "all_shards_settled")
+            elif now >= self._deadline.finish_at:
+                self._finish(now, "deadline")
+        self.next_wake = None
+        if not self._is_finished:
+            self.next_wake = min(self._wakes.next_due(), self._deadline.finish_at)
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def _send_pending(self, now: float) -> None:
+        while self._may_send():
+            if self._pending:
+                run, reason = self._pending.popleft()
+            else:
+                run, reason = self._cut_offs.next_probe(), "probe_after_cut_off"
+            if run is None:
+                return
+            if run.outcome is None:
+                self._send_next(now, run, reason)
+
+    def _may_send(self) -> bool:
+        return not (self._is_suspect and self._run_by_leg)
+
+    def _send_next(self, now: float, run: ShardRun, reason: str) -> None:
+        """Send a shard's first leg or a retry, wait for the budget, or give up."""
+        choice = self._choose(now, run)
+        if not choice.upstream_id or not self._deadline.may_send(now):
+            self._give_up(run)
+        elif run.attempts == 0:
+            self._context.budget.note_first(now)
+            self._send(now, run, choice, reason)
+        elif self._context.budget.take_retry(now):
+            self._send(now, run, choice, reason)
+        elif run.budget_waits < len(BUDGET_WAITS_S):
+            self._wake_at(now + BUDGET_WAITS_S[run.budget_waits], run)
+            run.budget_waits += 1
+        else:
+            self._give_up(run)
+
+    def _choose(self, now: float, run: ShardRun) -> Choice:
+        # A document that dropped the team does not stop what already runs.
+        self._section = self._current_section() or self._section
+        return self._context.chooser.choose(
+            now, self._section, run.shard.replicas, run.tried
+        )
+
+    def _send(self, now: float, run: ShardRun, choice: Choice, reason: str) -> None:
+        request = self._request
+        leg = Leg(
+            leg_id=next(self._context.leg_ids),
+            request_id=request.request_id,
+            team=request.team,
+            snapshot=self._snapshot,
+            shard=run.shard.shard_id,
+            query=request.query,
+            deadline_ms=self._deadline.leg_ms(now),
+            idempotent=request.idempotent,
+        )
+        run.note_sent(OpenLeg(leg.leg_id, choice.upstream_id, now, self._cut_offs.seen))
+        run.attempts += 1
+        self._run_by_leg[leg.leg_id] = run
+        self._context.chooser.begin(now, choice.upstream_id)
+        reason = f"{reason}:{choice.reason}"
+        self._actions.append(
+            SendLeg(choice.upstream_id, leg, reason, choice.candidates)
+        )
+        if self._may_hedge(run):
+            run.hedge_delay_s = self._context.chooser.hedge_delay_s(
+                choice.upstream_id, run.shard.replicas
+            )
+            self._wake_at(now + run.hedge_delay_s, run)
+
+    def _may_hedge(self, run: ShardRun) -> bool:
+        is_careful = self._is_suspect or self._cut_offs.seen
+        return self._request.idempotent and not is_careful and not run.is_hedged
+
+    def _wake_at(self, due: float, run: ShardRun) -> None:
+        if due < self._deadline.finish_at:
+            self._wakes.add(due, run)
+
+    def _on_wake(self, now: float, run: ShardRun) -> None:
+        if not run.open_by_leg:
+            self._pending.append((run, "retry_after_budget_wait"))
+        elif self._may_hedge(run):
+            self._hedge(now, run)
+
+    def _hedge(self, now: float, run: ShardRun) -> None:
+        choice = self._choose(now, run)
+        if not choice.upstream_id or not self._deadline.may_send(now):
+            return
+        if not self._context.budget.take_hedge(now):
+            run.hedge_delay_s *= 2
+            self._wake_at(now + run.hedge_delay_s, run)
+            return
+        run.is_hedged = True
+        self._send(now, run, choice, "hedge")
+
+    def _on_answer(self, now: float, run: ShardRun, result: LegResult) -> None:
+        run.settle_answered(tuple(result.records))
+        self._unsettled -= 1
+        self._cancel_open(now, run, "other_replica_answered")
+        released = self._cut_offs.release(run)
+        self._pending.extend((held, "retry_after_probe") for held in released)
+
+    def _on_failure(
+        self, now: float, run: ShardRun, leg: OpenLeg, code: ResultCode, was_run: bool
+    ) -> None:
+        run.note_failure(code, was_run)
+        if code == ResultCode.LEG_CUT_OFF and was_run:
+            self._on_cut_off(now, run, leg)
+        if code == ResultCode.LEG_SNAPSHOT_GONE and self._restart(now, run):
+            return
+        if run.open_by_leg or run.outcome is not None:
+            return
+        if not self._may_retry(now, run, code):
+            self._give_up(run)
+        elif self._cut_offs.needs_probe(run):
+            self._cut_offs.hold(run)
+        else:
+            self._pending.append((run, f"retry_after_{code.name.lower()}"))
+
+    def _may_retry(self, now: float, run: ShardRun, code: ResultCode) -> bool:
+        if code == ResultCode.LEG_SUSPECT or run.attempts >= MAX_ATTEMPTS:
+            return False
+        may_run_twice = self._request.idempotent and not self._is_suspect
+        return self._deadline.may_send(now) and (may_run_twice or not run.may_have_run)
+
+    def _on_cut_off(self, now: float, run: ShardRun, leg: OpenLeg) -> None:
+        now_ms = self._epoch_ms(now)
+        if not self._cut_offs.note(now_ms, run, leg):
+            return
+        if self._cut_offs.verdict(now_ms) != Verdict.QUARANTINED:
+            return
+        # A second crash: whatever is not in flight now is never sent.
+        for each in self._runs_by_shard.values():
+            if not each.open_by_leg:
+                self._give_up(each, ResultCode.LEG_SUSPECT)
+        self._cut_offs.drop_held()
+        self._pending.clear()
+
+    def _restart(self, now: float, run: ShardRun) -> bool:
+        """Begin again on a newer snapshot; return whether that was possible."""
+        section = self._current_section()
+        if self._is_restarted or not self._deadline.may_restart(now):
+            return False
+        if not has_newer_snapshot(section, self._snapshot):
+            return False
+        if run.may_have_run and not self._request.idempotent:
+            return False
+        self._is_restarted = True
+        self._has_run = any(
+            each.may_have_run or each.open_by_leg
+            for each in self._runs_by_shard.values()
+        )
+        self._close_all(now, "snapshot_gone")
+        self._pending.clear()
+        self._cut_offs.drop_held()
+        self._is_suspect = self._is_suspect or not self._cut_offs.is_proven
+        self._wakes.clear()
+        self._begin(now, section)
+        return True
+
+    def _close_all(self, now: float, reason: str) -> None:
+        for run in self._runs_by_shard.values():
+            self._cancel_open(now, run, reason)
+
+    def _cancel_open(self, now: float, run: ShardRun, reason: str) -> None:
+        for leg in run.open_by_leg.values():
+            self._context.chooser.observe(
+                now, leg.upstream_id, now - leg.sent_at, ResultCode.LEG_CANCELLED
+            )
+            del self._run_by_leg[leg.leg_id]
+            self._closed_reason_by_leg[leg.leg_id] = reason
+            # What must run at most once is left to end: its outcome may be found.
+            if self._request.idempotent:
+                self._actions.append(CancelLeg(leg.upstream_id, leg.leg_id, reason))
+        run.open_by_leg.clear()
+
+    def _give_up(self, run: ShardRun, code: ResultCode | None = None) -> None:
+        """Settle a shard as missing, by its last failure's code or a given one."""
+        if run.outcome is not None:
+            return
+        run.code = code or run.code
+        run.settle_missing()
+        self._unsettled -= 1
+        self._cut_offs.end_probe(run)
+
+    def _finish(self, now: float, reason: str) -> None:
+        for run in self._runs_by_shard.values():
+            if run.outcome is None:
+                run.settle_late()
+        self._close_all(now, reason)
+        answer = self._answers.conclude(
+            now, self._snapshot, self._runs_by_shard, self._has_run
+        )
+        is_whole = answer.code == ResultCode.OK
+        suspicion = self._cut_offs.close(self._epoch_ms(now), is_whole)
+        if suspicion is not None:
+            self._actions.append(ShareSuspicion(suspicion, "cut_off_upstream"))
+        self._actions.append(Finish(answer, reason))
+        self._is_finished = True
+
+    def _refuse(self, now: float, code: ResultCode, detail: str = "") -> None:
+        answer = self._answers.refuse(now, code, detail)
+        self._actions.append(Finish(answer, code.name.lower()))
+        self._is_finished = True
+
+    def _epoch_ms(self, now: float) -> int:
+        return int((now + self._epoch_offset_s) * 1000)
+
+
+def make_session(
+    context: SearchContext,
+    request: SearchRequest,
+    current_section: Callable[[], Section | None],
+    generation: int,
+    arrived: float,
+    wall_time: float,
+    send_before: float = math.inf,
+) -> SearchSession:
+    """Return a session for one request.
+
+    Args:
+        context: What all requests of the instance share.
+        request: The decoded request.
+        current_section: Returns the section now in force, or None.
+        generation: The document generation in force at arrival.
+        arrived: When the request arrived, in monotonic seconds.
+        wall_time: The same moment in seconds since the epoch.
+        send_before: Monotonic second after which nothing may be sent any more, the
+            end of the lease on a claim.
+    """
+    return SearchSession(
+        context,
+        request,
+        current_section,
+        generation,
+        arrived,
+        wall_time - arrived,
+        send_before,
+    )
--- /dev/null
+++ b/almondspool/coordination/search_context.py
@@ -0,0 +1,69 @@
+"""What all requests of one instance share."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.budget import ExtraLegBudget
+from almondspool.coordination.quarantine import Quarantine
+from almondspool.coordination.replicas import make_chooser
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from almondspool.coordination.replicas import ReplicaChooser
+
+
+class SearchContext(NamedTuple):
+    """What all requests of one instance share.
+
+    Attributes:
+        instance: The instance's name.
+        leg_ids: Yields leg ids that no other instance or incarnation uses.
+        chooser: Chooses replicas.
+        budget: Caps hedges and retries.
+        quarantine: Knows the requests that crashed upstreams.
+        rng: Spreads the times to come back.
+    """
+
+    instance: str
+    leg_ids: Iterator[str]
+    chooser: ReplicaChooser
+    budget: ExtraLegBudget
+    quarantine: Quarantine
+    rng: random.Random
+
+
+def make_leg_ids(instance: str, incarnation: int) -> Iterator[str]:
+    """Return leg ids that are unique among instances and incarnations."""
+    return (f"{instance}.{incarnation}.{number}" for number in itertools.count(1))
+
+
+def make_context(
+    instance: str,
+    incarnation: int,
+    zone: str,
+    hedge_share: float,
+    quarantine_s: float,
+    rng: random.Random,
+) -> SearchContext:
+    """Return the context of an instance that has just started or re-joined.
+
+    Args:
+        instance: The instance's name.
+        incarnation: Its incarnation.
+        zone: Its availability zone.
+        hedge_share: Extra legs allowed per first leg.
+        quarantine_s: How long a crash is remembered, in seconds.
+        rng: Source of all random choices.
+    """
+    return SearchContext(
+        instance,
+        make_leg_ids(instance, incarnation),
+        make_chooser(zone, rng),
+        ExtraLegBudget(hedge_share),
+        Quarantine(quarantine_s),
+        rng,
+    )
--- /dev/null
+++ b/almondspool/coordination/shard_run.py
@@ -0,0 +1,182 @@
+"""Progress of one shard within one request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.errors import RequestError
+from almondspool.protocol.caller import ShardOutcome
+
+if TYPE_CHECKING:
+    from almondspool.protocol.caller import Record, SearchRequest
+    from almondspool.protocol.upstream import LegResult
+    from almondspool.state.document import Section, Shard, Snapshot
+
+
+class OpenLeg(NamedTuple):
+    """A leg that was sent and has no result yet.
+
+    Attributes:
+        leg_id: The leg.
+        upstream_id: Where it runs.
+        sent_at: Monotonic seconds.
+        is_after_cut_off: Whether the request had cut off an upstream before.
+    """
+
+    leg_id: str
+    upstream_id: str
+    sent_at: float
+    is_after_cut_off: bool
+
+
+class ShardRun:
+    """The legs, and in the end the outcome, of one shard.
+
+    Attributes:
+        shard: The shard.
+        open_by_leg: Legs in flight by leg id.
+        tried: Upstreams that had a leg.
+        attempts: Legs sent, hedges among them.
+        hedge_delay_s: Wait before the next try to hedge, in seconds.
+        budget_waits: How often a retry had to wait for the budget.
+        is_hedged: Whether a hedge was sent.
+        may_have_run: Whether an upstream may have run the shard's query.
+        outcome: None until the shard is settled.
+        code: Result code of the last failure, or OK.
+        records: Found records.
+    """
+
+    __slots__ = (
+        "attempts",
+        "budget_waits",
+        "code",
+        "hedge_delay_s",
+        "is_hedged",
+        "may_have_run",
+        "open_by_leg",
+        "outcome",
+        "records",
+        "shard",
+        "tried",
+    )
+
+    def __init__(self, shard: Shard) -> None:
+        """Start with nothing sent."""
+        self.shard = shard
+        self.open_by_leg: dict[str, OpenLeg] = {}
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.hedge_delay_s = 0.0
+        self.budget_waits = 0
+        self.is_hedged = False
+        self.may_have_run = False
+        self.outcome: ShardOutcome | None = None
+        self.code = ResultCode.LEG_NO_HOLDER
+        self.records: tuple[Record, ...] = ()
+
+    def note_sent(self, leg: OpenLeg) -> None:
+        """Record a leg in flight."""
+        self.open_by_leg[leg.leg_id] = leg
+        self.tried.add(leg.upstream_id)
+
+    def note_failure(self, code: ResultCode, was_run: bool) -> None:
+        """Record the failure of a leg."""
+        self.code = code
+        self.may_have_run = self.may_have_run or was_run
+
+    def settle_answered(self, records: tuple[Record, ...]) -> None:
+        """Settle the shard with its records."""
+        self.may_have_run = True
+        self.outcome = ShardOutcome.ANSWERED
+        self.code = ResultCode.OK
+        self.records = records
+
+    def settle_missing(self) -> None:
+        """Settle the shard as failed, or as not sent if no upstream ran it."""
+        failed = ShardOutcome.FAILED if self.may_have_run else ShardOutcome.NOT_SENT
+        self.outcome = failed
+
+    def settle_late(self) -> None:
+        """Settle the shard at the deadline."""
+        if not self.open_by_leg:
+            self.settle_missing()
+            return
+        self.may_have_run = True
+        self.outcome = ShardOutcome.LATE
+        self.code = ResultCode.LEG_TIMEOUT
+
+
+class CheckedResult(NamedTuple):
+    """The code of a leg after its reply was checked.
+
+    Attributes:
+        code: OK only if the reply is the leg's own.
+        was_run: Whether the upstream may have run the leg.
+        discard_reason: Name under which a foreign reply is counted, or empty.
+    """
+
+    code: ResultCode
+    was_run: bool
+    discard_reason: str = ""
+
+
+def check_result(
+    run: ShardRun, leg: OpenLeg, snapshot: int, result: LegResult
+) -> CheckedResult:
+    """Check that a reply fits its leg's shard, upstream and snapshot."""
+    if result.code != ResultCode.OK:
+        return CheckedResult(ResultCode(result.code), result.was_run)
+    if result.shard != run.shard.shard_id:
+        return CheckedResult(ResultCode.LEG_WRONG_REQUEST, True, "wrong_shard")
+    if result.upstream_id not in ("", leg.upstream_id):
+        return CheckedResult(ResultCode.LEG_WRONG_REQUEST, True, "wrong_upstream")
+    if result.snapshot != snapshot:
+        return CheckedResult(ResultCode.LEG_WRONG_SNAPSHOT, True, "wrong_snapshot")
+    return CheckedResult(ResultCode.OK, True)
+
+
+def select_shards(
+    request: SearchRequest, section: Section, snapshot: Snapshot
+) -> tuple[Shard, ...]:
+    """Return the shards of a snapshot that a request covers, ordered by id.
+
+    Raises:
+        RequestError: With SERVICE_UNKNOWN, SHARD_UNKNOWN or FIELD_INVALID.
+    """
+    if not request.idempotent and not request.shard:
+        raise RequestError(
+            "a non-idempotent request must name its shard", ResultCode.FIELD_INVALID
+        )
+    unknown = set(request.services) - section.services_by_id.keys()
+    if unknown:
+        names = ", ".join(sorted(unknown))
+        raise RequestError(
+            f"service {names} is not in the section of team {section.team}",
+            ResultCode.SERVICE_UNKNOWN,
+        )
+    if request.shard:
+        return (_select_shard(request, snapshot),)
+    services = set(request.services)
+    return tuple(
+        shard
+        for _, shard in sorted(snapshot.shards_by_id.items())
+        if not services or shard.service_id in services
+    )
+
+
+def _select_shard(request: SearchRequest, snapshot: Snapshot) -> Shard:
+    shard = snapshot.shards_by_id.get(request.shard)
+    if shard is None:
+        raise RequestError(
+            f"shard {request.shard} is not in snapshot {snapshot.snapshot_id}",
+            ResultCode.SHARD_UNKNOWN,
+        )
+    return shard
+
+
+def has_newer_snapshot(section: Section | None, snapshot: int) -> bool:
+    """Return whether a section has a snapshot later than a given one."""
+    if section is None or not section.snapshots_by_id:
+        return False
+    return section.newest_snapshot().snapshot_id > snapshot
