Run legs over bounded keep-alive connections to upstreams

It stands in its own module: the codec needs the types of protocol/upstream.py, which would otherwise import itself in a circle.

The pool holds urllib3's HTTPConnection objects itself. Its HTTPConnectionPool was ruled out: it can't change its size, hides the age of a connection and whether it is reused, and these decide between a stale connection and a crash.

A close before the first byte counts as stale only after a second of idling; if the retry is then refused, it is reported as cut off, since a crash looks the same. Non-idempotent legs take no connection that idled that long.

--- /dev/null
+++ b/almondspool/protocol/leg_codec.py
@@ -0,0 +1,209 @@
+"""JSON form of legs and their results between an instance and an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from almondspool.codes import ResultCode
+from almondspool.protocol.caller import Record
+from almondspool.protocol.upstream import Leg, LegResult, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_LINE_BYTES = 4 * 1024 * 1024
+MAX_REPLY_BYTES = 32 * 1024 * 1024
+
+CODE_BY_STATUS: dict[str, ResultCode] = {
+    "ok": ResultCode.OK,
+    "shed": ResultCode.LEG_SHED,
+    "draining": ResultCode.LEG_DRAINING,
+    "snapshot_gone": ResultCode.LEG_SNAPSHOT_GONE,
+    "shard_unknown": ResultCode.SHARD_UNKNOWN,
+    "failed": ResultCode.LEG_FAILED,
+    "cancelled": ResultCode.LEG_CANCELLED,
+    "deadline": ResultCode.LEG_TIMEOUT,
+}
+
+
+class _RecordBody(msgspec.Struct):
+    record_id: str
+    fields: dict[str, str]
+
+
+class _ResultBody(msgspec.Struct):
+    leg_id: str
+    status: str
+    snapshot: int = 0
+    shard: str = ""
+    records: list[_RecordBody] = []
+    detail: str = ""
+    was_run: bool = True
+
+
+class _LoadBody(msgspec.Struct):
+    running: int
+    queued: int
+    draining: bool = False
+    warmth: float = 1.0
+
+
+_ENCODER = msgspec.json.Encoder()
+_RESULT_DECODER = msgspec.json.Decoder(_ResultBody)
+_LOAD_DECODER = msgspec.json.Decoder(_LoadBody)
+
+
+def encode_legs(legs: tuple[Leg, ...]) -> bytes:
+    """Return the body of an exchange."""
+    return _ENCODER.encode({"legs": [leg._asdict() for leg in legs]})
+
+
+def encode_cancel(leg_ids: tuple[str, ...]) -> bytes:
+    """Return the body of a cancellation."""
+    return _ENCODER.encode({"leg_ids": leg_ids})
+
+
+def decode_load(body: bytes) -> LoadReport | None:
+    """Return an upstream's load report, or None if it is malformed."""
+    try:
+        report = _LOAD_DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    return LoadReport(report.running, report.queued, report.draining, report.warmth)
+
+
+class Failure(NamedTuple):
+    """Why legs of an exchange have no result of their own.
+
+    Attributes:
+        code: The LEG code.
+        detail: One line for people.
+        was_run: Whether the upstream may have run the legs.
+    """
+
+    code: ResultCode
+    detail: str
+    was_run: bool
+
+
+class ReplyReader:
+    """Matches the lines of one reply with the legs of its exchange.
+
+    Attributes:
+        open_by_id: Legs without a result yet.
+        ignored: Lines that belong to no open leg.
+        malformed: Why a line could not be decoded; empty if all could.
+    """
+
+    def __init__(self, upstream_id: str, legs: tuple[Leg, ...]) -> None:
+        """Expect one line for each leg."""
+        self.open_by_id = {leg.leg_id: leg for leg in legs}
+        self.ignored = 0
+        self.malformed = ""
+        self._upstream_id = upstream_id
+        self._parts: list[bytes] = []
+        self._partial_bytes = 0
+        self._total_bytes = 0
+        self._oversized = ""
+
+    def feed(self, data: bytes) -> Iterator[LegResult]:
+        """Take received bytes and yield the result of each finished leg."""
+        self._total_bytes += len(data)
+        if self._total_bytes > MAX_REPLY_BYTES:
+            self._oversized = f"the reply exceeds {MAX_REPLY_BYTES} bytes"
+            return
+        for line in self._split(data):
+            if len(line) > MAX_LINE_BYTES:
+                self._oversized = f"a line exceeds {MAX_LINE_BYTES} bytes"
+                return
+            yield from self._read_line(line)
+
+    def oversized(self) -> str:
+        """Return which size limit the reply exceeded, or an empty string."""
+        return self._oversized
+
+    def end(self) -> Iterator[LegResult]:
+        """Yield a result for each leg that a whole reply left out."""
+        if self._partial_bytes:
+            self.malformed = f"last line is cut after {self._partial_bytes} bytes"
+        if self.malformed:
+            code, detail = ResultCode.LEG_REPLY_MALFORMED, self.malformed
+        else:
+            code, detail = ResultCode.LEG_WRONG_REQUEST, "the reply left out this leg"
+        yield from self.fail(Failure(code, detail, True))
+
+    def fail(self, failure: Failure) -> Iterator[LegResult]:
+        """Yield the same failure for each open leg."""
+        legs = tuple(self.open_by_id.values())
+        self.open_by_id.clear()
+        for leg in legs:
+            yield self._failed(leg, failure)
+
+    def _split(self, data: bytes) -> list[bytes]:
+        self._parts.append(data)
+        self._partial_bytes += len(data)
+        if b"\n" not in data:
+            if self._partial_bytes > MAX_LINE_BYTES:
+                self._oversized = f"a line exceeds {MAX_LINE_BYTES} bytes"
+            return []
+        *lines, partial = b"".join(self._parts).split(b"\n")
+        self._parts = [partial] if partial else []
+        self._partial_bytes = len(partial)
+        return [line for line in lines if line]
+
+    def fail_one(self, leg: Leg, failure: Failure) -> LegResult:
+        """Return a failure for one open leg."""
+        del self.open_by_id[leg.leg_id]
+        return self._failed(leg, failure)
+
+    def _read_line(self, line: bytes) -> Iterator[LegResult]:
+        try:
+            body = _RESULT_DECODER.decode(line)
+            code = CODE_BY_STATUS[body.status]
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.malformed = f"cannot decode a line of {len(line)} bytes: {error}"
+            return
+        except KeyError as error:
+            self.malformed = f"unknown status {error}"
+            return
+        leg = self.open_by_id.pop(body.leg_id, None)
+        if leg is None:
+            self.ignored += 1
+            return
+        yield self._check(leg, body, code)
+
+    def _check(self, leg: Leg, body: _ResultBody, code: ResultCode) -> LegResult:
+        if code is ResultCode.OK and body.snapshot != leg.snapshot:
+            detail = f"reply is from snapshot {body.snapshot}, not {leg.snapshot}"
+            failure = Failure(ResultCode.LEG_WRONG_SNAPSHOT, detail, True)
+            return self._failed(leg, failure)
+        if code is ResultCode.OK and body.shard != leg.shard:
+            detail = f"reply is from shard {body.shard!r}, not {leg.shard!r}"
+            return self._failed(
+                leg, Failure(ResultCode.LEG_WRONG_REQUEST, detail, True)
+            )
+        records = tuple(Record(item.record_id, item.fields) for item in body.records)
+        return LegResult(
+            leg.leg_id,
+            code,
+            body.snapshot,
+            leg.shard,
+            records if code is ResultCode.OK else (),
+            self._upstream_id,
+            body.detail,
+            body.was_run or code is ResultCode.OK,
+        )
+
+    def _failed(self, leg: Leg, failure: Failure) -> LegResult:
+        return LegResult(
+            leg.leg_id,
+            failure.code,
+            0,
+            leg.shard,
+            (),
+            self._upstream_id,
+            failure.detail,
+            failure.was_run,
+        )
--- /dev/null
+++ b/tests/protocol/test_http_upstream.py
@@ -0,0 +1,222 @@
+from __future__ import annotations
+
+import threading
+import time
+
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.protocol import leg_codec
+from almondspool.protocol.caller import Record
+from almondspool.protocol.http_upstream import HttpUpstream
+from almondspool.protocol.upstream import LoadReport
+from tests.protocol.raw_server import (
+    END,
+    HEAD,
+    RawServer,
+    chunk,
+    line,
+    make_leg,
+    wait_until,
+    whole,
+)
+
+
+class HttpUpstreamTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.shift_s = 0.0
+        self.http = HttpUpstream(lambda: time.monotonic() + self.shift_s)
+
+    def serve(self, script, grant=2):
+        server = RawServer(script)
+        self.addCleanup(server.close)
+        self.http.set_grants({"searcher-1": grant})
+        return server
+
+    def run_legs(self, server, *legs, timeout_s=5.0):
+        results = tuple(self.http.run(server.upstream, legs, timeout_s))
+        self.assertEqual({leg.leg_id for leg in legs}, {r.leg_id for r in results})
+        self.assertEqual(len(legs), len(results))
+        return {result.leg_id: result for result in results}
+
+    def run_reply(self, *parts, legs=("a", "b"), timeout_s=5.0, close=False):
+        def script(connection, body, nth):
+            for part in parts:
+                connection.sendall(part)
+            return not close
+
+        server = self.serve(script)
+        results = self.run_legs(server, *map(make_leg, legs), timeout_s=timeout_s)
+        return {key: (value.code, value.was_run) for key, value in results.items()}
+
+    def test_results_come_as_each_leg_finishes_and_the_connection_is_kept(self):
+        gate = threading.Event()
+
+        def script(connection, body, nth):
+            connection.sendall(HEAD + chunk(line("b")))
+            gate.wait(5)
+            connection.sendall(chunk(line("a")) + END)
+
+        server = self.serve(script)
+        run = self.http.run(server.upstream, (make_leg("a"), make_leg("b")), 5.0)
+        first = next(run)
+        self.assertEqual("b", first.leg_id)
+        self.assertEqual((Record("r-b", {"street": "Low St"}),), first.records)
+        gate.set()
+        self.assertEqual(["a"], [result.leg_id for result in run])
+        self.run_legs(server, make_leg("a"), make_leg("b"))
+        self.assertEqual(1, len(server.connections))
+
+    def test_bad_replies_fail_by_name(self):
+        ok, a, b = (ResultCode.OK, True), line("a"), line("b")
+        malformed = (ResultCode.LEG_REPLY_MALFORMED, True)
+        cut_off = (ResultCode.LEG_CUT_OFF, True)
+        cases = {
+            "line is no JSON": ([whole(a, b"{nonsense\n")], malformed),
+            "last line is cut": ([whole(a, b[:-9])], malformed),
+            "unknown status": ([whole(a, line("b", status="fine"))], malformed),
+            "chunk size is no number": ([HEAD, chunk(a), b"zz\r\n"], malformed),
+            "no HTTP at all": ([b"220 smtp ready\r\n"], malformed),
+            "closed within a chunk": ([HEAD, chunk(a), chunk(b)[:20]], cut_off),
+            "closed between chunks": ([HEAD, chunk(a)], cut_off),
+            "leg left out": ([whole(a)], (ResultCode.LEG_WRONG_REQUEST, True)),
+            "leg of another": (
+                [whole(a, line("c"))],
+                (ResultCode.LEG_WRONG_REQUEST, True),
+            ),
+            "another shard": (
+                [whole(a, line("b", shard="s2"))],
+                (ResultCode.LEG_WRONG_REQUEST, True),
+            ),
+            "another snapshot": (
+                [whole(a, line("b", snapshot=8))],
+                (ResultCode.LEG_WRONG_SNAPSHOT, True),
+            ),
+            "shed": (
+                [whole(a, line("b", status="shed", was_run=False))],
+                (ResultCode.LEG_SHED, False),
+            ),
+        }
+        for name, (parts, expected) in cases.items():
+            seen = self.run_reply(*parts, close=True)
+            first = ok if name != "no HTTP at all" else malformed
+            self.assertEqual({"a": first, "b": expected}, seen, name)
+
+    def test_doubled_and_strange_lines_are_counted_and_change_nothing(self):
+        a = line("a")
+        seen = self.run_reply(whole(a, line("a", snapshot=9), line("z"), line("b")))
+        self.assertEqual({"a": (ResultCode.OK, True), "b": (ResultCode.OK, True)}, seen)
+        self.assertEqual(2, self.http.ignored_replies)
+
+    def test_oversized_replies_are_cut(self):
+        self.patch(leg_codec, "MAX_LINE_BYTES", 300)
+        oversized = (ResultCode.LEG_REPLY_OVERSIZED, True)
+        for long_line in (b"x" * 400, line("b", detail="x" * 400)):
+            seen = self.run_reply(HEAD + chunk(line("a")) + chunk(long_line) + END)
+            self.assertEqual({"a": (ResultCode.OK, True), "b": oversized}, seen)
+        self.patch(leg_codec, "MAX_REPLY_BYTES", 1000)
+        seen = self.run_reply(HEAD, *[chunk(line("z"))] * 20)
+        self.assertEqual({"a": oversized, "b": oversized}, seen)
+
+    def test_silence_and_refusal(self):
+        timeout = (ResultCode.LEG_TIMEOUT, True)
+        seen = self.run_reply(HEAD, chunk(line("a")), timeout_s=0.2)
+        self.assertEqual({"a": (ResultCode.OK, True), "b": timeout}, seen)
+        server = self.serve(None)
+        server.stop_listening()
+        result = self.run_legs(server, make_leg("a"))["a"]
+        self.assertEqual((ResultCode.LEG_REFUSED, False), (result.code, result.was_run))
+        result = self.run_legs(server, make_leg("a"), timeout_s=0.0)["a"]
+        self.assertEqual((ResultCode.LEG_TIMEOUT, False), (result.code, result.was_run))
+
+    def trickle(self, connection, body, nth):
+        connection.sendall(HEAD)
+        while True:
+            connection.sendall(b"0")
+            time.sleep(0.01)
+
+    def test_a_reply_that_trickles_for_ever_is_cut_at_the_deadline(self):
+        server = self.serve(self.trickle)
+        run = self.http.run(server.upstream, (make_leg("a"),), 0.2)
+        results = []
+        thread = threading.Thread(target=lambda: results.extend(run))
+        thread.start()
+        wait_until(lambda: self.http.close_overdue())
+        thread.join(5)
+        self.assertEqual([ResultCode.LEG_TIMEOUT], [r.code for r in results])
+
+    def close_second(self, connection, body, nth):
+        if nth == 2:
+            return False
+        connection.sendall(whole(*[line(leg["leg_id"]) for leg in body["legs"]]))
+
+    def test_an_idempotent_leg_survives_a_stale_connection(self):
+        server = self.serve(self.close_second)
+        self.run_legs(server, make_leg("a"))
+        self.shift_s = 20.0
+        result = self.run_legs(server, make_leg("b"))["b"]
+        self.assertEqual(ResultCode.OK, result.code)
+        self.assertEqual(3, len(server.requests))
+
+    def test_a_close_right_after_use_is_no_stale_connection(self):
+        server = self.serve(self.close_second)
+        self.run_legs(server, make_leg("a"))
+        result = self.run_legs(server, make_leg("b"))["b"]
+        self.assertEqual((ResultCode.LEG_CUT_OFF, True), (result.code, result.was_run))
+
+    def test_a_crash_on_an_idle_connection_is_told_from_a_stale_one(self):
+        def script(connection, body, nth):
+            if nth == 2:
+                server.stop_listening()
+            return self.close_second(connection, body, nth)
+
+        server = self.serve(script)
+        self.run_legs(server, make_leg("a"))
+        self.shift_s = 20.0
+        result = self.run_legs(server, make_leg("b"))["b"]
+        self.assertEqual((ResultCode.LEG_CUT_OFF, True), (result.code, result.was_run))
+
+    def test_a_non_idempotent_leg_is_sent_once(self):
+        server = self.serve(self.close_second)
+        self.run_legs(server, make_leg("a"))
+        result = self.run_legs(server, make_leg("b", idempotent=False))["b"]
+        self.assertEqual((ResultCode.LEG_CUT_OFF, True), (result.code, result.was_run))
+        self.assertEqual(2, len(server.requests))
+
+    def test_a_non_idempotent_leg_takes_no_long_idle_connection(self):
+        server = self.serve(lambda c, body, nth: c.sendall(whole(line("a"))))
+        self.run_legs(server, make_leg("a"))
+        self.shift_s = 20.0
+        self.run_legs(server, make_leg("a", idempotent=False))
+        self.assertEqual(2, len(server.connections))
+
+    def test_connections_stay_within_the_grant(self):
+        gate = threading.Event()
+
+        def script(connection, body, nth):
+            gate.wait(5)
+            connection.sendall(whole(line("a")))
+
+        server = self.serve(script, grant=1)
+        thread = threading.Thread(target=self.run_legs, args=[server, make_leg("a")])
+        thread.start()
+        wait_until(lambda: server.requests)
+        result = self.run_legs(server, make_leg("b"), timeout_s=0.05)["b"]
+        self.assertEqual((ResultCode.LEG_SHED, False), (result.code, result.was_run))
+        self.http.set_grants({})
+        gate.set()
+        thread.join(5)
+        self.assertEqual(0, self.http.open_connections("searcher-1"))
+        result = self.run_legs(server, make_leg("b"))["b"]
+        self.assertEqual(ResultCode.LEG_NO_HOLDER, result.code)
+
+    def test_load_and_cancel(self):
+        body = b'{"running":1,"queued":2,"draining":true,"warmth":0.5}'
+        reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        server = self.serve(lambda connection, body, nth: connection.sendall(reply))
+        self.http.cancel(server.upstream, ("a", "b"))
+        report = self.http.load(server.upstream, 5.0)
+        self.assertEqual(LoadReport(1, 2, True, 0.5), report)
+        self.assertEqual(("/v1/cancel", {"leg_ids": ["a", "b"]}), server.requests[0])
+        self.assertEqual(1, self.http.retire("searcher-1"))
