--- a/almondspool/coordination/front.py
+++ b/almondspool/coordination/front.py
@@ -13,12 +13,11 @@
     SearchAnswer,
     SearchRequest,
 )
-from almondspool.state.document import Priority
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.state.document import Document, Section
+    from almondspool.state.document import Document, Priority, Section
 
 _MS_PER_S = 1000
 NO_CONFIGURATION_RETRY_MS = 500
