--- a/almondspool/standins/object_store.py
+++ b/almondspool/standins/object_store.py
@@ -38,6 +38,7 @@
         """Keep at most history_limit changes for watches and stale reads."""
         self.version = 0
         self._by_key: dict[tuple[str, str], PlatformObject] = {}
+        self._forgotten_by_key: dict[tuple[str, str], PlatformObject] = {}
         self._history: deque[PlatformObject] = deque()
         self._history_limit = history_limit
         self._forgotten_version = 0
@@ -114,18 +115,25 @@
         self.version = event.version
         self._history.append(event)
         if len(self._history) > self._history_limit:
-            self._forgotten_version = self._history.popleft().version
+            forgotten = self._history.popleft()
+            self._forgotten_version = forgotten.version
+            _apply(self._forgotten_by_key, forgotten)
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send()
 
     def _by_key_at(self, version: int) -> dict[tuple[str, str], PlatformObject]:
-        by_key: dict[tuple[str, str], PlatformObject] = {}
+        by_key = dict(self._forgotten_by_key)
         for event in self._history:
-            if event.version > version:
-                break
-            key = (event.kind, event.name)
-            if event.deleted:
-                by_key.pop(key, None)
-            else:
-                by_key[key] = event
+            if event.version <= version:
+                _apply(by_key, event)
         return by_key
+
+
+def _apply(
+    by_key: dict[tuple[str, str], PlatformObject], event: PlatformObject
+) -> None:
+    key = (event.kind, event.name)
+    if event.deleted:
+        by_key.pop(key, None)
+    else:
+        by_key[key] = event
--- a/almondspool/standins/searcher.py
+++ b/almondspool/standins/searcher.py
@@ -97,6 +97,9 @@
         self._journal = journal
         self._counters = counters
         self._is_down = False
+        self._restart: eventlet.greenthread.GreenThread | None = None
+        self._load_report: dict[str, object] = {}
+        self._load_reported = float("-inf")
         self.runner = LegRunner(settings, index, faults, journal, self._crash)
         self.listener = Listener(
             settings.address,
@@ -126,6 +129,8 @@
             held = self._settings.shards_by_snapshot.keys()
             self.runner.snapshots = set(state.snapshots) & held
         if state.down is not None:
+            if self._restart is not None:
+                self._restart.cancel()
             self._set_down(state.down)
 
     def _set_down(self, is_down: bool) -> None:
@@ -147,7 +152,7 @@
 
     def _crash(self, restart_s: float) -> None:
         self._set_down(True)
-        eventlet.spawn_after(restart_s, self._set_down, False)
+        self._restart = eventlet.spawn_after(restart_s, self._set_down, False)
 
     def _record_violation(self, open_connections: int) -> None:
         self._journal.add(ViolationEntry(self._settings.upstream_id, open_connections))
@@ -183,15 +188,16 @@
 
     def _load(self) -> Response:
         lie = self._faults.take(FaultKind.LIE_LOAD, self._settings.upstream_id)
-        runner = self.runner
-        return json_response(
-            {
-                "running": lie.running if lie else runner.running,
-                "queued": lie.queued if lie else runner.queued,
-                "draining": False if lie else runner.draining,
-                "warmth": 1.0 if lie else runner.warmth(),
-            }
-        )
+        if lie is not None:
+            return json_response(_load_value(lie.running, lie.queued, False, 1.0))
+        age_s = time.monotonic() - self._load_reported
+        if age_s >= self._settings.load_lag_s:
+            runner = self.runner
+            self._load_report = _load_value(
+                runner.running, runner.queued, runner.draining, runner.warmth()
+            )
+            self._load_reported = time.monotonic()
+        return json_response(self._load_report)
 
     def _health(self) -> Response:
         lie = self._faults.take(FaultKind.LIE_HEALTH, self._settings.upstream_id)
@@ -231,6 +237,17 @@
         yield encode_line(result)
 
 
+def _load_value(
+    running: int, queued: int, draining: bool, warmth: float
+) -> dict[str, object]:
+    return {
+        "running": running,
+        "queued": queued,
+        "draining": draining,
+        "warmth": warmth,
+    }
+
+
 def encode_line(result: WireResult) -> bytes:
     """Return a result as one line of JSON."""
     return msgspec.json.encode(result) + b"\n"
--- a/almondspool/standins/searcher_settings.py
+++ b/almondspool/standins/searcher_settings.py
@@ -37,6 +37,7 @@
     service_time_ms: float = 3.0
     queue_limit: int = 200
     cold_start_s: float = 0.0
+    load_lag_s: float = 0.0
 
 
 class SearcherProcessSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/almondspool/standins/web.py
+++ b/almondspool/standins/web.py
@@ -295,3 +295,6 @@
     except DropConnection:
         connection.close()
         raise
+    except Exception:
+        traceback.print_exc()
+        raise
--- /dev/null
+++ b/tests/standins/support.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import http.client
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from almondspool.standins.web import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+GIVE_UP_S = 15.0
+POLL_S = 0.01
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Poll for a condition that the test has brought about."""
+    give_up = time.monotonic() + GIVE_UP_S
+    while not condition():
+        if time.monotonic() > give_up:
+            raise AssertionError(f"gave up waiting until {what}")
+        time.sleep(POLL_S)
+
+
+def is_refused(address: str) -> bool:
+    connection = open_connection(address)
+    try:
+        connection.connect()
+    except ConnectionRefusedError:
+        return True
+    finally:
+        connection.close()
+    return False
+
+
+def open_connection(address: str) -> http.client.HTTPConnection:
+    host, port = parse_address(address)
+    return http.client.HTTPConnection(host, port, timeout=GIVE_UP_S)
+
+
+def call(
+    connection: http.client.HTTPConnection,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+) -> tuple[int, Any]:
+    """Return status and decoded JSON of one call."""
+    connection.request(method, path, body)
+    response = connection.getresponse()
+    data = response.read()
+    return response.status, msgspec.json.decode(data) if data else None
+
+
+def make_leg(leg_id: str, shard: str, **changes: object) -> dict[str, object]:
+    leg = {
+        "leg_id": leg_id,
+        "request_id": f"request-{leg_id}",
+        "team": "alert-desk",
+        "snapshot": 1,
+        "shard": shard,
+        "query": {},
+        "deadline_ms": 10_000,
+        "idempotent": True,
+    }
+    return leg | changes
+
+
+def send_legs(connection: http.client.HTTPConnection, *legs: dict[str, object]) -> None:
+    connection.request("POST", "/v1/legs", msgspec.json.encode({"legs": legs}))
+
+
+def run_legs(
+    connection: http.client.HTTPConnection, *legs: dict[str, object]
+) -> list[dict[str, Any]]:
+    send_legs(connection, *legs)
+    lines = connection.getresponse().read().splitlines()
+    return [msgspec.json.decode(line) for line in lines]
--- /dev/null
+++ b/tests/standins/test_faults.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import msgspec
+import testtools
+
+from almondspool.standins.faults import Fault, FaultKind, FaultSwitches, Journal
+
+
+class FaultSwitchesTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.faults = FaultSwitches()
+
+    def test_target_and_method_limit_a_fault(self):
+        self.faults.replace([Fault(FaultKind.OUTAGE, target="claim", method="PUT")])
+        self.assertIsNotNone(self.faults.take(FaultKind.OUTAGE, "claim", "PUT"))
+        self.assertIsNone(self.faults.take(FaultKind.OUTAGE, "claim", "GET"))
+        self.assertIsNone(self.faults.take(FaultKind.OUTAGE, "section", "PUT"))
+        self.assertIsNone(self.faults.take(FaultKind.FREEZE, "claim", "PUT"))
+
+    def test_count_is_used_up(self):
+        self.faults.replace([Fault(FaultKind.MALFORMED, count=2)])
+        shown = [self.faults.take(FaultKind.MALFORMED) for _ in range(3)]
+        self.assertEqual([True, True, False], [item is not None for item in shown])
+
+    def test_share_is_seeded(self):
+        runs = []
+        for _ in range(2):
+            self.faults.replace([Fault(FaultKind.STRAGGLE, share=0.5, seed=3)])
+            takes = [self.faults.take(FaultKind.STRAGGLE) for _ in range(40)]
+            runs.append([item is not None for item in takes])
+        self.assertEqual(runs[0], runs[1])
+        self.assertEqual({True, False}, set(runs[0]))
+
+    def test_subscribers_hear_of_changes(self):
+        heard = []
+        self.faults.subscribe(lambda: heard.append(self.faults.is_on("freeze")))
+        self.faults.replace([Fault(FaultKind.FREEZE)])
+        self.faults.replace([])
+        self.assertEqual([True, False], heard)
+
+    def test_unknown_parameter_is_refused(self):
+        body = b'[{"kind": "delay", "delay": 5}]'
+        error = self.assertRaises(
+            msgspec.ValidationError, msgspec.json.decode, body, type=list[Fault]
+        )
+        self.assertIn("delay", str(error))
+
+
+class JournalTests(testtools.TestCase):
+    def test_entries_beyond_the_bound_are_counted(self):
+        journal = Journal(max_entries=1)
+        for kind in (FaultKind.DELAY, FaultKind.SLOW):
+            journal.add(Fault(kind))
+        value = journal.as_json_value()
+        self.assertEqual(([Fault("delay")], 1), (value["entries"], value["dropped"]))
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import base64
+import http.client
+
+import testtools
+
+from almondspool.standins.faults import Fault, FaultKind
+from almondspool.standins.launcher import Cluster
+from tests.standins.support import call, open_connection, wait_until
+
+CALLS_PER_S = 60
+
+
+class PlatformTests(testtools.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        flags = (f"--calls_per_s={CALLS_PER_S}", "--listing_lag_s=0.2")
+        cls.cluster = cls.enterClassContext(
+            Cluster("demo", instances=0, searcher_processes=1, platform_flags=flags)
+        )
+        cls.cluster.start_standins()
+
+    def setUp(self):
+        super().setUp()
+        self.connection = open_connection(self.cluster.platform_address)
+        self.addCleanup(self.connection.close)
+        self.addCleanup(self.cluster.platform.clear_faults)
+        self.kind = self.id().rpartition(".")[2]
+        self.path = f"/v1/objects/{self.kind}/a"
+
+    def call(self, method: str, path: str, body: bytes | None = None):
+        """Call again after each reply over the rate cap."""
+        while True:
+            status, value = call(self.connection, method, path, body)
+            if status != 429:
+                return status, value
+
+    def put(self, expected: int, body: bytes = b"1"):
+        return self.call("PUT", f"{self.path}?expected={expected}", body)
+
+    def test_objects(self):
+        self.assertEqual(404, self.call("GET", self.path)[0])
+        status, written = self.put(0)
+        self.assertEqual(200, status)
+        version = written["version"]
+        self.assertEqual((409, {"version": version}), self.put(0))
+        status, found = self.call("GET", self.path)
+        self.assertEqual(b"1", base64.b64decode(found["value"]))
+        status, listed = self.call("GET", f"/v1/objects/{self.kind}")
+        self.assertEqual([found], listed["objects"])
+        self.assertEqual(413, self.put(version, b"x" * 1_000_001)[0])
+        self.assertEqual(409, self.call("DELETE", f"{self.path}?expected=1000000")[0])
+        self.assertEqual(200, self.call("DELETE", f"{self.path}?expected={version}")[0])
+        self.assertEqual((409, {"version": 0}), self.put(version))
+
+    def test_watch_resumes_from_a_version(self):
+        version = self.put(0)[1]["version"]
+        path = f"/v1/watch/{self.kind}?wait_ms=0&after="
+        status, changes = self.call("GET", f"{path}{version - 1}")
+        self.assertEqual(["a"], [event["name"] for event in changes["events"]])
+        status, nothing = self.call("GET", f"{path}{changes['version']}")
+        self.assertEqual((200, []), (status, nothing["events"]))
+
+    def test_bad_parameter_is_refused(self):
+        self.assertEqual(400, self.call("PUT", f"{self.path}?expected=x", b"")[0])
+        self.assertEqual(400, self.call("PUT", self.path, b"")[0])
+
+    def test_rate_cap(self):
+        statuses = set()
+        for _ in range(CALLS_PER_S + 1):
+            statuses.add(call(self.connection, "GET", self.path)[0])
+        self.assertEqual({404, 429}, statuses)
+
+    def test_instance_list_lags(self):
+        listed = {"instance": "i", "address": "127.0.0.1:1", "zone": "z"}
+        listed["leaving"] = True
+        self.cluster.platform.set_instances([listed])
+        wait_until(
+            lambda: self.call("GET", "/v1/instances")[1]["instances"] == [listed],
+            "the instance is listed",
+        )
+
+    def test_lost_reply_after_effect(self):
+        fault = Fault(FaultKind.DROP_REPLY_AFTER_EFFECT, self.kind, count=1)
+        self.cluster.platform.set_faults([fault])
+        self.assertRaises(http.client.RemoteDisconnected, self.put, 0)
+        self.assertEqual(200, self.call("GET", self.path)[0])
+        entries = self.cluster.platform.journal()["entries"]
+        own = [entry for entry in entries if entry["kind"] == self.kind]
+        self.assertEqual([False], [entry["replied"] for entry in own])
+
+    def test_outage(self):
+        self.cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
+        self.assertEqual(503, self.call("GET", self.path)[0])
+        self.cluster.platform.clear_faults()
+        self.assertEqual(404, self.call("GET", self.path)[0])
+
+    def test_refuse(self):
+        self.cluster.platform.set_faults([Fault(FaultKind.REFUSE)])
+        disconnected = http.client.RemoteDisconnected
+        self.assertRaises(disconnected, self.call, "GET", self.path)
+
+    def test_stale_read(self):
+        version = self.put(0)[1]["version"]
+        self.put(version, b"2")
+        self.cluster.platform.set_faults(
+            [Fault(FaultKind.STALE_READ, self.kind, version=version)]
+        )
+        self.assertEqual(version, self.call("GET", self.path)[1]["version"])
+
+    def test_silent_connection_and_a_new_one(self):
+        self.call("GET", self.path)
+        self.cluster.platform.set_faults([Fault(FaultKind.SILENT_CONNECTION)])
+        self.connection.request("GET", self.path)
+        newer = open_connection(self.cluster.platform_address)
+        self.addCleanup(newer.close)
+        self.assertIn(call(newer, "GET", self.path)[0], (404, 429))
+        self.connection.sock.setblocking(False)
+        self.assertRaises(BlockingIOError, self.connection.sock.recv, 1)
+
+    def test_counters(self):
+        before = self.cluster.platform.counters()["by_name"].get("list", 0)
+        self.call("GET", f"/v1/objects/{self.kind}")
+        after = self.cluster.platform.counters()["by_name"]["list"]
+        self.assertGreater(after, before)
