--- a/almondspool/standins/platform.py
+++ b/almondspool/standins/platform.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import eventlet
-import eventlet.event
 
 if __name__ == "__main__":
     eventlet.monkey_patch()
@@ -37,6 +36,7 @@
     Request,
     Response,
     json_response,
+    run_until_stopped,
 )
 
 RETRY_AFTER_S = 1
@@ -303,7 +303,7 @@
         RateCap(values.calls_per_s),
     )
     serve_platform(values.address, values.control_address, platform)
-    eventlet.event.Event().wait()
+    run_until_stopped()
 
 
 if __name__ == "__main__":
--- a/almondspool/standins/records.py
+++ b/almondspool/standins/records.py
@@ -25,6 +25,7 @@
 _CHOICES_BY_FIELD_BY_KIND: dict[str, dict[str, tuple[str, ...]]] = {
     SUMP_ALARMS: {
         "suburb": (
+            "Bassendean",
             "Bayswater",
             "Cannington",
             "Fremantle",
--- a/almondspool/standins/searcher.py
+++ b/almondspool/standins/searcher.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import eventlet
-import eventlet.event
 import eventlet.queue
 
 if __name__ == "__main__":
@@ -42,6 +41,7 @@
     Request,
     Response,
     json_response,
+    run_until_stopped,
 )
 
 FLOOD_CHUNK_BYTES = 64 * 1024
@@ -351,7 +351,7 @@
     process = SearcherProcess(settings)
     process.open()
     Listener(settings.control_address, process.handle).open()
-    eventlet.event.Event().wait()
+    run_until_stopped()
 
 
 if __name__ == "__main__":
--- a/almondspool/standins/web.py
+++ b/almondspool/standins/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import struct
 import traceback
@@ -15,6 +16,7 @@
 
 TCP_ESTABLISHED = 1
 PEER_POLL_S = 0.02
+STOP_POLL_S = 0.05
 LISTEN_BACKLOG = 512
 
 _REASON_BY_STATUS = {
@@ -57,6 +59,15 @@
     connection: Connection
 
 
+def run_until_stopped() -> None:
+    """Let the listeners work until SIGTERM or SIGINT."""
+    received: list[int] = []
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda number, frame: received.append(number))
+    while not received:
+        eventlet.sleep(STOP_POLL_S)
+
+
 class DropConnection(Exception):  # noqa: N818
     """Raised by a handler to close the connection without a reply."""
 
--- a/tests/standins/test_deployments.py
+++ b/tests/standins/test_deployments.py
@@ -3,6 +3,8 @@
 import testtools
 import yaml
 
+from almondspool.protocol.document import parse_section
+from almondspool.protocol.document_checks import check_document
 from almondspool.standins.deployments import PLANS_BY_NAME, build_deployment
 
 SEARCHERS_BY_TEAM_BY_NAME = {
@@ -54,6 +56,15 @@
                 self.assertIn(shard["id"], held)
             self.assertEqual(2, len({searcher.zone for searcher in replicas}))
 
+    def test_documents_are_accepted(self):
+        for name in PLANS_BY_NAME:
+            deployment = build_deployment(name, 7300)
+            sections_by_team = {
+                team: parse_section(text, team)
+                for team, text in deployment.section_texts_by_team.items()
+            }
+            self.assertEqual([], list(check_document(sections_by_team)))
+
     def test_section_has_the_agreed_form(self):
         deployment = build_deployment("perth", 7300)
         section = yaml.safe_load(deployment.section_texts_by_team["alert-desk"])
--- a/tests/standins/test_launcher.py
+++ b/tests/standins/test_launcher.py
@@ -41,6 +41,8 @@
             refuse = cluster.searcher_controls()[0].change_searcher
             error = self.assertRaises(ControlError, refuse, "nobody", down=True)
             self.assertIn("nobody", str(error))
+            exit_codes_by_name = cluster.stop()
+        self.assertEqual({PLATFORM: 0, "searchers-1": 0}, exit_codes_by_name)
 
     def test_daemon_settings_pass_the_check(self):
         settings = {"heartbeat_interval_s": 0.5}
