--- /dev/null
+++ b/almondspool/coordination/acceptance.py
@@ -0,0 +1,355 @@
+"""Accepts one team's section: whole checks, then one conditional update."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from returns.result import Result, Success
+
+from almondspool.codes import ResultCode
+from almondspool.errors import (
+    AlmondspoolError,
+    CallNotStartedError,
+    DocumentError,
+    PlatformError,
+)
+from almondspool.protocol.document import decode_section, section_digest
+from almondspool.protocol.document_checks import check_document, check_succession
+from almondspool.protocol.manifest import (
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    SECTION_KIND,
+    Manifest,
+    SectionEntry,
+    decode_manifest,
+    encode_manifest,
+    replace_section,
+    section_name,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from almondspool.coordination.configuration import Configuration
+    from almondspool.protocol.platform import PlatformInterface, PlatformObject
+    from almondspool.state.document import Section
+
+MAX_ATTEMPTS = 8
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+
+
+class Acceptance(NamedTuple):
+    """The outcome of one write of a section.
+
+    Attributes:
+        code: OK, or why the section is not accepted.
+        message: One line or more for people.
+        team: The section's team, if the text could be read.
+        generation: The generation that contains it; 0 if none does.
+        digest: Digest of the text that was offered.
+        current_digest: Digest of the accepted section, where it is another.
+        current_version: Generation in which that one was accepted.
+        attempts: How often the manifest was read.
+    """
+
+    code: ResultCode
+    message: str
+    team: str = ""
+    generation: int = 0
+    digest: str = ""
+    current_digest: str = ""
+    current_version: int = 0
+    attempts: int = 0
+
+
+class AcceptedSection(NamedTuple):
+    """What an instance needs in order to run an accepted section."""
+
+    manifest_value: bytes
+    team: str
+    text: bytes
+
+
+class _Offer(NamedTuple):
+    text: bytes
+    digest: str
+    section: Section
+    base_digest: str
+    token: str
+
+    @property
+    def team(self) -> str:
+        return self.section.team
+
+
+class _Stored(NamedTuple):
+    """The manifest as the platform has it; version 0 if there is none."""
+
+    manifest: Manifest | None
+    version: int
+
+    def entry(self, team: str) -> SectionEntry | None:
+        return self.manifest.entries_by_team.get(team) if self.manifest else None
+
+
+class _Retry(NamedTuple):
+    """An attempt that may be repeated; ``error`` is the answer if none is left."""
+
+    error: AlmondspoolError
+
+
+class Acceptor:
+    """Accepts sections through one instance."""
+
+    def __init__(
+        self,
+        platform: PlatformInterface,
+        configuration: Configuration,
+        rng: random.Random,
+        pause: Callable[[float], None],
+        on_accepted: Callable[[AcceptedSection], None],
+    ) -> None:
+        """Accept into a platform.
+
+        Args:
+            platform: Where sections and the manifest are kept.
+            configuration: What the instance runs; only read.
+            rng: Source of the jitter of pauses.
+            pause: Sleeps for a number of seconds.
+            on_accepted: Gets what was accepted, for the instance to run at once.
+        """
+        self._platform = platform
+        self._configuration = configuration
+        self._rng = rng
+        self._pause = pause
+        self._on_accepted = on_accepted
+
+    def accept(self, text: bytes, base_digest: str, token: str) -> Acceptance:
+        """Accept a section, or say why not; idempotent for one token.
+
+        Args:
+            text: The section's YAML text.
+            base_digest: Digest of the section it was edited from; empty if the team
+                had none.
+            token: Unique for this write, and repeated if the write is repeated.
+        """
+        digest = section_digest(text)
+        try:
+            section = decode_section(text)
+        except DocumentError as error:
+            return Acceptance(error.code, str(error), digest=digest)
+        offer = _Offer(text, digest, section, base_digest, token)
+        write = _Write(self._platform, self._configuration, offer)
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            outcome = write.attempt()
+            if isinstance(outcome, Acceptance):
+                return self._finish(write, outcome._replace(attempts=attempt))
+            if attempt < MAX_ATTEMPTS:
+                self._pause(self._pause_s(attempt))
+        return write.give_up(outcome)._replace(attempts=MAX_ATTEMPTS)
+
+    def _finish(self, write: _Write, acceptance: Acceptance) -> Acceptance:
+        if write.accepted is not None:
+            self._on_accepted(write.accepted)
+        return acceptance
+
+    def _pause_s(self, attempt: int) -> float:
+        longest_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**attempt)
+        return self._rng.uniform(0.0, longest_s)
+
+
+class _Write:
+    """One write in progress, over several attempts."""
+
+    def __init__(
+        self, platform: PlatformInterface, configuration: Configuration, offer: _Offer
+    ) -> None:
+        self._platform = platform
+        self._configuration = configuration
+        self._offer = offer
+        self._is_outcome_unknown = False
+        self._seen_version = 0
+        self.accepted: AcceptedSection | None = None
+
+    def attempt(self) -> Acceptance | _Retry:
+        """Read the manifest and, if it allows, update it once."""
+        read = self._read_manifest()
+        if isinstance(read, _Retry):
+            return read
+        decided = self._decide(read)
+        if decided is not None:
+            return decided
+        try:
+            self._check(read.manifest)
+        except DocumentError as error:
+            return self._answer(error.code, str(error))
+        except PlatformError as error:
+            return _Retry(error)
+        stored = self._store_section()
+        if isinstance(stored, _Retry):
+            return stored
+        return self._update_manifest(read)
+
+    def give_up(self, last: _Retry) -> Acceptance:
+        """Return the answer after the last attempt."""
+        error = last.error
+        if self._is_outcome_unknown:
+            return self._answer(
+                ResultCode.OUTCOME_UNKNOWN,
+                f"the section may or may not be accepted: {error}; repeat the write"
+                f" with token {self._offer.token}, or show the section",
+            )
+        return self._answer(error.code, f"not accepted: {error}")
+
+    def _read_manifest(self) -> _Stored | _Retry:
+        result = self._platform.get(MANIFEST_KIND, MANIFEST_NAME)
+        stored = _Stored(None, 0)
+        if isinstance(result, Success):
+            found = result.unwrap()
+            try:
+                stored = _Stored(decode_manifest(found.value), found.version)
+            except DocumentError as error:
+                return _Retry(error)
+        elif result.failure().code is not ResultCode.PLATFORM_NOT_FOUND:
+            return _Retry(result.failure())
+        return self._refuse_stale(stored)
+
+    def _refuse_stale(self, stored: _Stored) -> _Stored | _Retry:
+        """Refuse a stale or hand-edited manifest, which would undo a generation."""
+        if stored.version < self._seen_version:
+            message = f"version {stored.version} read after {self._seen_version}"
+            error = PlatformError(message, ResultCode.PLATFORM_REPLY_INVALID)
+            return _Retry(error)
+        self._seen_version = stored.version
+        running = self._configuration.document.generation
+        generation = stored.manifest.generation if stored.manifest else 0
+        if generation >= running:
+            return stored
+        message = (
+            f"the platform's manifest has generation {generation}, while generation"
+            f" {running} is in force"
+        )
+        return _Retry(PlatformError(message, ResultCode.PLATFORM_REPLY_INVALID))
+
+    def _decide(self, stored: _Stored) -> Acceptance | None:
+        """Return the outcome if the manifest alone decides it."""
+        offer = self._offer
+        generation = (
+            stored.manifest.generation_of(offer.token) if stored.manifest else 0
+        )
+        if generation:
+            self._note_accepted(stored.manifest)
+            return self._answer_accepted(generation)
+        entry = stored.entry(offer.team)
+        if entry is not None and entry.digest == offer.digest:
+            return self._answer(
+                ResultCode.OK,
+                f"section {offer.team} is accepted already, in version {entry.version}",
+                generation=stored.manifest.generation,
+            )
+        if (entry.digest if entry else "") != offer.base_digest:
+            return self._answer_conflict(entry)
+        return None
+
+    def _check(self, manifest: Manifest | None) -> None:
+        """Check the whole document with the offered section in it.
+
+        Raises:
+            DocumentError: When the offered section does not fit.
+            PlatformError: When another team's section cannot be read.
+        """
+        offer = self._offer
+        entries_by_team = manifest.entries_by_team if manifest else {}
+        sections_by_team = {
+            team: self._load_section(team, entry.digest)
+            for team, entry in entries_by_team.items()
+        }
+        old = sections_by_team.get(offer.team)
+        sections_by_team[offer.team] = offer.section
+        problems = check_document(sections_by_team)
+        if old is not None:
+            problems += check_succession(old, offer.section)
+        if problems:
+            raise DocumentError("\n".join(map(str, problems)), problems=problems)
+
+    def _load_section(self, team: str, digest: str) -> Section:
+        known = self._configuration.sections.find(digest)
+        if known is not None:
+            return known.section
+        name = section_name(team, digest)
+        result = self._platform.get(SECTION_KIND, name)
+        if not isinstance(result, Success):
+            raise result.failure()
+        text = result.unwrap().value
+        if section_digest(text) != digest:
+            raise PlatformError(
+                f"section object {name} has digest {section_digest(text)[:16]}",
+                ResultCode.PLATFORM_REPLY_INVALID,
+            )
+        return decode_section(text, f"section {team}")
+
+    def _store_section(self) -> _Retry | None:
+        """Write the section's object, also over a damaged one of its name."""
+        offer = self._offer
+        name = section_name(offer.team, offer.digest)
+        result = self._platform.put(SECTION_KIND, name, offer.text, 0)
+        if _is_conflict(result):
+            version = result.failure().current_version
+            result = self._platform.put(SECTION_KIND, name, offer.text, version)
+        return None if isinstance(result, Success) else _Retry(result.failure())
+
+    def _update_manifest(self, stored: _Stored) -> Acceptance | _Retry:
+        offer = self._offer
+        manifest = replace_section(
+            stored.manifest, offer.team, offer.digest, offer.token
+        )
+        result = self._platform.put(
+            MANIFEST_KIND, MANIFEST_NAME, encode_manifest(manifest), stored.version
+        )
+        if isinstance(result, Success):
+            self._note_accepted(manifest)
+            return self._answer_accepted(manifest.generation)
+        error = result.failure()
+        if _is_conflict(result):
+            self._seen_version = max(self._seen_version, error.current_version)
+        elif not isinstance(error, CallNotStartedError):
+            # The reply is lost, the effect unknown: the next attempt reads the
+            # manifest back and finds the token if the write took effect.
+            self._is_outcome_unknown = True
+        return _Retry(error)
+
+    def _note_accepted(self, manifest: Manifest) -> None:
+        entry = manifest.entries_by_team.get(self._offer.team)
+        if entry is not None and entry.digest == self._offer.digest:
+            value = encode_manifest(manifest)
+            self.accepted = AcceptedSection(value, self._offer.team, self._offer.text)
+
+    def _answer_accepted(self, generation: int) -> Acceptance:
+        message = f"section {self._offer.team} accepted as version {generation}"
+        return self._answer(ResultCode.OK, message, generation=generation)
+
+    def _answer_conflict(self, entry: SectionEntry | None) -> Acceptance:
+        offer = self._offer
+        base = (
+            f"version {offer.base_digest[:16]}" if offer.base_digest else "no version"
+        )
+        digest, version = entry or SectionEntry("", 0)
+        current = f"version {version} ({digest[:16]})" if entry else "no version"
+        return self._answer(
+            ResultCode.DOCUMENT_CONFLICT,
+            f"section {offer.team} was edited from {base}; accepted is {current}",
+        )._replace(current_digest=digest, current_version=version)
+
+    def _answer(
+        self, code: ResultCode, message: str, generation: int = 0
+    ) -> Acceptance:
+        offer = self._offer
+        return Acceptance(code, message, offer.team, generation, offer.digest)
+
+
+def _is_conflict(result: Result[PlatformObject, PlatformError]) -> bool:
+    if isinstance(result, Success):
+        return False
+    return result.failure().code is ResultCode.PLATFORM_CONFLICT
--- /dev/null
+++ b/almondspool/coordination/configuration.py
@@ -0,0 +1,367 @@
+"""The configuration an instance runs: adopts whole generations, never a lower one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondspool.coordination.configuration_actions import (
+    Action,
+    AdoptDocument,
+    LogEvent,
+    ReadPlatform,
+    SendMessage,
+)
+from almondspool.coordination.manifest_candidates import Candidate, ManifestCandidates
+from almondspool.coordination.refusals import Refusals
+from almondspool.coordination.rendezvous import rank
+from almondspool.coordination.section_fetches import (
+    FETCH_TIMEOUT_S,
+    PLATFORM,
+    SectionFetches,
+    Wanted,
+)
+from almondspool.coordination.section_store import SectionStore
+from almondspool.errors import DocumentError, PeerError
+from almondspool.protocol.document import section_digest
+from almondspool.protocol.document_checks import check_document
+from almondspool.protocol.manifest import (
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    SECTION_KIND,
+    Manifest,
+    decode_manifest,
+    section_name,
+)
+from almondspool.protocol.peer import FetchObjects, ObjectsReply, SpreadObject
+from almondspool.protocol.section_packing import unpack_section
+from almondspool.state.document import EMPTY_DOCUMENT, Document
+from almondspool.state.members import Member, MemberStatus, View
+
+if TYPE_CHECKING:
+    import random
+
+ACCEPTANCE = "@acceptance"
+NOT_PEERS = (PLATFORM, ACCEPTANCE)
+FANOUT = 8
+START_WAIT_S = 2.0
+MAX_FETCH_NAMES = 64
+_FETCH_MANIFEST = FetchObjects(MANIFEST_KIND, (MANIFEST_NAME,))
+
+
+class Configuration:
+    """Decides which document the instance runs and what it tells its peers.
+
+    Every ``on_`` method takes an event and returns actions; ``now`` is in monotonic
+    seconds. The document changes only to a higher generation whose sections are all
+    present, match the manifest's digests and are valid together.
+
+    Attributes:
+        document: The document in force here.
+        manifest: Its manifest; None before the first.
+        adoptions: How many generations were adopted.
+        refusals: Refused input, by reason.
+        sections: Sections of the document, and of manifests being collected.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        rng: random.Random,
+        started_at: float,
+        start_wait_s: float = START_WAIT_S,
+    ) -> None:
+        """Start without a document.
+
+        Args:
+            instance: The own name.
+            rng: Source of the choice among peers.
+            started_at: Monotonic seconds.
+            start_wait_s: How long peers are heard before the first document counts.
+        """
+        self.document: Document = EMPTY_DOCUMENT
+        self.manifest: Manifest | None = None
+        self.adoptions = 0
+        self.refusals = Refusals("configuration.refused")
+        self.sections = SectionStore()
+        self._instance = instance
+        self._rng = rng
+        self._ready_from = started_at + start_wait_s
+        self._is_ready = False
+        self._was_platform_heard = False
+        self._value = b""
+        self._view = View({})
+        self._candidates = ManifestCandidates(self.sections)
+        self._fetches = SectionFetches(rng)
+        self._chase_due = started_at
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether the instance may serve by its document.
+
+        A new instance waits until the platform or a peer was heard and no peer is
+        known to run a higher generation, lest it serve by an outdated document.
+        """
+        if not self._is_ready and self.document.generation:
+            peers = self._peers()
+            heard = self._was_platform_heard or bool(peers)
+            behind = any(m.generation > self.document.generation for m in peers)
+            self._is_ready = heard and not behind and now >= self._ready_from
+        return self._is_ready
+
+    def on_platform_manifest(self, value: bytes, now: float) -> list[Action]:
+        """Take the manifest as read from, or watched at, the platform."""
+        self._was_platform_heard = True
+        return self._take_manifest(value, PLATFORM) + self._advance(now)
+
+    def on_platform_without_manifest(self) -> list[Action]:
+        """Take note that the platform has no manifest."""
+        self._was_platform_heard = True
+        if self.manifest is None:
+            return []
+        return self.refusals.refuse(
+            "manifest_missing", PLATFORM, "the platform has none"
+        )
+
+    def on_platform_section(self, name: str, value: bytes, now: float) -> list[Action]:
+        """Take a section as read from the platform."""
+        return self._take_section(name, value, PLATFORM, now) + self._advance(now)
+
+    def on_platform_failed(self, names: tuple[str, ...], now: float) -> list[Action]:
+        """Take note that the platform did not give sections."""
+        self._fetches.fail(names, now)
+        return []
+
+    def on_accepted(
+        self, manifest_value: bytes, team: str, text: bytes, now: float
+    ) -> list[Action]:
+        """Take a section that was accepted through this instance."""
+        actions = self._take_manifest(manifest_value, ACCEPTANCE)
+        name = section_name(team, section_digest(text))
+        if name in self._wanted_by_name():
+            actions += self._take_section(name, text, ACCEPTANCE, now)
+        return actions + self._advance(now)
+
+    def on_peer_objects(
+        self, sender: str, reply: ObjectsReply, now: float
+    ) -> list[Action]:
+        """Take manifests and sections that a peer sent; other kinds are not ours."""
+        actions: list[Action] = []
+        for each in reply.objects:
+            if (each.kind, each.name) == (MANIFEST_KIND, MANIFEST_NAME):
+                actions += self._take_manifest(each.value, sender)
+            elif each.kind == SECTION_KIND:
+                actions += self._take_packed(each, sender, now)
+        return actions + self._advance(now)
+
+    def on_peer_fetch(self, sender: str, fetch: FetchObjects) -> list[Action]:
+        """Answer a peer with what is in force here, one message for each object."""
+        if fetch.kind == MANIFEST_KIND and self.manifest is not None:
+            return [SendMessage(sender, self._manifest_message())]
+        if fetch.kind != SECTION_KIND or self.manifest is None:
+            return []
+        digest_by_name = {
+            section_name(team, entry.digest): entry.digest
+            for team, entry in self.manifest.entries_by_team.items()
+        }
+        actions: list[Action] = []
+        for name in fetch.names[:MAX_FETCH_NAMES]:
+            stored = self.sections.find(digest_by_name.get(name, ""))
+            if stored is not None:
+                spread = SpreadObject(SECTION_KIND, name, 1, stored.packed)
+                actions.append(SendMessage(sender, ObjectsReply((spread,))))
+        return actions
+
+    def on_view(self, view: View, now: float) -> list[Action]:
+        """Take the membership, which tells the generations that peers run."""
+        self._view = view
+        return self._chase(now)
+
+    def on_tick(self, now: float) -> list[Action]:
+        """Ask again for what did not come."""
+        return self._chase(now) + self._plan_fetches(now)
+
+    def _take_manifest(self, value: bytes, source: str) -> list[Action]:
+        try:
+            manifest = decode_manifest(value)
+        except DocumentError as error:
+            return self.refusals.refuse("manifest_invalid", source, str(error))
+        if self._is_lower(manifest):
+            return self._refuse_lower(manifest, source)
+        if manifest == self.manifest:
+            return []
+        if manifest.generation == self.document.generation:
+            detail = f"generation {manifest.generation} is in force with other content"
+            return self.refusals.refuse("manifest_differs", source, detail)
+        if self.refusals.knows("manifest_unusable", section_digest(value)):
+            self.refusals.counts["manifest_unusable"] += 1
+            return []
+        self._candidates.add(manifest, value, source)
+        return []
+
+    def _is_lower(self, manifest: Manifest) -> bool:
+        return manifest.generation < self.document.generation
+
+    def _refuse_lower(self, manifest: Manifest, source: str) -> list[Action]:
+        detail = f"generation {manifest.generation} is below {self.document.generation}"
+        actions = self.refusals.refuse("manifest_lower", source, detail)
+        if source not in NOT_PEERS:
+            actions.append(SendMessage(source, self._manifest_message()))
+        return actions
+
+    def _take_packed(
+        self, spread: SpreadObject, sender: str, now: float
+    ) -> list[Action]:
+        try:
+            text = unpack_section(spread.value)
+        except PeerError as error:
+            self._fetches.fail((spread.name,), now)
+            return self.refusals.refuse(
+                "section_damaged", sender, f"{spread.name}: {error}"
+            )
+        return self._take_section(spread.name, text, sender, now)
+
+    def _take_section(
+        self, name: str, text: bytes, source: str, now: float
+    ) -> list[Action]:
+        wanted = self._wanted_by_name().get(name)
+        if wanted is None:
+            self.refusals.counts["section_unasked"] += 1
+            return []
+        digest = section_digest(text)
+        if digest not in wanted.digests:
+            self._fetches.fail((name,), now)
+            detail = f"{name}: digest {digest[:16]} is not the accepted one"
+            return self.refusals.refuse("section_damaged", source, detail)
+        try:
+            self.sections.add(wanted.team, text)
+        except DocumentError as error:
+            return self._refuse_candidates(digest, source, str(error))
+        return []
+
+    def _refuse_candidates(self, digest: str, source: str, detail: str) -> list[Action]:
+        """Refuse every manifest that names a section which no copy can make valid."""
+        actions: list[Action] = []
+        for candidate in self._candidates.naming(digest):
+            actions += self._refuse_candidate(candidate, source, detail)
+        return actions
+
+    def _refuse_candidate(
+        self, candidate: Candidate, source: str, detail: str
+    ) -> list[Action]:
+        self._candidates.remove(candidate)
+        generation = candidate.manifest.generation
+        return self.refusals.refuse(
+            "manifest_unusable",
+            source,
+            f"generation {generation}: {detail}",
+            section_digest(candidate.value),
+        )
+
+    def _advance(self, now: float) -> list[Action]:
+        """Adopt the highest complete candidate, then ask for what is missing."""
+        actions: list[Action] = []
+        for candidate in self._candidates.highest_first():
+            if not self._candidates.is_complete(candidate):
+                continue
+            document = self._assemble(candidate.manifest)
+            problems = check_document(document.sections_by_team)
+            if problems:
+                detail = "; ".join(map(str, problems))
+                source = candidate.sources[0]
+                actions += self._refuse_candidate(candidate, source, detail)
+                continue
+            actions += self._adopt(candidate, document)
+            break
+        return actions + self._plan_fetches(now)
+
+    def _assemble(self, manifest: Manifest) -> Document:
+        sections_by_team = {
+            team: self.sections.find(entry.digest).section
+            for team, entry in manifest.entries_by_team.items()
+        }
+        return Document(manifest.generation, sections_by_team)
+
+    def _adopt(self, candidate: Candidate, document: Document) -> list[Action]:
+        was = self.manifest
+        self.manifest = candidate.manifest
+        self.document = document
+        self._value = candidate.value
+        self.adoptions += 1
+        self._candidates.remove_up_to(document.generation)
+        self.sections.keep(self._candidates.digests() | candidate.digests())
+        source = candidate.sources[0]
+        fields = {
+            "generation": document.generation,
+            "was": was.generation if was else 0,
+            "teams": changed_teams(was, candidate.manifest),
+            "source": source,
+        }
+        return [
+            AdoptDocument(document),
+            LogEvent("configuration.adopted", fields),
+            *self._spread(source),
+        ]
+
+    def _spread(self, source: str) -> list[Action]:
+        """Pass the manifest down a tree that is ranked anew for each generation."""
+        serving = {member.instance for member in self._view.serving()}
+        generation = self.document.generation
+        order = rank(f"generation/{generation}", serving | {self._instance})
+        index = order.index(self._instance)
+        targets = list(order[index * FANOUT + 1 : (index + 1) * FANOUT + 1])
+        if index and source in NOT_PEERS:
+            targets.append(order[0])
+        message = self._manifest_message()
+        return [SendMessage(target, message) for target in targets if target != source]
+
+    def _manifest_message(self) -> ObjectsReply:
+        generation = self.document.generation
+        spread = SpreadObject(MANIFEST_KIND, MANIFEST_NAME, generation, self._value)
+        return ObjectsReply((spread,))
+
+    def _peers(self) -> tuple[Member, ...]:
+        return tuple(
+            member
+            for instance, member in sorted(self._view.members_by_instance.items())
+            if instance != self._instance and member.status != MemberStatus.DEAD
+        )
+
+    def _peers_at(self, generation: int) -> tuple[str, ...]:
+        return tuple(
+            member.instance
+            for member in self._peers()
+            if member.generation >= generation
+        )
+
+    def _chase(self, now: float) -> list[Action]:
+        """Ask a peer that runs a higher generation for its manifest."""
+        ahead = self._peers_at(self.document.generation + 1)
+        if not ahead or now < self._chase_due:
+            return []
+        self._chase_due = now + FETCH_TIMEOUT_S
+        return [SendMessage(self._rng.choice(ahead), _FETCH_MANIFEST)]
+
+    def _wanted_by_name(self) -> dict[str, Wanted]:
+        return self._candidates.wanted_by_name(self._peers_of)
+
+    def _peers_of(self, candidate: Candidate) -> tuple[str, ...]:
+        senders = (each for each in candidate.sources if each not in NOT_PEERS)
+        return (*senders, *self._peers_at(candidate.manifest.generation))
+
+    def _plan_fetches(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        plan = self._fetches.plan(now, self._wanted_by_name())
+        for target, names in plan.items():
+            if target == PLATFORM:
+                actions.append(ReadPlatform(SECTION_KIND, names))
+            else:
+                actions.append(SendMessage(target, FetchObjects(SECTION_KIND, names)))
+            for name in filter(self._fetches.is_missing, names):
+                actions += self.refusals.refuse("section_missing", target, name)
+        return actions
+
+
+def changed_teams(old: Manifest | None, new: Manifest) -> list[str]:
+    """Return the teams whose sections differ between two manifests."""
+    before = old.entries_by_team if old else {}
+    teams = sorted(before.keys() | new.entries_by_team.keys())
+    return [t for t in teams if before.get(t) != new.entries_by_team.get(t)]
--- /dev/null
+++ b/almondspool/coordination/manifest_candidates.py
@@ -0,0 +1,99 @@
+"""Manifests of higher generations whose sections are being collected."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.section_fetches import Wanted
+from almondspool.protocol.manifest import Manifest, section_name
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondspool.coordination.section_store import SectionStore
+
+MAX_CANDIDATES = 8
+
+
+class Candidate(NamedTuple):
+    """One such manifest.
+
+    Attributes:
+        manifest: The decoded manifest.
+        value: Its content as stored.
+        sources: Who sent it, first come first.
+    """
+
+    manifest: Manifest
+    value: bytes
+    sources: tuple[str, ...]
+
+    def digests(self) -> set[str]:
+        """Return the digests of all its sections."""
+        return {entry.digest for entry in self.manifest.entries_by_team.values()}
+
+
+class ManifestCandidates:
+    """Candidates by value; the oldest goes when there are too many."""
+
+    def __init__(self, sections: SectionStore) -> None:
+        """Look for sections in the given store."""
+        self._sections = sections
+        self._by_value: OrderedDict[bytes, Candidate] = OrderedDict()
+
+    def add(self, manifest: Manifest, value: bytes, source: str) -> None:
+        """Add a manifest, or one more source of a known one."""
+        known = self._by_value.get(value, Candidate(manifest, value, ()))
+        if source not in known.sources:
+            known = known._replace(sources=(*known.sources, source))
+        self._by_value[value] = known
+        if len(self._by_value) > MAX_CANDIDATES:
+            self._by_value.popitem(last=False)
+
+    def highest_first(self) -> list[Candidate]:
+        """Return all candidates, the highest generation first."""
+        candidates = self._by_value.values()
+        return sorted(candidates, key=lambda each: -each.manifest.generation)
+
+    def naming(self, digest: str) -> list[Candidate]:
+        """Return the candidates that name a section."""
+        return [each for each in self._by_value.values() if digest in each.digests()]
+
+    def remove(self, candidate: Candidate) -> None:
+        """Forget one candidate."""
+        del self._by_value[candidate.value]
+
+    def remove_up_to(self, generation: int) -> None:
+        """Forget the candidates that are no higher than a generation."""
+        for candidate in tuple(self._by_value.values()):
+            if candidate.manifest.generation <= generation:
+                self.remove(candidate)
+
+    def digests(self) -> set[str]:
+        """Return the digests of all sections that any candidate names."""
+        return {digest for each in self._by_value.values() for digest in each.digests()}
+
+    def is_complete(self, candidate: Candidate) -> bool:
+        """Return whether every section of a candidate is in the store."""
+        return all(self._sections.find(digest) for digest in candidate.digests())
+
+    def wanted_by_name(
+        self, peers_of: Callable[[Candidate], tuple[str, ...]]
+    ) -> dict[str, Wanted]:
+        """Return the missing sections of all candidates.
+
+        Args:
+            peers_of: Gives the instances that should have a candidate's sections.
+        """
+        wanted_by_name: dict[str, Wanted] = {}
+        for candidate in self._by_value.values():
+            peers = peers_of(candidate)
+            for team, entry in candidate.manifest.entries_by_team.items():
+                if self._sections.find(entry.digest) is None:
+                    name = section_name(team, entry.digest)
+                    other = wanted_by_name.get(name, Wanted(team, frozenset(), ()))
+                    wanted_by_name[name] = Wanted(
+                        team, other.digests | {entry.digest}, other.peers + peers
+                    )
+        return wanted_by_name
--- /dev/null
+++ b/almondspool/coordination/refusals.py
@@ -0,0 +1,48 @@
+"""Counts refused input and logs each refusal once."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+
+from almondspool.coordination.configuration_actions import LogEvent
+
+MAX_KNOWN = 256
+
+
+class Refusals:
+    """Refused input by reason.
+
+    Attributes:
+        counts: Refusals by reason, repeated ones included.
+    """
+
+    def __init__(self, event: str) -> None:
+        """Log under the given event name."""
+        self.counts: Counter[str] = Counter()
+        self._event = event
+        self._known: OrderedDict[tuple[str, str], None] = OrderedDict()
+
+    def refuse(
+        self, reason: str, source: str, detail: str, key: str = ""
+    ) -> list[LogEvent]:
+        """Count a refusal, and return the line of its first time.
+
+        Args:
+            reason: Short name of the kind of refusal.
+            source: Where the input came from.
+            detail: What was wrong.
+            key: Identifies the input; the source and detail if empty.
+        """
+        self.counts[reason] += 1
+        known = (reason, key or f"{source} {detail}")
+        if known in self._known:
+            return []
+        self._known[known] = None
+        if len(self._known) > MAX_KNOWN:
+            self._known.popitem(last=False)
+        fields = {"reason": reason, "source": source, "detail": detail}
+        return [LogEvent(self._event, fields)]
+
+    def knows(self, reason: str, key: str) -> bool:
+        """Return whether this input was refused for this reason lately."""
+        return (reason, key) in self._known
--- /dev/null
+++ b/almondspool/coordination/rendezvous.py
@@ -0,0 +1,49 @@
+"""Rendezvous hashing: which instances hold a duty, agreed without an election."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from almondspool.state.members import Member
+
+
+def rank(key: str, candidates: Iterable[str]) -> tuple[str, ...]:
+    """Return all candidates in the order in which they hold a key's duty.
+
+    Every instance with the same candidates gets the same order, and a candidate that
+    goes moves only the duties that it held.
+
+    Args:
+        key: Names the duty.
+        candidates: Names of instances or upstreams.
+    """
+    return tuple(
+        sorted(candidates, key=lambda name: (-_weight(key, name), name)),
+    )
+
+
+def rank_over_zones(key: str, members: Sequence[Member]) -> tuple[str, ...]:
+    """Return instances in rank order, the best of each availability zone first.
+
+    Args:
+        key: Names the duty.
+        members: The instances that may hold it.
+    """
+    zone_by_instance = {member.instance: member.zone for member in members}
+    seen_zones = set()
+    firsts = []
+    others = []
+    for instance in rank(key, zone_by_instance):
+        zone = zone_by_instance[instance]
+        (others if zone in seen_zones else firsts).append(instance)
+        seen_zones.add(zone)
+    return tuple(firsts + others)
+
+
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/almondspool/protocol/manifest.py
@@ -0,0 +1,129 @@
+"""The manifest: which section of each team is accepted, at which generation."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from almondspool.codes import ResultCode
+from almondspool.errors import DocumentError
+from almondspool.protocol.platform import MAX_VALUE_BYTES
+
+MANIFEST_KIND = "manifest"
+MANIFEST_NAME = "current"
+SECTION_KIND = "section"
+NAME_DIGEST_CHARS = 16
+MAX_TOKENS = 64
+
+_Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
+_Team = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")]
+_Token = Annotated[str, Meta(min_length=1, max_length=64)]
+_Generation = Annotated[int, Meta(ge=1, le=2**53)]
+
+
+class SectionEntry(NamedTuple):
+    """The accepted section of one team.
+
+    Attributes:
+        digest: SHA-256 of its text, in hexadecimal digits.
+        version: The generation in which it was accepted.
+    """
+
+    digest: _Digest
+    version: _Generation
+
+
+class WriteToken(NamedTuple):
+    """A write that was accepted.
+
+    Attributes:
+        token: Chosen by the writer; unique for each write.
+        generation: The generation it made.
+    """
+
+    token: _Token
+    generation: _Generation
+
+
+class Manifest(NamedTuple):
+    """The accepted document by digests.
+
+    Attributes:
+        generation: Grows by one with each accepted write.
+        entries_by_team: Accepted sections by team.
+        tokens: The last writes, oldest first; at most MAX_TOKENS.
+    """
+
+    generation: _Generation
+    entries_by_team: dict[_Team, SectionEntry]
+    tokens: Annotated[tuple[WriteToken, ...], Meta(max_length=MAX_TOKENS)] = ()
+
+    def generation_of(self, token: str) -> int:
+        """Return the generation that a write made; 0 if it is not among the last."""
+        for write in self.tokens:
+            if write.token == token:
+                return write.generation
+        return 0
+
+
+class _ManifestBody(msgspec.Struct, forbid_unknown_fields=True):
+    generation: _Generation
+    entries_by_team: dict[_Team, SectionEntry]
+    tokens: Annotated[tuple[WriteToken, ...], Meta(max_length=MAX_TOKENS)] = ()
+
+
+def section_name(team: str, digest: str) -> str:
+    """Return the name of a section's object in the platform."""
+    return f"{team}.{digest[:NAME_DIGEST_CHARS]}"
+
+
+def replace_section(
+    manifest: Manifest | None, team: str, digest: str, token: str
+) -> Manifest:
+    """Return the manifest that follows when a section is accepted.
+
+    Args:
+        manifest: The accepted one; None before the first.
+        team: The section's team.
+        digest: The section's digest.
+        token: The write's token.
+    """
+    generation = manifest.generation + 1 if manifest else 1
+    entries_by_team = dict(manifest.entries_by_team) if manifest else {}
+    entries_by_team[team] = SectionEntry(digest, generation)
+    tokens = (manifest.tokens if manifest else ()) + (WriteToken(token, generation),)
+    return Manifest(generation, entries_by_team, tokens[-MAX_TOKENS:])
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return a manifest as JSON, as stored in the platform."""
+    return msgspec.json.encode(_ManifestBody(*manifest), order="sorted")
+
+
+def decode_manifest(value: bytes) -> Manifest:
+    """Decode and check a manifest.
+
+    Raises:
+        DocumentError: With PLATFORM_REPLY_INVALID, naming what is wrong.
+    """
+    if len(value) > MAX_VALUE_BYTES:
+        raise _invalid(f"{len(value)} bytes exceed {MAX_VALUE_BYTES}")
+    try:
+        body = msgspec.json.decode(value, type=_ManifestBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _invalid(str(error)) from error
+    manifest = Manifest(*msgspec.structs.astuple(body))
+    for team, entry in manifest.entries_by_team.items():
+        if entry.version > manifest.generation:
+            raise _invalid(
+                f"section {team} has version {entry.version}, beyond generation"
+                f" {manifest.generation}"
+            )
+    return manifest
+
+
+def _invalid(reason: str) -> DocumentError:
+    message = f"invalid manifest: {reason}"
+    return DocumentError(message, ResultCode.PLATFORM_REPLY_INVALID)
--- /dev/null
+++ b/tests/coordination/test_acceptance.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.coordination import acceptance as acceptance_module
+from almondspool.coordination.acceptance import MAX_ATTEMPTS, _Write
+from almondspool.protocol.document import section_digest
+from almondspool.protocol.manifest import MANIFEST_KIND, decode_manifest
+from tests.configuration_session import ConfigurationSession, section_text
+from tests.golden_session import verify_session
+
+DESK = section_text("alert-desk", 1)
+AUDIT = section_text("council-audit", 2)
+
+
+def digest(text):
+    return section_digest(text.encode())
+
+
+class AcceptanceTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.session = ConfigurationSession()
+        self.first, self.second, self.third = self.session.instances
+        self.platform = self.session.platform
+
+    def manifest(self):
+        return decode_manifest(self.platform.objects[MANIFEST_KIND, "current"].value)
+
+    def accept_first(self):
+        self.assertEqual(ResultCode.OK, self.first.accept(DESK, token="t1").code)
+        self.session.pause(1.0)
+
+    def verify(self, name):
+        self.session.pause(2.0)
+        self.session.note_generations()
+        verify_session(name, self.session.lines)
+
+    def test_two_operators_race(self):
+        self.accept_first()
+        self.session.note("two operators edit version 1; the second is quicker")
+        mine = section_text("alert-desk", 1, deadline_ms=200)
+        theirs = section_text("alert-desk", 1, deadline_ms=300)
+
+        def rival(kind, name):
+            if kind == MANIFEST_KIND:
+                self.second.accept(theirs, digest(DESK), "t3")
+            else:
+                self.platform.before_put = rival
+
+        self.platform.before_put = rival
+        loser = self.first.accept(mine, digest(DESK), "t2")
+        self.assertEqual(ResultCode.DOCUMENT_CONFLICT, loser.code)
+        self.assertEqual((digest(theirs), 2), loser[5:7])
+        self.verify("configuration_operators_race")
+
+    def test_other_team_is_no_conflict(self):
+        self.accept_first()
+
+        def rival(kind, name):
+            if kind == MANIFEST_KIND:
+                self.second.accept(AUDIT, "", "t3")
+            else:
+                self.platform.before_put = rival
+
+        self.platform.before_put = rival
+        mine = section_text("alert-desk", 1, deadline_ms=200)
+        accepted = self.first.accept(mine, digest(DESK), "t2")
+        self.assertEqual((ResultCode.OK, 3), (accepted.code, accepted.generation))
+        self.verify("configuration_other_team_first")
+
+    def lose_manifest_reply(self):
+        def arm(kind, name):
+            if kind == MANIFEST_KIND:
+                self.platform.lost_replies = 1
+            else:
+                self.platform.before_put = arm
+
+        self.platform.before_put = arm
+
+    def test_lost_reply_is_settled_by_reading_back(self):
+        self.accept_first()
+        self.session.note("the reply to the next manifest update is lost")
+        self.lose_manifest_reply()
+        changed = section_text("alert-desk", 1, deadline_ms=200)
+        accepted = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual((ResultCode.OK, 2), (accepted.code, accepted.generation))
+        self.assertEqual(2, self.manifest().generation)
+        repeated = self.second.accept(changed, digest(DESK), "t2")
+        self.assertEqual((ResultCode.OK, 2), (repeated.code, repeated.generation))
+        self.verify("configuration_lost_reply")
+
+    def test_fails_first_without_token(self):
+        """Without the token the winner of its own lost reply is told it lost."""
+        self.patch(acceptance_module.Manifest, "generation_of", lambda *args: 0)
+        self.accept_first()
+        self.lose_manifest_reply()
+        changed = section_text("alert-desk", 1, deadline_ms=200)
+        self.first.accept(changed, digest(DESK), "t2")
+        later = section_text("alert-desk", 1, deadline_ms=300)
+        self.second.accept(later, digest(changed), "t3")
+        repeated = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual(ResultCode.DOCUMENT_CONFLICT, repeated.code)
+
+    def test_repeated_write_after_a_later_one_does_not_undo_it(self):
+        self.accept_first()
+        changed = section_text("alert-desk", 1, deadline_ms=200)
+        later = section_text("alert-desk", 1, deadline_ms=300)
+        self.first.accept(changed, digest(DESK), "t2")
+        self.second.accept(later, digest(changed), "t3")
+        repeated = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual((ResultCode.OK, 2), (repeated.code, repeated.generation))
+        self.assertEqual(
+            digest(later), self.manifest().entries_by_team["alert-desk"][0]
+        )
+
+    def test_outage_during_acceptance(self):
+        self.accept_first()
+        self.session.note("the platform goes down after the section is written")
+
+        def go_down(kind, name):
+            if kind == MANIFEST_KIND:
+                self.platform.is_down = True
+            else:
+                self.platform.before_put = go_down
+
+        self.platform.before_put = go_down
+        changed = section_text("alert-desk", 1, deadline_ms=200)
+        unknown = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual(ResultCode.OUTCOME_UNKNOWN, unknown.code)
+        self.session.note_generations()
+        self.session.note("the platform is back; the operator repeats the write")
+        self.platform.is_down = False
+        accepted = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual((ResultCode.OK, 2), (accepted.code, accepted.generation))
+        self.verify("configuration_outage_during_acceptance")
+
+    def test_outage_before_acceptance_is_not_accepted(self):
+        self.accept_first()
+        self.platform.is_down = True
+        changed = section_text("alert-desk", 1, deadline_ms=200)
+        refused = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual(ResultCode.PLATFORM_UNAVAILABLE, refused.code)
+        self.assertEqual(MAX_ATTEMPTS, refused.attempts)
+        self.assertIn("not accepted", refused.message)
+
+    def test_stale_or_deleted_manifest_is_not_built_upon(self):
+        self.accept_first()
+        del self.platform.objects[MANIFEST_KIND, "current"]
+        refused = self.first.accept(AUDIT, "", "t2")
+        self.assertEqual(ResultCode.PLATFORM_REPLY_INVALID, refused.code)
+        self.assertNotIn((MANIFEST_KIND, "current"), self.platform.objects)
+
+    def test_fails_first_without_stale_check(self):
+        self.patch(_Write, "_refuse_stale", lambda self, stored: stored)
+        self.accept_first()
+        del self.platform.objects[MANIFEST_KIND, "current"]
+        self.first.accept(AUDIT, "", "t2")
+        self.assertNotIn("alert-desk", self.manifest().entries_by_team)
+
+    def test_whole_document_is_checked(self):
+        self.accept_first()
+        clash = section_text("council-audit", 1)
+        refused = self.second.accept(clash, "", "t2")
+        self.assertEqual(ResultCode.DOCUMENT_INVALID, refused.code)
+        self.assertIn("127.0.0.1:7301", refused.message)
+        self.assertEqual(1, self.manifest().generation)
+
+    def test_repartition_under_an_old_snapshot_id_is_refused(self):
+        self.accept_first()
+        changed = DESK.replace("alert-desk-01/0", "alert-desk-01/1")
+        refused = self.first.accept(changed, digest(DESK), "t2")
+        self.assertEqual(ResultCode.DOCUMENT_INVALID, refused.code)
+
+    def test_damaged_section_object_is_written_again(self):
+        self.platform.set("section", f"alert-desk.{digest(DESK)[:16]}", b"by hand")
+        self.accept_first()
+        stored = self.platform.objects["section", f"alert-desk.{digest(DESK)[:16]}"]
+        self.assertEqual(DESK.encode(), stored.value)
--- /dev/null
+++ b/tests/coordination/test_configuration.py
@@ -0,0 +1,294 @@
+from __future__ import annotations
+
+import random
+
+import testtools
+from hypothesis import given, settings, strategies
+
+from almondspool.coordination import (
+    configuration as configuration_module,
+    section_store as section_store_module,
+)
+from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration_actions import AdoptDocument, SendMessage
+from almondspool.protocol.document import section_digest
+from almondspool.protocol.manifest import (
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    SECTION_KIND,
+    encode_manifest,
+    replace_section,
+    section_name,
+)
+from almondspool.protocol.peer import FetchObjects, ObjectsReply, SpreadObject
+from almondspool.protocol.section_packing import pack_section
+from tests.configuration_session import ConfigurationSession, section_text
+from tests.golden_session import verify_session
+
+DESK = section_text("alert-desk", 1)
+AUDIT = section_text("council-audit", 2)
+
+
+def digest(text):
+    return section_digest(text.encode())
+
+
+class ConfigurationSpreadTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.session = ConfigurationSession()
+        self.first, self.second, self.third = self.session.instances
+        self.platform = self.session.platform
+        self.first.accept(DESK, token="t1")
+        self.session.pause(1.0)
+
+    def change(self, deadline_ms, token):
+        entries = self.first.configuration.manifest.entries_by_team
+        text = section_text("alert-desk", 1, deadline_ms)
+        self.first.accept(text, entries["alert-desk"].digest, token)
+
+    def verify(self, name):
+        self.session.pause(3.0)
+        self.session.note_generations()
+        verify_session(name, self.session.lines)
+
+    def assert_in_force(self, *generations):
+        found = [e.configuration.document.generation for e in self.session.instances]
+        self.assertEqual(list(generations), found)
+        for each in self.session.instances:
+            self.assertEqual(sorted(each.generations), each.generations)
+
+    def make_stale(self):
+        """Accept generation 2 past perth-3; the platform then reads as before it."""
+        self.session.note("perth-3 is cut off from its peers")
+        self.third.is_cut = True
+        before = dict(self.platform.objects)
+        self.change(200, "t2")
+        self.session.pause(1.0)
+        self.session.note("from here on the platform's reads are stale")
+        self.platform.stale_objects = before
+
+    def test_stale_platform_and_stale_peer(self):
+        self.make_stale()
+        for each in self.session.instances:
+            each.poll()
+        self.session.note("perth-3 is back; it runs the older generation")
+        self.third.is_cut = False
+        self.third.run("on_view", self.first.configuration._view, self.third.now())
+        self.second.receive("perth-3", self.third.configuration._manifest_message())
+        self.verify("configuration_stale_platform_and_peer")
+        self.assert_in_force(2, 2, 2)
+
+    def test_fails_first_without_lower_check(self):
+        self.patch(Configuration, "_is_lower", lambda self, manifest: False)
+        self.make_stale()
+        self.first.poll()
+        self.session.pause(3.0)
+        self.assertEqual([1, 2, 1], self.first.generations[:3])
+
+    def test_hand_edited_nonsense(self):
+        self.session.note("the manifest is edited by hand into nonsense")
+        self.platform.set(MANIFEST_KIND, MANIFEST_NAME, b"{oops")
+        self.second.poll()
+        self.second.poll()
+        manifest = self.first.configuration.manifest
+        self.session.note("then into one that names a section that does not exist")
+        bogus = replace_section(manifest, "alert-desk", digest("x"), "by hand")
+        self.platform.set(MANIFEST_KIND, MANIFEST_NAME, encode_manifest(bogus))
+        self.second.poll()
+        self.session.pause(90.0)
+        self.assertLess(self.platform.calls["get"], 20)
+        self.session.note("then into one whose section is not valid")
+        bad = "team: alert-desk\nservices: none\n"
+        bogus = replace_section(bogus, "alert-desk", digest(bad), "by hand")
+        name = section_name("alert-desk", digest(bad))
+        self.platform.set(SECTION_KIND, name, bad.encode())
+        self.platform.set(MANIFEST_KIND, MANIFEST_NAME, encode_manifest(bogus))
+        self.second.poll()
+        self.session.note("then the accepted generation is given another section")
+        other = manifest._replace(tokens=())
+        self.platform.set(MANIFEST_KIND, MANIFEST_NAME, encode_manifest(other))
+        self.second.poll()
+        self.verify("configuration_hand_edited")
+        self.assert_in_force(1, 1, 1)
+        counts = self.second.configuration.refusals.counts
+        self.assertEqual(2, counts["manifest_invalid"])
+        self.assertEqual(1, counts["manifest_unusable"])
+        self.assertEqual(1, counts["manifest_differs"])
+
+    def test_restart_with_a_stale_platform_and_without_any(self):
+        self.make_stale()
+        self.third.is_cut = False
+        self.second.restart()
+        self.second.poll()
+        self.assertFalse(self.second.configuration.is_ready(self.second.now()))
+        self.session.pause(3.0)
+        self.assertTrue(self.second.configuration.is_ready(self.second.now()))
+        self.session.note("the platform is down, and perth-3 restarts")
+        self.platform.is_down = True
+        self.third.restart()
+        self.third.poll()
+        self.verify("configuration_restart")
+        self.assert_in_force(2, 2, 2)
+        self.assertTrue(self.third.configuration.is_ready(self.third.now()))
+
+    def test_fails_first_without_peers_heard(self):
+        """By the platform's word alone a restarted instance serves what was undone."""
+        self.make_stale()
+        self.patch(Configuration, "_peers", lambda self: ())
+        self.second.restart()
+        self.second.poll()
+        self.session.pause(3.0)
+        self.assertTrue(self.second.configuration.is_ready(self.second.now()))
+        self.assertEqual(1, self.second.configuration.document.generation)
+
+    def test_damaged_section_is_fetched_elsewhere(self):
+        name = section_name("council-audit", digest(AUDIT))
+        self.first.accept(AUDIT, token="t2")
+        self.platform.set(SECTION_KIND, name, b"by hand")
+        self.session.pause(2.0)
+        self.assert_in_force(2, 2, 2)
+
+    def test_only_changed_sections_travel(self):
+        self.first.accept(AUDIT, token="t2")
+        self.session.pause(1.0)
+        fetches = [m for m in self.session.sent if isinstance(m, FetchObjects)]
+        names = {name for each in fetches[2:] for name in each.names}
+        self.assertEqual({section_name("council-audit", digest(AUDIT))}, names)
+
+
+class ManyInstancesTests(testtools.TestCase):
+    def test_a_change_reaches_every_instance_through_a_tree(self):
+        session = ConfigurationSession(90)
+        session.instances[17].accept(DESK, token="t1")
+        session.pause(0.1)
+        in_force = [e.configuration.document.generation for e in session.instances]
+        self.assertEqual([1] * 90, in_force)
+        pushes = [m for m in session.sent if is_manifest(m)]
+        self.assertLess(len(pushes), 2 * 90)
+
+
+def is_manifest(message):
+    return isinstance(message, ObjectsReply) and message.objects[0].kind == "manifest"
+
+
+class AnyOrder:
+    """Accepted generations, and copies of them gone wrong."""
+
+    def __init__(self):
+        self.manifests = []
+        self.sections = []
+        manifest = None
+        for number in range(1, 6):
+            text = section_text("alert-desk", 1, 100 + number)
+            team = "alert-desk"
+            if number % 2 == 0:
+                team, text = "council-audit", section_text("council-audit", 2, number)
+            manifest = replace_section(manifest, team, digest(text), f"t{number}")
+            self.manifests.append(manifest)
+            self.sections.append((section_name(team, digest(text)), text.encode()))
+        missing = replace_section(manifest, "alert-desk", digest("x"), "by hand")
+        good_values = [encode_manifest(each) for each in self.manifests]
+        bad_values = [b"", b"{", good_values[2][:50], *map(encode_manifest, (missing,))]
+        self.manifest_values = good_values + bad_values
+        names = [name for name, _ in self.sections]
+        shuffled = list(
+            zip(names, [t for _, t in reversed(self.sections)], strict=True)
+        )
+        self.section_objects = self.sections + shuffled + [(names[0], b"\xff")]
+
+    def events(self):
+        manifests = strategies.tuples(
+            strategies.sampled_from(["platform", "peer"]),
+            strategies.sampled_from(self.manifest_values),
+        )
+        sections = strategies.tuples(
+            strategies.sampled_from(["platform_section", "peer_section"]),
+            strategies.sampled_from(self.section_objects),
+        )
+        ticks = strategies.tuples(strategies.just("tick"), strategies.just(None))
+        return strategies.lists(strategies.one_of(manifests, sections, ticks))
+
+
+ANY_ORDER = AnyOrder()
+
+
+class ConfigurationOrderTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(ANY_ORDER.events())
+    def test_any_order_never_lowers_or_invents_a_generation(self, events):
+        configuration = Configuration("perth-1", random.Random(1), 0.0)
+        for index, (kind, item) in enumerate(events):
+            before = configuration.document.generation
+            self.deliver(configuration, kind, item, float(index))
+            self.check(configuration, before)
+        for name, text in ANY_ORDER.sections * 2:
+            value = ANY_ORDER.manifest_values[4]
+            self.deliver(configuration, "platform", value, 1e3)
+            self.deliver(configuration, "platform_section", (name, text), 1e3)
+        self.assertEqual(5, configuration.document.generation)
+
+    def deliver(self, configuration, kind, item, now):
+        match kind:
+            case "platform":
+                configuration.on_platform_manifest(item, now)
+            case "peer":
+                spread = SpreadObject(MANIFEST_KIND, MANIFEST_NAME, 1, item)
+                configuration.on_peer_objects("perth-2", ObjectsReply((spread,)), now)
+            case "platform_section":
+                configuration.on_platform_section(*item, now)
+            case "peer_section":
+                packed = pack_section(item[1])
+                spread = SpreadObject(SECTION_KIND, item[0], 1, packed)
+                configuration.on_peer_objects("perth-2", ObjectsReply((spread,)), now)
+            case "tick":
+                configuration.on_tick(now)
+
+    def check(self, configuration, before):
+        generation = configuration.document.generation
+        self.assertGreaterEqual(generation, before)
+        if generation:
+            manifest = ANY_ORDER.manifests[generation - 1]
+            self.assertEqual(manifest, configuration.manifest)
+            teams = configuration.document.sections_by_team.keys()
+            self.assertEqual(manifest.entries_by_team.keys(), teams)
+
+    def test_packed_section_that_is_damaged_is_refused(self):
+        configuration = Configuration("perth-1", random.Random(1), 0.0)
+        configuration.on_platform_manifest(ANY_ORDER.manifest_values[0], 0.0)
+        name, text = ANY_ORDER.sections[0]
+        for value in (
+            b"",
+            b"junk",
+            pack_section(text)[:40],
+            pack_section(b"x" * 10**7),
+        ):
+            spread = SpreadObject(SECTION_KIND, name, 1, value)
+            configuration.on_peer_objects("perth-2", ObjectsReply((spread,)), 1.0)
+        self.assertEqual(4, configuration.refusals.counts["section_damaged"])
+
+    def test_fails_first_without_digest_check(self):
+        """Without the digest check a foreign text would be decoded and kept."""
+        wanted = digest(ANY_ORDER.sections[0][1].decode())
+        name, _ = ANY_ORDER.sections[0]
+        foreign = section_text("alert-desk", 1, 777).encode()
+        configuration = Configuration("perth-1", random.Random(1), 0.0)
+        configuration.on_platform_manifest(ANY_ORDER.manifest_values[0], 0.0)
+        configuration.on_platform_section(name, foreign, 0.0)
+        self.assertEqual(0, configuration.document.generation)
+        for module in (configuration_module, section_store_module):
+            self.patch(module, "section_digest", lambda text: wanted)
+        actions = configuration.on_platform_section(name, foreign, 0.0)
+        self.assertIn(AdoptDocument, map(type, actions))
+
+    def test_older_peer_is_told(self):
+        configuration = Configuration("perth-1", random.Random(1), 0.0)
+        for name, text in ANY_ORDER.sections[:2]:
+            configuration.on_platform_manifest(ANY_ORDER.manifest_values[1], 0.0)
+            configuration.on_platform_section(name, text, 0.0)
+        old = ANY_ORDER.manifest_values[0]
+        spread = SpreadObject(MANIFEST_KIND, MANIFEST_NAME, 1, old)
+        actions = configuration.on_peer_objects("perth-9", ObjectsReply((spread,)), 1.0)
+        sent = [a for a in actions if isinstance(a, SendMessage)]
+        self.assertEqual(["perth-9"], [a.instance for a in sent])
+        self.assertEqual(2, sent[0].message.objects[0].version)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,9 +42,6 @@
         self.before_put: Callable[[str, str], None] | None = None
         self.calls: Counter[str] = Counter()
 
-    def freeze_reads(self):
-        self.stale_objects = dict(self.objects)
-
     def get(self, kind, name):
         if self._fails("get"):
             return _failure(ResultCode.PLATFORM_UNAVAILABLE)
