--- a/almondspool/protocol/http_upstream.py
+++ b/almondspool/protocol/http_upstream.py
@@ -21,7 +21,7 @@
 from almondspool.transport.http_pool import IDLE_LIMIT_S, HttpPool, PooledConnection
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Mapping
 
     from urllib3.response import HTTPResponse
 
@@ -72,7 +72,7 @@
         self._end_by_socket: dict[socket.socket, float] = {}
         self.ignored_replies = 0
 
-    def set_grants(self, connections_by_upstream_id: dict[str, int]) -> None:
+    def set_grants(self, connections_by_upstream_id: Mapping[str, int]) -> None:
         """Set how many connections may be open to each upstream; others get none."""
         self._grants_by_id = dict(connections_by_upstream_id)
         for upstream_id, pool in self._pools_by_id.items():
--- a/almondspool/protocol/upstream.py
+++ b/almondspool/protocol/upstream.py
@@ -9,7 +9,7 @@
 from almondspool.protocol.caller import Record
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from almondspool.state.document import Upstream
 
@@ -91,6 +91,10 @@
         code for each leg still open. Never raises for an upstream's fault.
         """
 
+    @abc.abstractmethod
+    def set_grants(self, connections_by_upstream_id: Mapping[str, int]) -> None:
+        """Set how many connections may be open to each upstream; others get none."""
+
     @abc.abstractmethod
     def cancel(self, upstream: Upstream, leg_ids: tuple[str, ...]) -> None:
         """Tell an upstream that results are no longer wanted; best effort."""
--- /dev/null
+++ b/bench/gatherer_cost.py
@@ -0,0 +1,143 @@
+"""Processor time per leg of the gatherer, without sockets."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.gatherer_task import GathererTask, make_gatherer_task
+from almondspool.logs import EventLog
+from almondspool.protocol.peer import LegAssignment, LegBatch, LegResults
+from almondspool.protocol.upstream import Leg, LegResult, LoadReport, UpstreamInterface
+from almondspool.state.document import Document, Priority, Section, Upstream
+from almondspool.transport.timers import EventletTimers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+UPSTREAMS = 70
+GRANTED_CONNECTIONS = 12
+SLOTS = 2
+BATCHES = 2000
+DEADLINE_MS = 60_000
+
+
+class GathererCost(NamedTuple):
+    """Result of one measurement.
+
+    Attributes:
+        legs: Legs run.
+        exchanges: Exchanges that carried them.
+        us_per_leg: Processor time per leg, in microseconds.
+    """
+
+    legs: int
+    exchanges: int
+    us_per_leg: float
+
+
+class InstantUpstream(UpstreamInterface):
+    """Answers each leg after one turn of the hub."""
+
+    def set_grants(self, connections_by_upstream_id: Mapping[str, int]) -> None:
+        """Ignore the grants."""
+
+    def run(
+        self, upstream: Upstream, legs: tuple[Leg, ...], timeout_s: float
+    ) -> Iterator[LegResult]:
+        """Yield OK for every leg."""
+        eventlet.sleep(0)
+        for leg in legs:
+            yield LegResult(leg.leg_id, ResultCode.OK, leg.snapshot, leg.shard)
+
+    def cancel(self, upstream: Upstream, leg_ids: tuple[str, ...]) -> None:
+        """Ignore cancellations."""
+
+    def load(self, upstream: Upstream, timeout_s: float) -> LoadReport | None:
+        """Return no report."""
+        return None
+
+    def retire(self, upstream_id: str) -> int:
+        """Close nothing."""
+        return 0
+
+
+def measure(batches_at_a_time: int, batches: int = BATCHES) -> GathererCost:
+    """Run batches with one leg for each of UPSTREAMS upstreams.
+
+    Args:
+        batches_at_a_time: Batches submitted in one turn of the hub; more coalesce.
+        batches: Batches in total.
+    """
+    task = _make_task()
+    expected = batches * UPSTREAMS
+    received = 0
+
+    def reply(results: LegResults) -> None:
+        nonlocal received
+        received += len(results.results)
+
+    prepared = [_make_batch(number) for number in range(batches)]
+    start = time.process_time()
+    for number, batch in enumerate(prepared, 1):
+        task.submit(batch, reply)
+        if number % batches_at_a_time == 0:
+            while received < number * UPSTREAMS:
+                eventlet.sleep(0)
+    while received < expected:
+        eventlet.sleep(0)
+    spent_s = time.process_time() - start
+    return GathererCost(expected, task.counts().exchanges, spent_s / expected * 1e6)
+
+
+def _make_task() -> GathererTask:
+    upstreams = {
+        f"u{number}": Upstream(f"u{number}", "127.0.0.1:1", "z", SLOTS, 25)
+        for number in range(UPSTREAMS)
+    }
+    section = Section("perth", Priority.NORMAL, DEADLINE_MS, {}, {}, upstreams, {})
+    log = EventLog(lambda line: None)
+    task = make_gatherer_task(InstantUpstream(), EventletTimers(), log, False)
+    task.set_document(Document(1, {"perth": section}))
+    task.set_grants(dict.fromkeys(upstreams, GRANTED_CONNECTIONS))
+    return task
+
+
+def _make_batch(number: int) -> LegBatch:
+    query = {"street": f"street-{number}"}
+    assignments = tuple(
+        LegAssignment(
+            f"u{upstream}",
+            Leg(
+                f"{number}-{upstream}",
+                f"q{number}",
+                "perth",
+                1,
+                "s",
+                query,
+                DEADLINE_MS,
+            ),
+        )
+        for upstream in range(UPSTREAMS)
+    )
+    return LegBatch(f"b{number}", int(Priority.NORMAL), assignments)
+
+
+def main() -> int:
+    """Print one line for each degree of coalescing."""
+    for batches_at_a_time in (1, 4, 20):
+        cost = measure(batches_at_a_time)
+        share = cost.legs / cost.exchanges
+        print(
+            f"{batches_at_a_time} batches at a time: {cost.us_per_leg:.1f} us a leg,"
+            f" {share:.1f} legs an exchange"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/coordination/gatherer_session.py
@@ -0,0 +1,99 @@
+"""A gatherer under virtual time with searchers of fixed service times."""
+
+from __future__ import annotations
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.gatherer import (
+    CancelRunning,
+    Gatherer,
+    SendResult,
+    StartExchange,
+)
+from almondspool.protocol.peer import LegAssignment, LegBatch
+from almondspool.protocol.upstream import Leg, LegResult
+from almondspool.state.document import Priority
+from almondspool.transport.timers import VirtualTimers
+
+
+def make_leg(leg_id, shard="s1", deadline_ms=1000, **fields):
+    leg = Leg(leg_id, f"q-{leg_id}", "perth", 7, shard, {"street": "Low"}, deadline_ms)
+    return leg._replace(**fields)
+
+
+def make_batch(upstream_id, *legs, priority=Priority.NORMAL):
+    assignments = tuple(LegAssignment(upstream_id, leg) for leg in legs)
+    return LegBatch("b", int(priority), assignments)
+
+
+class GathererSession:
+    """Performs a gatherer's actions and keeps a line for each."""
+
+    def __init__(self, grants, slots=2, service_s=0.010):
+        self.timers = VirtualTimers()
+        self.gatherer = Gatherer()
+        self.lines = []
+        self.results_by_leg_id = {}
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.service_s = service_s
+        self.code_by_leg_id = {}
+        self.gatherer.set_slots(dict.fromkeys(grants, slots))
+        self.perform(self.gatherer.set_grants(0.0, grants))
+        self.timers.subscribe(0.02, self._tick)
+
+    def note(self, text):
+        self.lines.append(f"{self.timers.now() * 1000:7.1f} ms  {text}")
+
+    def submit(self, upstream_id, *legs, priority=Priority.NORMAL, sender="front-1"):
+        names = ",".join(f"{leg.leg_id}/{leg.shard}" for leg in legs)
+        self.note(f"{sender} submits {priority.name.lower()} {names} to {upstream_id}")
+        batch = make_batch(upstream_id, *legs, priority=priority)
+        self.perform(self.gatherer.submit(self.timers.now(), batch, sender))
+
+    def cancel(self, *leg_ids):
+        self.note(f"cancel {','.join(leg_ids)}")
+        self.perform(self.gatherer.cancel(self.timers.now(), leg_ids))
+
+    def set_grants(self, grants):
+        self.note(f"grants are now {grants}")
+        self.perform(self.gatherer.set_grants(self.timers.now(), grants))
+
+    def perform(self, actions):
+        for action in actions:
+            if isinstance(action, SendResult):
+                self._keep(action)
+            elif isinstance(action, StartExchange):
+                self._start(action)
+            elif isinstance(action, CancelRunning):
+                self.note(f"  -> {action.upstream_id} cancels {','.join(action[1])}")
+
+    def _keep(self, action):
+        result = action.result
+        self.results_by_leg_id.setdefault(result.leg_id, []).append(result)
+        ran = "" if result.was_run else ", not run"
+        self.note(f"  -> {action.sender} gets {result.leg_id} {result.code.name}{ran}")
+
+    def _start(self, action):
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        names = ",".join(f"{leg.leg_id}:{leg.deadline_ms}ms" for leg in action.legs)
+        self.note(f"  -> {action.upstream_id} runs #{action.exchange_id} {names}")
+        for position, leg in enumerate(action.legs, 1):
+            delay_s = self.service_s * position
+            self.timers.call_later(delay_s, lambda leg=leg: self._finish(action, leg))
+        total_s = self.service_s * len(action.legs)
+        self.timers.call_later(total_s, lambda: self._end(action))
+
+    def _finish(self, action, leg):
+        code = self.code_by_leg_id.get(leg.leg_id, ResultCode.OK)
+        result = LegResult(leg.leg_id, code, 7, leg.shard, (), action.upstream_id)
+        now = self.timers.now()
+        self.perform(self.gatherer.on_result(now, action.exchange_id, result))
+
+    def _end(self, action):
+        self.in_flight -= 1
+        now = self.timers.now()
+        self.perform(self.gatherer.on_end(now, action.exchange_id))
+
+    def _tick(self):
+        self.perform(self.gatherer.on_timer(self.timers.now()))
--- /dev/null
+++ b/tests/coordination/test_gatherer.py
@@ -0,0 +1,215 @@
+from __future__ import annotations
+
+import testtools
+from hypothesis import given, settings, strategies as st
+
+from almondspool.codes import ResultCode
+from almondspool.coordination import gatherer, priority_queue
+from almondspool.coordination.gatherer import Gatherer, SendResult, StartExchange
+from almondspool.coordination.lane import Lane
+from almondspool.protocol.upstream import LegResult
+from almondspool.state.document import Priority
+from tests.coordination.gatherer_session import (
+    GathererSession,
+    make_batch,
+    make_leg,
+)
+from tests.golden_session import verify_session
+
+
+class GathererSessionTests(testtools.TestCase):
+    def test_one_upstream_under_a_burst(self):
+        session = GathererSession({"searcher-1": 2}, slots=1)
+        session.submit("searcher-1", make_leg("a"), make_leg("b", "s2"))
+        session.submit("searcher-1", make_leg("c"), sender="front-2")
+        session.submit(
+            "searcher-1",
+            make_leg("d", "s3"),
+            make_leg("e", "s4", 15),
+            priority=Priority.BACKGROUND,
+        )
+        session.submit("searcher-1", make_leg("f", "s5"), priority=Priority.URGENT)
+        session.submit("searcher-1", make_leg("book", "s6", idempotent=False))
+        session.submit("searcher-9", make_leg("g"))
+        session.timers.advance(0.005)
+        session.cancel("a", "d")
+        session.timers.advance(0.060)
+        session.submit("searcher-1", make_leg("h", "s7"), make_leg("i", "s8"))
+        session.submit("searcher-1", make_leg("j", "s9"))
+        session.set_grants({})
+        session.submit("searcher-1", make_leg("k"))
+        session.timers.advance(0.100)
+        verify_session("gatherer_burst", session.lines)
+        self.assertTrue(all(len(r) == 1 for r in session.results_by_leg_id.values()))
+
+    def equal_legs(self):
+        session = GathererSession({"searcher-1": 2})
+        session.submit("searcher-1", make_leg("a"))
+        session.timers.advance(0.005)
+        session.submit("searcher-1", make_leg("b"), sender="front-2")
+        session.timers.advance(0.100)
+        codes = {key: r[0].code for key, r in session.results_by_leg_id.items()}
+        self.assertEqual({"a": ResultCode.OK, "b": ResultCode.OK}, codes)
+        return session.gatherer.counts().runs_sent
+
+    def test_equal_legs_in_flight_run_once(self):
+        self.assertEqual(1, self.equal_legs())
+
+    def test_without_sharing_equal_legs_run_twice(self):
+        self.patch(Gatherer, "_join", lambda *args: False)
+        self.assertEqual(2, self.equal_legs())
+
+    def test_equal_non_idempotent_legs_run_each_in_its_own_exchange(self):
+        session = GathererSession({"searcher-1": 1}, slots=1)
+        booking = [make_leg(name, idempotent=False) for name in "abc"]
+        session.submit("searcher-1", make_leg("x"), *booking)
+        session.timers.advance(0.1)
+        counts = session.gatherer.counts()
+        self.assertEqual((4, 4, 0), (counts.runs_sent, counts.exchanges, counts.shared))
+
+    def exchanges_of_burst(self):
+        session = GathererSession({"searcher-1": 3}, slots=9)
+        for number in range(200):
+            session.submit("searcher-1", make_leg(f"l{number}", f"s{number}", 9000))
+        session.timers.advance(10.0)
+        self.assertEqual(200, len(session.results_by_leg_id))
+        return session.most_in_flight
+
+    def test_exchanges_stay_within_the_grant(self):
+        self.assertEqual(3, self.exchanges_of_burst())
+
+    def test_without_the_limit_exchanges_exceed_the_grant(self):
+        self.patch(Lane, "has_room", True)
+        self.assertGreater(self.exchanges_of_burst(), 3)
+
+    def background_wait_ms(self):
+        session = GathererSession({"searcher-1": 1}, slots=1)
+        self.patch(gatherer, "MAX_LEGS_PER_EXCHANGE", 1)
+        session.submit(
+            "searcher-1", make_leg("z0", "s0", 5000), priority=Priority.URGENT
+        )
+        session.submit(
+            "searcher-1", make_leg("bg", "b", 5000), priority=Priority.BACKGROUND
+        )
+        for number in range(1, 300):
+            leg = make_leg(f"z{number}", f"s{number}", 5000)
+            session.submit("searcher-1", leg, priority=Priority.URGENT)
+            session.timers.advance(0.010)
+            if "bg" in session.results_by_leg_id:
+                return number * 10
+        return None
+
+    def test_background_is_not_starved_by_urgent_legs(self):
+        self.assertLess(self.background_wait_ms(), 200)
+
+    def test_without_aging_background_is_starved(self):
+        self.patch(priority_queue, "AGED_TAKE_INTERVAL", 10**9)
+        self.assertIsNone(self.background_wait_ms())
+
+    def test_a_full_queue_sheds_the_lower_class_first(self):
+        self.patch(gatherer, "MAX_WAITING_PER_UPSTREAM", 2)
+        session = GathererSession({"searcher-1": 1}, slots=1)
+        legs = [make_leg(name, name) for name in ("run", "bg1", "bg2", "bg3", "up")]
+        for leg in legs[:-1]:
+            session.submit("searcher-1", leg, priority=Priority.BACKGROUND)
+        session.submit("searcher-1", legs[-1], priority=Priority.URGENT)
+        shed = [
+            (leg_id, results[0].was_run)
+            for leg_id, results in session.results_by_leg_id.items()
+            if results[0].code is ResultCode.LEG_SHED
+        ]
+        self.assertEqual([("bg3", False), ("bg2", False)], shed)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["submit", "result", "end", "cancel", "grant", "time"]),
+        st.integers(0, 40),
+    ),
+    max_size=120,
+)
+
+
+class _Model:
+    """Applies random events and checks what must hold after each."""
+
+    def __init__(self, test):
+        self.test = test
+        self.gatherer = Gatherer()
+        self.gatherer.set_slots({"u0": 2, "u1": 2})
+        self.now = 0.0
+        self.grants = {}
+        self.submitted = []
+        self.results = {}
+        self.open_by_exchange = {}
+        self.upstream_by_exchange = {}
+
+    def perform(self, actions):
+        for action in actions:
+            if isinstance(action, SendResult):
+                leg_id = action.result.leg_id
+                self.test.assertNotIn(leg_id, self.results)
+                self.results[leg_id] = action.result
+            elif isinstance(action, StartExchange):
+                legs = [leg.leg_id for leg in action.legs]
+                self.open_by_exchange[action.exchange_id] = legs
+                self.upstream_by_exchange[action.exchange_id] = action.upstream_id
+                running = list(self.upstream_by_exchange.values())
+                granted = self.grants[action.upstream_id]
+                self.test.assertLessEqual(running.count(action.upstream_id), granted)
+
+    def do_submit(self, number):
+        leg_id = f"l{len(self.submitted)}"
+        self.submitted.append(leg_id)
+        leg = make_leg(leg_id, f"s{number % 3}", 10 + number, idempotent=number % 5 > 0)
+        batch = make_batch(f"u{number % 2}", leg, priority=number % 3)
+        self.perform(self.gatherer.submit(self.now, batch, "front"))
+
+    def do_result(self, number):
+        if self.open_by_exchange:
+            ids = sorted(self.open_by_exchange)
+            exchange_id = ids[number % len(ids)]
+            legs = self.open_by_exchange[exchange_id]
+            leg_id = legs[number % len(legs)]
+            result = LegResult(leg_id, ResultCode.OK, 7, "s", upstream_id="u")
+            self.perform(self.gatherer.on_result(self.now, exchange_id, result))
+
+    def do_end(self, number):
+        if self.open_by_exchange:
+            ids = sorted(self.open_by_exchange)
+            exchange_id = ids[number % len(ids)]
+            del self.open_by_exchange[exchange_id]
+            del self.upstream_by_exchange[exchange_id]
+            self.perform(self.gatherer.on_end(self.now, exchange_id))
+
+    def do_cancel(self, number):
+        self.perform(self.gatherer.cancel(self.now, [f"l{number}"]))
+
+    def do_grant(self, number):
+        self.grants = {"u0": number % 4, "u1": number // 10}
+        self.perform(self.gatherer.set_grants(self.now, self.grants))
+
+    def do_time(self, number):
+        self.now += number / 1000
+        self.perform(self.gatherer.on_timer(self.now))
+
+    def finish(self):
+        while self.open_by_exchange:
+            self.do_end(0)
+        self.do_time(10_000)
+        while self.open_by_exchange:
+            self.do_end(0)
+
+
+class GathererPropertyTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(EVENTS)
+    def test_each_leg_gets_one_result_and_exchanges_stay_within_the_grant(self, events):
+        model = _Model(self)
+        model.do_grant(22)
+        for kind, number in events:
+            getattr(model, f"do_{kind}")(number)
+        model.finish()
+        self.assertEqual(set(model.submitted), set(model.results))
+        self.assertEqual(0, model.gatherer.in_flight())
+        self.assertFalse(model.gatherer.is_waiting())
--- /dev/null
+++ b/tests/coordination/test_gatherer_task.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import eventlet
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.gatherer_task import make_gatherer_task
+from almondspool.logs import EventLog
+from almondspool.protocol.upstream import LegResult, UpstreamInterface
+from almondspool.state.document import Document, Priority, Section, Upstream
+from almondspool.transport.timers import EventletTimers
+from tests.coordination.gatherer_session import make_batch, make_leg
+
+
+class StubUpstream(UpstreamInterface):
+    def __init__(self):
+        self.grants = {}
+        self.cancelled = []
+        self.gate = eventlet.Event()
+
+    def set_grants(self, connections_by_upstream_id):
+        self.grants = dict(connections_by_upstream_id)
+
+    def run(self, upstream, legs, timeout_s):
+        for leg in legs:
+            if leg.shard == "broken":
+                raise ValueError("stub is broken")
+            if leg.shard == "gated":
+                self.gate.wait()
+            yield LegResult(leg.leg_id, ResultCode.OK, 7, leg.shard)
+
+    def cancel(self, upstream, leg_ids):
+        self.cancelled.append((upstream.upstream_id, leg_ids))
+
+    def load(self, upstream, timeout_s):
+        return None
+
+    def retire(self, upstream_id):
+        return 0
+
+
+def make_document(*upstream_ids):
+    upstreams = {
+        upstream_id: Upstream(upstream_id, "127.0.0.1:1", "z", 2, 25)
+        for upstream_id in upstream_ids
+    }
+    section = Section("perth", Priority.NORMAL, 1000, {}, {}, upstreams, {})
+    return Document(1, {"perth": section})
+
+
+class GathererTaskTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstream = StubUpstream()
+        self.lines = []
+        log = EventLog(self.lines.append)
+        self.task = make_gatherer_task(self.upstream, EventletTimers(), log)
+        self.task.set_grants({"u1": 2, "unknown": 2})
+        self.task.set_document(make_document("u1"))
+        self.replies = []
+
+    def submit(self, *legs):
+        self.task.submit(make_batch("u1", *legs), self.replies.append)
+
+    def settle(self, count):
+        with eventlet.Timeout(5):
+            while sum(len(reply.results) for reply in self.replies) < count:
+                eventlet.sleep(0)
+        results = [result for reply in self.replies for result in reply.results]
+        return {result.leg_id: result.code for result in results}
+
+    def test_results_of_one_turn_travel_in_one_message(self):
+        self.submit(*[make_leg(f"l{number}", f"s{number}") for number in range(5)])
+        self.assertEqual(5, len(self.settle(5)))
+        self.assertEqual(1, len(self.replies))
+        self.assertEqual({"u1": 2}, self.upstream.grants)
+
+    def test_an_exchange_that_breaks_frees_its_connection(self):
+        for number in range(3):
+            self.submit(make_leg(f"l{number}", "broken", idempotent=False))
+        self.assertEqual({ResultCode.LEG_FAILED}, set(self.settle(3).values()))
+        self.assertEqual(0, self.task.in_flight())
+        self.assertIn("stub is broken", "\n".join(self.lines))
+
+    def test_a_cancelled_leg_is_answered_and_the_upstream_told(self):
+        self.submit(make_leg("a", "gated"))
+        eventlet.sleep(0)
+        self.task.cancel(["a"])
+        self.assertEqual({"a": ResultCode.LEG_CANCELLED}, self.settle(1))
+        self.assertEqual([("u1", ("a",))], self.upstream.cancelled)
+        self.upstream.gate.send()
+        eventlet.sleep(0)
+        self.assertEqual(0, self.task.in_flight())
+
+    def test_a_leg_that_waits_too_long_is_answered_at_its_deadline(self):
+        self.task.set_grants({"u1": 1})
+        self.submit(make_leg("a", "gated"))
+        self.submit(make_leg("b", deadline_ms=30))
+        self.assertEqual({"b": ResultCode.LEG_TIMEOUT}, self.settle(1))
+        self.upstream.gate.send()
+        self.settle(2)
+
+    def test_a_reply_that_raises_does_not_stop_the_others(self):
+        def broken(results):
+            raise ValueError("no such front")
+
+        self.task.submit(make_batch("u1", make_leg("a")), broken)
+        self.submit(make_leg("b", "s2"))
+        self.assertEqual({"b": ResultCode.OK}, self.settle(1))
+        self.assertIn("reply.error", "\n".join(self.lines))
