Harden the platform stand-in: quoted names, frozen writes, write cap

A trial of the platform's HTTP client showed that a name with a slash, as every shard id has one, was split into path segments: the path is now split before it is unquoted. A frozen stand-in runs the requests it finds afterwards, as a paused process does, so a write can take effect long after its caller gave up. Writes have a cap of their own.

docs/standins.md gives the wire forms, the control port and the faults; a test holds the fault table to the code.

--- a/almondspool/standins/faults.py
+++ b/almondspool/standins/faults.py
@@ -10,7 +10,13 @@
 import eventlet
 import msgspec
 
-from almondspool.standins.web import Connection, Request, Response, json_response
+from almondspool.standins.web import (
+    PEER_POLL_S,
+    Connection,
+    Request,
+    Response,
+    json_response,
+)
 
 DEFAULT_FLOOD_BYTES = 32 * 1024 * 1024
 MAX_JOURNAL_ENTRIES = 500_000
@@ -142,12 +148,15 @@
     def wait_while_frozen(self, connection: Connection, target: str = "") -> None:
         """Block a connection that is frozen or silent.
 
+        A request met by a freeze runs after it, even if its sender has given it up,
+        as one would that a paused process finds in its socket.
+
         Raises:
-            DropConnection: When the peer gave the connection up.
+            DropConnection: When the peer closed a silent connection.
         """
-        connection.wait_while(
-            lambda: connection.silent or self.is_on(FaultKind.FREEZE, target)
-        )
+        connection.wait_while(lambda: connection.silent)
+        while self.is_on(FaultKind.FREEZE, target):
+            eventlet.sleep(PEER_POLL_S)
 
     def sleep_added_delay(self, target: str = "", method: str = "") -> None:
         """Sleep for the delay and slow faults."""
--- a/almondspool/standins/platform.py
+++ b/almondspool/standins/platform.py
@@ -42,6 +42,7 @@
 RETRY_AFTER_S = 1
 MAX_WATCH_S = 120.0
 DEFAULT_CALLS_PER_S = 2000
+DEFAULT_WRITES_PER_S = 400
 DEFAULT_HISTORY_LIMIT = 10_000
 
 
@@ -53,6 +54,9 @@
     flags.DEFINE_integer(
         "calls_per_s", DEFAULT_CALLS_PER_S, "Calls per second before 429 replies."
     )
+    flags.DEFINE_integer(
+        "writes_per_s", DEFAULT_WRITES_PER_S, "Writes per second before 429 replies."
+    )
     flags.DEFINE_float(
         "listing_lag_s", 2.0, "Seconds until a change of the instance list is seen."
     )
@@ -134,13 +138,18 @@
     """The object API and its control port."""
 
     def __init__(
-        self, store: ObjectStore, listing: InstanceList, rate_cap: RateCap
+        self,
+        store: ObjectStore,
+        listing: InstanceList,
+        calls_cap: RateCap,
+        writes_cap: RateCap,
     ) -> None:
-        """Serve a store and a list under a rate cap."""
+        """Serve a store and a list under a cap on all calls and one on writes."""
         super().__init__(FaultSwitches(), Journal(), CallCounters(time.monotonic))
         self.store = store
         self.listing = listing
-        self._rate_cap = rate_cap
+        self._calls_cap = calls_cap
+        self._writes_cap = writes_cap
 
     def route(self, request: Request) -> Response | None:
         """Add the route that sets the instance list."""
@@ -162,12 +171,18 @@
         self.faults.sleep_added_delay(target, request.method)
         if self.faults.take(FaultKind.OUTAGE, target, request.method):
             return Response(503, b"{}", retry_after_s=RETRY_AFTER_S)
-        if not self._rate_cap.admit(time.monotonic()):
+        if not self._is_within_caps(request.method):
             return Response(429, b"{}", retry_after_s=RETRY_AFTER_S)
         response = self._dispatch(request, target)
         self.faults.wait_while_frozen(request.connection, target)
         return self._damage(response, target, request.method)
 
+    def _is_within_caps(self, method: str) -> bool:
+        now = time.monotonic()
+        if not self._calls_cap.admit(now):
+            return False
+        return method == "GET" or self._writes_cap.admit(now)
+
     def _dispatch(self, request: Request, target: str) -> Response:
         try:
             return self._run(request, target)
@@ -301,6 +316,7 @@
         ObjectStore(values.history_limit),
         InstanceList(values.listing_lag_s),
         RateCap(values.calls_per_s),
+        RateCap(values.writes_per_s),
     )
     serve_platform(values.address, values.control_address, platform)
     run_until_stopped()
--- a/almondspool/standins/web.py
+++ b/almondspool/standins/web.py
@@ -8,7 +8,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import eventlet
 import eventlet.wsgi
@@ -286,13 +286,18 @@
     query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
     return Request(
         environ["REQUEST_METHOD"],
-        tuple(part for part in environ["PATH_INFO"].split("/") if part),
+        _split_path(environ["RAW_PATH_INFO"]),
         {key: values[0] for key, values in query.items()},
         environ["wsgi.input"].read(),
         connection,
     )
 
 
+def _split_path(raw_path: str) -> tuple[str, ...]:
+    # A quoted slash belongs to a name, so the path is split before it is unquoted.
+    return tuple(unquote(part) for part in raw_path.split("/") if part)
+
+
 def _send(
     response: Response, connection: Connection, start_response: Callable[..., Any]
 ) -> Iterable[bytes]:
--- a/tests/standins/test_faults.py
+++ b/tests/standins/test_faults.py
@@ -4,6 +4,7 @@
 import testtools
 
 from almondspool.standins.faults import Fault, FaultKind, FaultSwitches, Journal
+from tools.run_tests import ROOT
 
 
 class FaultSwitchesTests(testtools.TestCase):
@@ -47,6 +48,14 @@
         self.assertIn("delay", str(error))
 
 
+class DocumentationTests(testtools.TestCase):
+    def test_page_lists_every_fault(self):
+        page = (ROOT / "docs" / "standins.md").read_text()
+        rows = page.partition("## Faults")[2].splitlines()
+        listed = {row.split("`")[1] for row in rows if row.startswith("| `")}
+        self.assertEqual(set(FaultKind), listed)
+
+
 class JournalTests(testtools.TestCase):
     def test_entries_beyond_the_bound_are_counted(self):
         journal = Journal(max_entries=1)
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -25,12 +25,19 @@
         admitted = [cap.admit(now) for now in times]
         self.assertEqual([True, True, False, True, False, True], admitted)
 
-    def test_call_over_the_cap_is_told_when_to_come_back(self):
-        platform = Platform(ObjectStore(1), InstanceList(0.0), RateCap(0))
+    def test_calls_over_a_cap_are_told_when_to_come_back(self):
+        caps = (RateCap(2), RateCap(1))
+        platform = Platform(ObjectStore(10), InstanceList(0.0), *caps)
+        statuses = [platform.handle_call(self.put(name)).status for name in "ab"]
+        self.assertEqual([200, 429], statuses)
+        listing = self.put("")._replace(method="GET", path=("v1", "instances"))
+        refused = platform.handle_call(listing)
+        self.assertEqual((429, 1), (refused.status, refused.retry_after_s))
+
+    def put(self, name: str) -> Request:
         connection = OpenConnection(None, ("127.0.0.1", 1))
-        request = Request("GET", ("v1", "instances"), {}, b"", connection)
-        response = platform.handle_call(request)
-        self.assertEqual((429, 1), (response.status, response.retry_after_s))
+        path = ("v1", "objects", "kind", name)
+        return Request("PUT", path, {"expected": "0"}, b"", connection)
 
 
 class OpenConnection(Connection):
@@ -88,6 +95,11 @@
         self.assertEqual(200, self.call("DELETE", f"{self.path}?expected={version}")[0])
         self.assertEqual((409, {"version": 0}), self.put(version))
 
+    def test_name_with_a_quoted_slash(self):
+        path = f"/v1/objects/{self.kind}/service%2F0%20%C3%A4"
+        self.assertEqual(200, self.call("PUT", f"{path}?expected=0", b"1")[0])
+        self.assertEqual("service/0 ä", self.call("GET", path)[1]["name"])
+
     def test_watch_resumes_from_a_version(self):
         version = self.put(0)[1]["version"]
         path = f"/v1/watch/{self.kind}?wait_ms=0&after="
@@ -124,6 +136,15 @@
         self.cluster.platform.clear_faults()
         self.assertEqual(404, self.call("GET", self.path)[0])
 
+    def test_frozen_write_takes_effect_though_given_up(self):
+        self.cluster.platform.set_faults([Fault(FaultKind.FREEZE, self.kind)])
+        given_up = open_connection(self.cluster.platform_address)
+        given_up.request("PUT", f"{self.path}?expected=0", b"1")
+        self.assertEqual(404, self.call("GET", "/v1/objects/other/a")[0])
+        given_up.close()
+        self.cluster.platform.clear_faults()
+        wait_until(lambda: self.call("GET", self.path)[0] == 200, "it is written")
+
     def test_refuse(self):
         self.cluster.platform.set_faults([Fault(FaultKind.REFUSE)])
         disconnected = http.client.RemoteDisconnected
