Run the configuration in a green thread, with few watchers

Cause: all instances hear of a change, but the platform counts every call and a waiting watch as one. Ruled out: a watch on every instance, whose calls grow with the fleet. Figures: none measured yet; the tests run two tasks over an in-memory platform. Conclusion: rendezvous hashing over the view names the watchers, in different zones where it can; the others hear from peers and poll rarely.

--- /dev/null
+++ b/almondspool/coordination/configuration_task.py
@@ -0,0 +1,263 @@
+"""Runs the configuration's decisions in a green thread of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+import eventlet.queue
+from returns.result import Success
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.acceptance import AcceptedSection, Acceptor
+from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration_actions import (
+    Action,
+    AdoptDocument,
+    LogEvent,
+    ReadPlatform,
+    SendMessage,
+)
+from almondspool.coordination.manifest_watch import ManifestWatch
+from almondspool.protocol.manifest import MANIFEST_KIND, SECTION_KIND
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from almondspool.coordination.acceptance import Acceptance
+    from almondspool.logs import EventLog
+    from almondspool.protocol.peer import FetchObjects, ObjectsReply
+    from almondspool.protocol.platform import PlatformInterface
+    from almondspool.state.document import Document
+    from almondspool.state.members import View
+    from almondspool.transport.timers import TimerHandle, TimerService
+
+TICK_S = 0.25
+READERS = 4
+OWN_KINDS = (MANIFEST_KIND, SECTION_KIND)
+
+
+class PeerObjects(NamedTuple):
+    """A peer sent objects."""
+
+    sender: str
+    reply: ObjectsReply
+
+
+class PeerFetch(NamedTuple):
+    """A peer asks for objects."""
+
+    sender: str
+    fetch: FetchObjects
+
+
+class ViewChanged(NamedTuple):
+    """The membership changed."""
+
+    view: View
+
+
+class ManifestRead(NamedTuple):
+    """The manifest was read; None if the platform has none."""
+
+    value: bytes | None
+
+
+class SectionRead(NamedTuple):
+    """A section was read from the platform; None if that failed."""
+
+    name: str
+    value: bytes | None
+
+
+class Tick(NamedTuple):
+    """Time went on."""
+
+
+Event = (
+    PeerObjects
+    | PeerFetch
+    | ViewChanged
+    | ManifestRead
+    | SectionRead
+    | AcceptedSection
+    | Tick
+)
+
+
+class ConfigurationTask:
+    """Owns the configuration; others post events to it and read its document."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        platform: PlatformInterface,
+        send: Callable[[str, FetchObjects | ObjectsReply], None],
+        timers: TimerService,
+        log: EventLog,
+        rng: random.Random,
+        on_document: Callable[[Document], None],
+    ) -> None:
+        """Wire the task; make_configuration_task also makes its parts."""
+        self.configuration = configuration
+        self._platform = platform
+        self._send = send
+        self._timers = timers
+        self._log = log
+        self._on_document = on_document
+        self._inbox: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._readers = eventlet.GreenPool(READERS)
+        self._watch: ManifestWatch | None = None
+        self._thread: eventlet.greenthread.GreenThread | None = None
+        self._tick: TimerHandle | None = None
+        self._acceptor = Acceptor(
+            platform, configuration, rng, eventlet.sleep, self._inbox.put
+        )
+
+    @property
+    def document(self) -> Document:
+        """The document in force here."""
+        return self.configuration.document
+
+    def is_ready(self) -> bool:
+        """Return whether the instance may serve by its document."""
+        return self.configuration.is_ready(self._timers.now())
+
+    def start(self, watch: ManifestWatch) -> None:
+        """Start the task and its reads of the manifest."""
+        self._watch = watch
+        self._thread = eventlet.spawn(self._run)
+        self._tick = self._timers.subscribe(TICK_S, lambda: self._inbox.put(Tick()))
+        watch.start()
+
+    def stop(self) -> None:
+        """Stop the task; idempotent."""
+        if self._watch is not None:
+            self._watch.stop()
+        if self._tick is not None:
+            self._tick.cancel()
+        if self._thread is not None:
+            self._thread.kill()
+
+    def post_objects(self, sender: str, reply: ObjectsReply) -> None:
+        """Take objects from a peer; those of other kinds are ignored."""
+        if any(each.kind in OWN_KINDS for each in reply.objects):
+            self._inbox.put(PeerObjects(sender, reply))
+
+    def post_fetch(self, sender: str, fetch: FetchObjects) -> None:
+        """Take a peer's question; one for other kinds is ignored."""
+        if fetch.kind in OWN_KINDS:
+            self._inbox.put(PeerFetch(sender, fetch))
+
+    def post_view(self, view: View) -> None:
+        """Take the membership."""
+        self._inbox.put(ViewChanged(view))
+
+    def post_manifest(self, value: bytes | None) -> None:
+        """Take the manifest as read from the platform; None if there is none."""
+        self._inbox.put(ManifestRead(value))
+
+    def accept(self, text: bytes, base_digest: str, token: str) -> Acceptance:
+        """Accept a section in the calling green thread, as Acceptor.accept does."""
+        acceptance = self._acceptor.accept(text, base_digest, token)
+        is_accepted = acceptance.code is ResultCode.OK
+        self._log.write(
+            "configuration.accepted" if is_accepted else "configuration.not_accepted",
+            code=int(acceptance.code),
+            team=acceptance.team,
+            generation=acceptance.generation,
+            digest=acceptance.digest[:16],
+            base=base_digest[:16],
+            token=token,
+            attempts=acceptance.attempts,
+            message=acceptance.message,
+        )
+        return acceptance
+
+    def _run(self) -> None:
+        while True:
+            event = self._inbox.get()
+            try:
+                self._handle(event)
+            except Exception as error:
+                # One bad event must not end the task: the document would freeze.
+                kind = type(event).__name__
+                self._log.write("configuration.failed", on=kind, error=repr(error))
+
+    def _handle(self, event: Event) -> None:
+        for action in self._decide(event):
+            self._carry_out(action)
+
+    def _decide(self, event: Event) -> list[Action]:
+        now = self._timers.now()
+        configuration = self.configuration
+        match event:
+            case PeerObjects(sender, reply):
+                return configuration.on_peer_objects(sender, reply, now)
+            case PeerFetch(sender, fetch):
+                return configuration.on_peer_fetch(sender, fetch)
+            case ViewChanged(view):
+                self._watch.on_view(view)
+                return configuration.on_view(view, now)
+            case ManifestRead(None):
+                return configuration.on_platform_without_manifest()
+            case ManifestRead(value):
+                return configuration.on_platform_manifest(value, now)
+            case SectionRead(name, None):
+                return configuration.on_platform_failed((name,), now)
+            case SectionRead(name, value):
+                return configuration.on_platform_section(name, value, now)
+            case AcceptedSection(value, team, text):
+                return configuration.on_accepted(value, team, text, now)
+        return configuration.on_tick(now)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case SendMessage(instance, message):
+                self._send(instance, message)
+            case ReadPlatform(kind, names):
+                for name in names:
+                    self._readers.spawn_n(self._read, kind, name)
+            case AdoptDocument(document):
+                self._on_document(document)
+            case LogEvent(event, fields):
+                self._log.write(event, **fields)
+
+    def _read(self, kind: str, name: str) -> None:
+        result = self._platform.get(kind, name)
+        value = result.unwrap().value if isinstance(result, Success) else None
+        self._inbox.put(SectionRead(name, value))
+
+
+def start_configuration_task(
+    instance: str,
+    platform: PlatformInterface,
+    send: Callable[[str, FetchObjects | ObjectsReply], None],
+    timers: TimerService,
+    log: EventLog,
+    rng: random.Random,
+    on_document: Callable[[Document], None],
+    watchers: int,
+    poll_s: float,
+) -> ConfigurationTask:
+    """Make and start the task.
+
+    Args:
+        instance: The own name.
+        platform: The platform behind its circuit.
+        send: Sends a message to a peer instance without blocking for long.
+        timers: The source of time.
+        log: Gets a line for each acceptance, adoption and refusal.
+        rng: Source of jitter.
+        on_document: Gets each document adopted, in the task's green thread.
+        watchers: How many instances hold a watch on the manifest.
+        poll_s: Seconds between reads of an instance that holds none.
+    """
+    configuration = Configuration(instance, rng, timers.now())
+    task = ConfigurationTask(
+        configuration, platform, send, timers, log, rng, on_document
+    )
+    watch = ManifestWatch(instance, platform, watchers, poll_s, rng, task.post_manifest)
+    task.start(watch)
+    return task
--- /dev/null
+++ b/almondspool/coordination/manifest_watch.py
@@ -0,0 +1,130 @@
+"""Reads the manifest from the platform: a few instances watch it, the others poll."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eventlet
+from returns.result import Success
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.rendezvous import rank_over_zones
+from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from almondspool.errors import PlatformError
+    from almondspool.protocol.platform import PlatformInterface
+    from almondspool.state.members import View
+
+WATCH_WAIT_S = 25.0
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 10.0
+DUTY_CHECK_S = 1.0
+DUTY_KEY = "configuration/watch"
+
+
+def holds_watch(instance: str, view: View, watchers: int) -> bool:
+    """Return whether an instance is among those that watch the manifest.
+
+    An instance that knows of no serving one, itself included, watches alone.
+
+    Args:
+        instance: The instance asked about.
+        view: The membership.
+        watchers: How many instances watch.
+    """
+    serving = view.serving()
+    if not serving:
+        return True
+    return instance in rank_over_zones(DUTY_KEY, serving)[:watchers]
+
+
+class ManifestWatch:
+    """A green thread that reads the manifest and hands on what it read."""
+
+    def __init__(
+        self,
+        instance: str,
+        platform: PlatformInterface,
+        watchers: int,
+        poll_s: float,
+        rng: random.Random,
+        on_manifest: Callable[[bytes | None], None],
+    ) -> None:
+        """Prepare the thread.
+
+        Args:
+            instance: The own name.
+            platform: Where the manifest is.
+            watchers: How many instances hold a watch.
+            poll_s: Seconds between reads of an instance that holds none.
+            rng: Source of the jitter of waits.
+            on_manifest: Gets each manifest read; None if the platform has none.
+        """
+        self._instance = instance
+        self._platform = platform
+        self._watchers = watchers
+        self._poll_s = poll_s
+        self._rng = rng
+        self._on_manifest = on_manifest
+        self._is_watcher = False
+        self._thread: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Start reading."""
+        self._thread = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop reading; idempotent."""
+        if self._thread is not None:
+            self._thread.kill()
+
+    def on_view(self, view: View) -> None:
+        """Take or leave the duty by the membership."""
+        self._is_watcher = holds_watch(self._instance, view, self._watchers)
+
+    def _run(self) -> None:
+        while True:
+            error = self._watch() if self._is_watcher else self._poll()
+            if error is not None:
+                retry_s = min(max(error.retry_after_s, MIN_RETRY_S), MAX_RETRY_S)
+                eventlet.sleep(retry_s * self._rng.uniform(1.0, 1.5))
+
+    def _poll(self) -> PlatformError | None:
+        result = self._platform.get(MANIFEST_KIND, MANIFEST_NAME)
+        if isinstance(result, Success):
+            self._on_manifest(result.unwrap().value)
+        elif result.failure().code is ResultCode.PLATFORM_NOT_FOUND:
+            self._on_manifest(None)
+        else:
+            return result.failure()
+        self._wait_for_duty(self._poll_s * self._rng.uniform(0.75, 1.25))
+        return None
+
+    def _wait_for_duty(self, longest_s: float) -> None:
+        waited_s = 0.0
+        while waited_s < longest_s and not self._is_watcher:
+            eventlet.sleep(DUTY_CHECK_S)
+            waited_s += DUTY_CHECK_S
+
+    def _watch(self) -> PlatformError | None:
+        """Read once, then follow the changes until the duty moves or a call fails."""
+        listed = self._platform.list(MANIFEST_KIND)
+        if not isinstance(listed, Success):
+            return listed.failure()
+        objects = listed.unwrap()
+        found = objects.objects_by_name.get(MANIFEST_NAME)
+        self._on_manifest(found.value if found else None)
+        version = objects.version
+        while self._is_watcher:
+            watched = self._platform.watch(MANIFEST_KIND, version, WATCH_WAIT_S)
+            if not isinstance(watched, Success):
+                return watched.failure()
+            events, version = watched.unwrap()
+            for event in events:
+                if event.name == MANIFEST_NAME:
+                    self._on_manifest(None if event.deleted else event.value)
+        return None
--- /dev/null
+++ b/tests/coordination/test_configuration_task.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import random
+
+import eventlet
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.configuration_task import start_configuration_task
+from almondspool.coordination.manifest_watch import holds_watch
+from almondspool.coordination.rendezvous import rank, rank_over_zones
+from almondspool.logs import EventLog
+from almondspool.protocol.peer import FetchObjects
+from almondspool.state.members import Member, MemberStatus, View
+from almondspool.transport.timers import EventletTimers
+from tests.configuration_session import section_text
+from tests.fakes import FakePlatform
+
+GIVE_UP_S = 20.0
+
+
+def make_view(count, generation=0):
+    zones = ("perth-north", "perth-south", "perth-hills")
+    members = [
+        Member(f"perth-{n}", 1, zones[n % 3], "", "", generation=generation)
+        for n in range(count)
+    ]
+    return View({member.instance: member for member in members})
+
+
+class SleepyPlatform(FakePlatform):
+    """Waits a little in a watch without events, as a real one does."""
+
+    def watch(self, kind, after_version, wait_s):
+        result = super().watch(kind, after_version, wait_s)
+        eventlet.sleep(0.01)
+        return result
+
+
+class ConfigurationTaskTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = SleepyPlatform()
+        self.lines = []
+        self.documents_by_instance = {"perth-0": [], "perth-1": []}
+        self.tasks = {}
+        for instance in self.documents_by_instance:
+            self.tasks[instance] = self.start(instance)
+        for task in self.tasks.values():
+            task.post_view(make_view(2))
+
+    def start(self, instance):
+        task = start_configuration_task(
+            instance,
+            self.platform,
+            lambda peer, message: self.send(instance, peer, message),
+            EventletTimers(),
+            EventLog(self.lines.append),
+            random.Random(instance),
+            self.documents_by_instance[instance].append,
+            watchers=1,
+            poll_s=60.0,
+        )
+        self.addCleanup(task.stop)
+        return task
+
+    def send(self, sender, receiver, message):
+        task = self.tasks[receiver]
+        is_fetch = isinstance(message, FetchObjects)
+        post = task.post_fetch if is_fetch else task.post_objects
+        post(sender, message)
+
+    def wait_for_generation(self, generation):
+        with eventlet.Timeout(GIVE_UP_S):
+            while any(t.document.generation < generation for t in self.tasks.values()):
+                eventlet.sleep(0.005)
+
+    def test_accepted_section_runs_everywhere(self):
+        text = section_text("alert-desk", 1).encode()
+        acceptance = self.tasks["perth-0"].accept(text, "", "t1")
+        self.assertEqual(ResultCode.OK, acceptance.code)
+        self.wait_for_generation(1)
+        for documents in self.documents_by_instance.values():
+            self.assertEqual([1], [each.generation for each in documents])
+        events = " ".join(self.lines)
+        self.assertIn("event=configuration.accepted code=0", events)
+        self.assertIn("event=configuration.adopted generation=1", events)
+
+    def test_section_accepted_elsewhere_is_seen_by_the_watch(self):
+        text = section_text("alert-desk", 1).encode()
+        self.tasks["perth-0"].accept(text, "", "t1")
+        self.wait_for_generation(1)
+        third = self.start("perth-1")
+        third.post_view(make_view(0))
+        with eventlet.Timeout(GIVE_UP_S):
+            while third.document.generation < 1:
+                eventlet.sleep(0.005)
+
+
+class DutyTests(testtools.TestCase):
+    def test_rank_moves_only_the_duties_of_the_one_that_goes(self):
+        names = [f"perth-{n}" for n in range(9)]
+        for key in map(str, range(50)):
+            before = rank(key, names)
+            after = rank(key, [n for n in names if n != before[3]])
+            self.assertEqual([n for n in before if n != before[3]], list(after))
+
+    def test_watchers_stand_in_different_zones(self):
+        view = make_view(9)
+        watchers = rank_over_zones("configuration/watch", view.serving())[:3]
+        zones = {view.members_by_instance[name].zone for name in watchers}
+        self.assertEqual(3, len(zones))
+        holders = [n for n in view.members_by_instance if holds_watch(n, view, 3)]
+        self.assertEqual(set(watchers), set(holders))
+
+    def test_leaving_instance_gives_the_watch_up(self):
+        view = make_view(3)
+        first = rank_over_zones("configuration/watch", view.serving())[0]
+        member = view.members_by_instance[first]
+        leaving = member._replace(status=MemberStatus.LEAVING)
+        view = View({**view.members_by_instance, first: leaving})
+        self.assertFalse(holds_watch(first, view, 1))
