--- a/almondspool/coordination/claims.py
+++ b/almondspool/coordination/claims.py
@@ -121,7 +121,7 @@
 
 def bucket_name(request_id: str) -> str:
     """Return the name of the bucket object that holds a request's claim."""
-    return f"bucket-{xxhash.xxh3_64_intdigest(request_id) % BUCKETS:02d}"
+    return f"bucket-{xxhash.xxh3_64_intdigest(request_id.encode()) % BUCKETS:02d}"
 
 
 def claim_fingerprint(request: SearchRequest) -> str:
--- a/tests/coordination/fake_platform.py
+++ b/tests/coordination/fake_platform.py
@@ -30,6 +30,7 @@
         self.version = 0
         self.faults = []
         self.calls = []
+        self.is_conditional = True
         self.before_put: Callable[[], None] | None = None
 
     def get(self, kind, name):
@@ -48,7 +49,8 @@
         if fault == DOWN:
             return _failure(ResultCode.PLATFORM_UNAVAILABLE)
         found = self.objects.get((kind, name))
-        if (found.version if found else 0) != expected_version:
+        version = found.version if found else 0
+        if self.is_conditional and version != expected_version:
             return _failure(ResultCode.PLATFORM_CONFLICT)
         self.version += 1
         written = PlatformObject(kind, name, self.version, value)
