Admit requests by priority and refuse those that would be late

Admission (pure) estimates the wait of each class from service time, concurrency and the arrivals of higher classes, and refuses at once what would not finish in time. The time to come back takes the next free place of the future, so callers refused together don't return together.

Concurrency adapts to missed deadlines, not to latency: a mix of short and long requests has no one minimum latency to compare with. It keeps a quarter of the setting, since a lost upstream makes requests late too and no lower concurrency mends that. Estimates are kept by kind of request, or long searches would have short checks refused.

--- /dev/null
+++ b/almondspool/coordination/admission.py
@@ -0,0 +1,252 @@
+"""Admits requests to run by priority and refuses those that would be late."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.limits import DeadlineLimit
+from almondspool.coordination.priority_queue import PriorityQueue
+from almondspool.coordination.rates import DecayedRate, DurationEstimate
+from almondspool.state.document import Priority
+
+AGING_S = 0.1
+RATE_DECAY_S = 5.0
+INITIAL_SERVICE_S = 0.02
+# Above this share of work from higher classes a wait is not estimated any longer.
+MAX_HIGHER_SHARE = 0.9
+
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 30.0
+# Refused callers are spread so that their return takes this share of the capacity.
+RETURN_SHARE = 0.5
+RETRY_JITTER = 0.25
+
+
+class Admit(NamedTuple):
+    """Run a request now."""
+
+    request_id: str
+    waited_s: float
+
+
+class Queue(NamedTuple):
+    """Let a request wait."""
+
+    request_id: str
+    estimated_wait_s: float
+
+
+class Refuse(NamedTuple):
+    """Answer a request as not run, at once.
+
+    Attributes:
+        request_id: The request.
+        code: NOT_RUN_OVERLOADED, or DEADLINE_EXPIRED on arrival.
+        retry_after_ms: When to come back, in milliseconds.
+        detail: One line for people.
+    """
+
+    request_id: str
+    code: ResultCode
+    retry_after_ms: int
+    detail: str
+
+
+Action = Admit | Queue | Refuse
+
+
+class AdmissionRow(NamedTuple):
+    """State for status and metrics; times in seconds, rates per second."""
+
+    running: int
+    limit: int
+    waiting: int
+    oldest_wait_s: float
+    arrivals_per_s: float
+    service_s: float
+
+
+class _Request(NamedTuple):
+    priority: int
+    kind: str
+    arrived_at: float
+    expires_at: float
+
+
+class Admission:
+    """Decides for each request exactly once: Admit or Refuse, perhaps after Queue."""
+
+    def __init__(
+        self, now: float, concurrent_requests: int, queue_limit: int, seed: int
+    ) -> None:
+        """Start idle.
+
+        Args:
+            now: Monotonic seconds.
+            concurrent_requests: Most requests that run at a time.
+            queue_limit: Most requests that wait.
+            seed: Of the jitter.
+        """
+        self._queue_limit = queue_limit
+        self._random = random.Random(seed)
+        self._limit = DeadlineLimit(concurrent_requests)
+        self._queue: PriorityQueue[str] = PriorityQueue(AGING_S)
+        self._waiting_by_id: dict[str, _Request] = {}
+        self._running_by_id: dict[str, _Request] = {}
+        self._service = DurationEstimate(INITIAL_SERVICE_S)
+        self._service_by_kind: dict[str, DurationEstimate] = {}
+        self._arrivals = tuple(DecayedRate(RATE_DECAY_S, now) for _ in Priority)
+        self._next_return_at = now
+
+    def arrive(
+        self,
+        now: float,
+        request_id: str,
+        priority: int,
+        deadline_s: float,
+        kind: str = "",
+    ) -> list[Action]:
+        """Take a new request.
+
+        Args:
+            now: Monotonic seconds.
+            request_id: Unique among the requests that wait or run.
+            priority: Its class.
+            deadline_s: Time left for its answer, in seconds.
+            kind: Requests of one kind take about the same time to run; there must
+                be few kinds.
+        """
+        self._arrivals[priority].add(now)
+        if deadline_s <= 0:
+            detail = "the deadline had passed on arrival"
+            return [Refuse(request_id, ResultCode.DEADLINE_EXPIRED, 0, detail)]
+        request = _Request(priority, kind, now, now + deadline_s)
+        if self._has_room() and not self._waiting_by_id:
+            return [self._admit(now, request_id, request)]
+        return self._enqueue(now, request_id, request)
+
+    def finished(
+        self, now: float, request_id: str, service_time_s: float
+    ) -> list[Action]:
+        """Take the end of an admitted request and admit the next ones."""
+        request = self._running_by_id.pop(request_id)
+        self._service.add(service_time_s)
+        estimate = self._service_by_kind.get(request.kind)
+        if estimate is None:
+            estimate = self._service_by_kind[request.kind] = DurationEstimate(0.0)
+        estimate.add(service_time_s)
+        self._limit.on_finished(now, now >= request.expires_at, service_time_s)
+        return self._admit_next(now)
+
+    def withdraw(self, now: float, request_id: str) -> list[Action]:
+        """Drop a waiting request whose caller is gone."""
+        request = self._waiting_by_id.pop(request_id, None)
+        if request is not None:
+            self._queue.remove(request_id, request.priority)
+        return self._admit_next(now)
+
+    def on_timer(self, now: float) -> list[Action]:
+        """Refuse every waiting request that would not finish in time any more."""
+        actions: list[Action] = []
+        place_s_by_priority = [self._place_s(now, priority) for priority in Priority]
+        ahead = 0
+        for request_id in tuple(self._queue.keys()):
+            request = self._waiting_by_id[request_id]
+            wait_s = (ahead + 1) * place_s_by_priority[request.priority]
+            if self._is_late(now, request, wait_s):
+                del self._waiting_by_id[request_id]
+                self._queue.remove(request_id, request.priority)
+                actions.append(self._refuse(now, request_id, _late_detail(wait_s)))
+            else:
+                ahead += 1
+        actions.extend(self._admit_next(now))
+        return actions
+
+    def is_waiting(self) -> bool:
+        """Return whether any request waits."""
+        return bool(self._waiting_by_id)
+
+    def row(self, now: float) -> AdmissionRow:
+        """Return the state for status and metrics."""
+        since = self._queue.oldest_since()
+        return AdmissionRow(
+            len(self._running_by_id),
+            self._limit.limit,
+            len(self._waiting_by_id),
+            now - since if since is not None else 0.0,
+            sum(rate.per_s(now) for rate in self._arrivals),
+            self._service.mean_s,
+        )
+
+    def _has_room(self) -> bool:
+        return len(self._running_by_id) < self._limit.limit
+
+    def _enqueue(self, now: float, request_id: str, request: _Request) -> list[Action]:
+        ahead = self._queue.length_ahead(request.priority)
+        wait_s = (ahead + 1) * self._place_s(now, request.priority)
+        if self._is_late(now, request, wait_s):
+            return [self._refuse(now, request_id, _late_detail(wait_s))]
+        actions: list[Action] = []
+        if len(self._waiting_by_id) >= self._queue_limit:
+            displaced = self._queue.pop_lowest(request.priority)
+            if displaced is None:
+                detail = f"{len(self._waiting_by_id)} requests wait"
+                return [self._refuse(now, request_id, detail)]
+            del self._waiting_by_id[displaced]
+            detail = "displaced by a request of a higher class"
+            actions.append(self._refuse(now, displaced, detail))
+        self._waiting_by_id[request_id] = request
+        self._queue.push(now, request_id, request.priority)
+        actions.append(Queue(request_id, wait_s))
+        return actions
+
+    def _admit_next(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        while self._has_room():
+            request_id = self._queue.pop(now)
+            if request_id is None:
+                break
+            request = self._waiting_by_id.pop(request_id)
+            if self._is_late(now, request, 0.0):
+                actions.append(self._refuse(now, request_id, _late_detail(0.0)))
+            else:
+                actions.append(self._admit(now, request_id, request))
+        return actions
+
+    def _admit(self, now: float, request_id: str, request: _Request) -> Admit:
+        self._running_by_id[request_id] = request
+        return Admit(request_id, now - request.arrived_at)
+
+    def _refuse(self, now: float, request_id: str, detail: str) -> Refuse:
+        code = ResultCode.NOT_RUN_OVERLOADED
+        return Refuse(request_id, code, self._retry_after_ms(now), detail)
+
+    def _is_late(self, now: float, request: _Request, wait_s: float) -> bool:
+        estimate = self._service_by_kind.get(request.kind, self._service)
+        return now + wait_s + estimate.high_s() > request.expires_at
+
+    def _place_s(self, now: float, priority: int) -> float:
+        """Return how long one place in a class's queue takes, in seconds."""
+        interval_s = self._service.mean_s / self._limit.limit
+        higher_per_s = sum(rate.per_s(now) for rate in self._arrivals[:priority])
+        higher_share = min(MAX_HIGHER_SHARE, higher_per_s * interval_s)
+        return interval_s / (1.0 - higher_share)
+
+    def _retry_after_ms(self, now: float) -> int:
+        # Each refusal takes the next free place of the future, so that the callers
+        # refused together do not come back together.
+        interval_s = self._service.mean_s / self._limit.limit
+        drained_at = now + len(self._waiting_by_id) * interval_s
+        earliest = max(self._next_return_at, drained_at)
+        self._next_return_at = min(
+            earliest + interval_s / RETURN_SHARE, now + MAX_RETRY_S
+        )
+        jitter = 1.0 + RETRY_JITTER * self._random.uniform(-1.0, 1.0)
+        wait_s = max(MIN_RETRY_S, self._next_return_at - now) * jitter
+        return int(wait_s * 1000)
+
+
+def _late_detail(wait_s: float) -> str:
+    return f"an estimated wait of {wait_s * 1000:.0f} ms leaves too little time to run"
--- a/almondspool/coordination/limits.py
+++ b/almondspool/coordination/limits.py
@@ -1,4 +1,4 @@
-"""Adaptive limit of concurrent exchanges with one upstream."""
+"""Adaptive limits of concurrent exchanges and requests."""
 
 from __future__ import annotations
 
@@ -14,6 +14,11 @@
 CUT_FACTOR = 0.7
 MIN_CUT_INTERVAL_S = 0.02
 
+LEAST_SHARE = 0.25
+MISSED_SHARE = 0.05
+MISSED_WEIGHT = 0.02
+MISSED_CUT_FACTOR = 0.9
+
 
 class AdaptiveLimit:
     """Additive increase while latency stays near its minimum, else multiplicative cut.
@@ -91,3 +96,38 @@
             return
         self._cut_at = now
         self._exact = max(1.0, self._exact * CUT_FACTOR)
+
+
+class DeadlineLimit:
+    """Concurrency of requests, cut while too many of them miss their deadline.
+
+    Unlike a limit on latency it doesn't mistake a mix of short and long requests for
+    load. It keeps a share of the most, since a lost upstream causes misses too that
+    no lower limit mends.
+    """
+
+    def __init__(self, most: int) -> None:
+        """Start at the most.
+
+        Args:
+            most: Requests that may run at a time at all.
+        """
+        self._most = float(most)
+        self._least = max(1.0, most * LEAST_SHARE)
+        self._exact = float(most)
+        self._missed_share = 0.0
+        self._cut_at = -math.inf
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at a time."""
+        return int(self._exact)
+
+    def on_finished(self, now: float, missed: bool, service_s: float) -> None:
+        """Take whether a request missed its deadline, and its time to run."""
+        self._missed_share += MISSED_WEIGHT * (float(missed) - self._missed_share)
+        if self._missed_share <= MISSED_SHARE:
+            self._exact = min(self._most, self._exact + 1.0 / self._exact)
+        elif now - self._cut_at >= service_s:
+            self._cut_at = now
+            self._exact = max(self._least, self._exact * MISSED_CUT_FACTOR)
--- /dev/null
+++ b/almondspool/coordination/rates.py
@@ -0,0 +1,61 @@
+"""Decayed estimates of rates and durations."""
+
+from __future__ import annotations
+
+import math
+
+MEAN_WEIGHT = 0.05
+
+
+class DecayedRate:
+    """Events a second, weighted towards the recent past."""
+
+    def __init__(self, decay_s: float, start: float) -> None:
+        """Start without events.
+
+        Args:
+            decay_s: Time constant; older events count less, in seconds.
+            start: When counting begins, in monotonic seconds.
+        """
+        self._decay_s = decay_s
+        self._start = start
+        self._updated_at = start
+        self._weight = 0.0
+
+    def add(self, now: float, count: float = 1.0) -> None:
+        """Count events."""
+        self._weight = self._weight_at(now) + count
+        self._updated_at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the rate; right from the start, not only after the time constant."""
+        covered_s = self._decay_s * -math.expm1((self._start - now) / self._decay_s)
+        if covered_s <= 0:
+            return 0.0
+        return self._weight_at(now) / covered_s
+
+    def _weight_at(self, now: float) -> float:
+        return self._weight * math.exp((self._updated_at - now) / self._decay_s)
+
+
+class DurationEstimate:
+    """Smoothed mean and mean deviation of a duration, in seconds."""
+
+    def __init__(self, initial_s: float) -> None:
+        """Start from a guess that the first sample replaces."""
+        self.mean_s = initial_s
+        self.deviation_s = 0.0
+        self._samples = 0
+
+    def add(self, duration_s: float) -> None:
+        """Take a sample."""
+        self._samples += 1
+        weight = max(MEAN_WEIGHT, 1.0 / self._samples)
+        error_s = duration_s - self.mean_s
+        self.mean_s += weight * error_s
+        if self._samples > 1:
+            self.deviation_s += weight * (abs(error_s) - self.deviation_s)
+
+    def high_s(self) -> float:
+        """Return a duration that most samples stay below."""
+        return self.mean_s + 2.0 * self.deviation_s
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,161 @@
+from __future__ import annotations
+
+import testtools
+from hypothesis import given, settings, strategies as st
+
+from almondspool.codes import ResultCode
+from almondspool.coordination import admission, limits
+from almondspool.coordination.admission import Admission, Admit, Queue, Refuse
+from almondspool.state.document import Priority
+from tests.coordination.admission_session import (
+    CAPACITY_PER_S,
+    SERVERS,
+    AdmissionSession,
+)
+from tests.golden_session import verify_session
+
+
+class AdmissionSessionTests(testtools.TestCase):
+    def test_story_of_an_overload_that_passes(self):
+        session = AdmissionSession()
+        lines = []
+        for title, factor in (
+            ("half the capacity", 0.5),
+            ("1.3 times the capacity", 1.3),
+            ("still", 1.3),
+            ("three times the capacity", 3.0),
+            ("half the capacity again", 0.5),
+        ):
+            session.load(factor, 2.0)
+            lines.append(session.line(title))
+        verify_session("admission_overload", lines)
+
+    def overloaded(self, **options):
+        session = AdmissionSession(**options)
+        session.load(1.3, 10.0)
+        return session
+
+    def test_overload_costs_lower_classes_and_no_goodput(self):
+        session = self.overloaded()
+        self.assertGreaterEqual(session.goodput(), 0.95 * CAPACITY_PER_S * 10.0)
+        self.assertEqual(0, session.counts["refused", Priority.URGENT])
+        self.assertEqual(0, session.counts["late", Priority.URGENT])
+        waits = sorted(session.waits_by_priority[Priority.URGENT])
+        self.assertLess(waits[int(len(waits) * 0.99)], 0.020)
+
+    def test_without_estimates_callers_wait_in_vain(self):
+        self.patch(Admission, "_is_late", lambda *args: False)
+        session = self.overloaded()
+        self.assertLess(session.goodput(), 0.9 * CAPACITY_PER_S * 10.0)
+
+    def test_too_high_a_concurrency_adapts(self):
+        session = self.overloaded(concurrent=10 * SERVERS)
+        self.assertGreaterEqual(session.goodput(), 0.9 * CAPACITY_PER_S * 10.0)
+
+    def test_without_adapting_too_high_a_concurrency_wastes_work(self):
+        self.patch(limits, "MISSED_CUT_FACTOR", 1.0)
+        session = self.overloaded(concurrent=10 * SERVERS)
+        self.assertLess(session.goodput(), 0.9 * CAPACITY_PER_S * 10.0)
+
+    def make_busy(self, queue_limit=2000):
+        busy = Admission(0.0, 1, queue_limit, 1)
+        self.assertEqual([Admit("first", 0.0)], busy.arrive(0.0, "first", 1, 9.0))
+        return busy
+
+    def test_a_request_that_can_not_be_in_time_is_refused_at_once(self):
+        [refusal] = self.make_busy().arrive(0.0, "late", Priority.URGENT, 0.030)
+        self.assertEqual(ResultCode.NOT_RUN_OVERLOADED, refusal.code)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_a_waiting_request_is_refused_before_its_deadline(self):
+        busy = self.make_busy()
+        [queued] = busy.arrive(0.0, "waits", Priority.NORMAL, 0.100)
+        self.assertIsInstance(queued, Queue)
+        self.assertEqual([], busy.on_timer(0.040))
+        [refusal] = busy.on_timer(0.070)
+        self.assertEqual("waits", refusal.request_id)
+
+    def test_urgent_displaces_background_from_a_full_queue(self):
+        busy = self.make_busy(queue_limit=1)
+        busy.arrive(0.0, "background", Priority.BACKGROUND, 9.0)
+        refused, queued = busy.arrive(0.0, "urgent", Priority.URGENT, 9.0)
+        self.assertEqual(("background", "urgent"), (refused[0], queued.request_id))
+        [refusal] = busy.arrive(0.0, "more", Priority.NORMAL, 9.0)
+        self.assertEqual(ResultCode.NOT_RUN_OVERLOADED, refusal.code)
+        [admitted] = busy.finished(0.02, "first", 0.02)
+        self.assertEqual("urgent", admitted.request_id)
+
+    def test_retry_times_grow_with_the_backlog_and_are_jittered(self):
+        busy = self.make_busy()
+        times = []
+        for number in range(200):
+            [refusal] = busy.arrive(0.0, f"r{number}", Priority.NORMAL, 0.001)
+            times.append(refusal.retry_after_ms)
+        self.assertLess(sum(times[:50]), sum(times[50:100]))
+        self.assertLess(sum(times[50:100]), sum(times[100:150]))
+        self.assertNotEqual(sorted(times), times)
+        self.assertLessEqual(
+            max(times), admission.MAX_RETRY_S * (1 + admission.RETRY_JITTER) * 1000
+        )
+
+    def test_a_kind_of_long_requests_does_not_refuse_short_ones(self):
+        busy = Admission(0.0, 1, 10, 1)
+        for number in range(20):
+            for kind, service_s in (("sweep", 0.2), ("check", 0.005)):
+                busy.arrive(number, f"{kind}{number}", 1, 9.0, kind)
+                busy.finished(number, f"{kind}{number}", service_s)
+        busy.arrive(20.0, "sweep", 1, 9.0, "sweep")
+        [queued] = busy.arrive(20.0, "check", 1, 0.150, "check")
+        self.assertIsInstance(queued, Queue)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "finish", "withdraw", "time"]), st.integers(0, 60)
+    ),
+    max_size=100,
+)
+
+
+class AdmissionPropertyTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(EVENTS)
+    def test_each_request_is_admitted_or_refused_once(self, events):
+        tested = Admission(0.0, 3, 4, 1)
+        now, count = 0.0, 0
+        running, waiting, decided = [], set(), set()
+
+        def perform(actions):
+            for action in actions:
+                self.assertNotIn(action.request_id, decided)
+                if isinstance(action, Queue):
+                    waiting.add(action.request_id)
+                    continue
+                waiting.discard(action.request_id)
+                decided.add(action.request_id)
+                if isinstance(action, Admit):
+                    running.append(action.request_id)
+                self.assertLessEqual(len(running), 3)
+                if isinstance(action, Refuse):
+                    self.assertNotEqual(ResultCode.OK, action.code)
+
+        for kind, number in events:
+            now += 0.001
+            if kind == "arrive":
+                request_id = f"r{count}"
+                count += 1
+                perform(tested.arrive(now, request_id, number % 3, number / 100))
+                self.assertTrue(request_id in waiting or request_id in decided)
+            elif kind == "finish" and running:
+                perform(tested.finished(now, running.pop(0), number / 1000))
+            elif kind == "withdraw" and waiting:
+                request_id = sorted(waiting)[number % len(waiting)]
+                waiting.discard(request_id)
+                perform(tested.withdraw(now, request_id))
+            elif kind == "time":
+                now += number / 100
+                perform(tested.on_timer(now))
+        while running:
+            perform(tested.finished(now, running.pop(0), 0.01))
+        self.assertEqual(set(), waiting)
+        self.assertFalse(tested.is_waiting())
