Offer the document and its acceptance to operators over HTTP

Cause: the command-line tool needs the document, its acceptance, status and explanations from any instance. Ruled out: parsing an offered section once for the check, once for the digest and once to run it.

Conclusion: OperatorInterface with routes on the HTTP server; a checked section is handed on with its acceptance.

--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.section_store import make_stored_section
 from almondspool.errors import (
     AlmondspoolError,
     CallNotStartedError,
@@ -32,6 +33,7 @@
     from collections.abc import Callable
 
     from almondspool.coordination.configuration import Configuration
+    from almondspool.coordination.section_store import StoredSection
     from almondspool.protocol.platform import PlatformInterface, PlatformObject
     from almondspool.state.document import Section
 
@@ -46,7 +48,7 @@
     Attributes:
         code: OK, or why the section is not accepted.
         message: One line or more for people.
-        team: The section's team, if the text could be read.
+        team: The section's team.
         generation: The generation that contains it; 0 if none does.
         digest: Digest of the text that was offered.
         current_digest: Digest of the accepted section, where it is another.
@@ -56,7 +58,7 @@
 
     code: ResultCode
     message: str
-    team: str = ""
+    team: str
     generation: int = 0
     digest: str = ""
     current_digest: str = ""
@@ -68,20 +70,22 @@
     """What an instance needs in order to run an accepted section."""
 
     manifest_value: bytes
-    team: str
-    text: bytes
+    stored: StoredSection
 
 
 class _Offer(NamedTuple):
     text: bytes
-    digest: str
-    section: Section
+    stored: StoredSection
     base_digest: str
     token: str
 
     @property
     def team(self) -> str:
-        return self.section.team
+        return self.stored.section.team
+
+    @property
+    def digest(self) -> str:
+        return self.stored.digest
 
 
 class _Stored(NamedTuple):
@@ -126,21 +130,24 @@
         self._pause = pause
         self._on_accepted = on_accepted
 
-    def accept(self, text: bytes, base_digest: str, token: str) -> Acceptance:
+    def accept(
+        self, team: str, text: bytes, base_digest: str, token: str
+    ) -> Acceptance:
         """Accept a section, or say why not; idempotent for one token.
 
         Args:
+            team: The team whose section it must be.
             text: The section's YAML text.
             base_digest: Digest of the section it was edited from; empty if the team
                 had none.
             token: Unique for this write, and repeated if the write is repeated.
         """
-        digest = section_digest(text)
         try:
-            section = decode_section(text)
+            stored = make_stored_section(team, text)
         except DocumentError as error:
-            return Acceptance(error.code, str(error), digest=digest)
-        offer = _Offer(text, digest, section, base_digest, token)
+            digest = section_digest(text)
+            return Acceptance(error.code, str(error), team, digest=digest)
+        offer = _Offer(text, stored, base_digest, token)
         write = _Write(self._platform, self._configuration, offer)
         for attempt in range(1, MAX_ATTEMPTS + 1):
             outcome = write.attempt()
@@ -267,10 +274,10 @@
             for team, entry in entries_by_team.items()
         }
         old = sections_by_team.get(offer.team)
-        sections_by_team[offer.team] = offer.section
+        sections_by_team[offer.team] = offer.stored.section
         problems = check_document(sections_by_team)
         if old is not None:
-            problems += check_succession(old, offer.section)
+            problems += check_succession(old, offer.stored.section)
         if problems:
             raise DocumentError("\n".join(map(str, problems)), problems=problems)
 
@@ -324,7 +331,7 @@
         entry = manifest.entries_by_team.get(self._offer.team)
         if entry is not None and entry.digest == self._offer.digest:
             value = encode_manifest(manifest)
-            self.accepted = AcceptedSection(value, self._offer.team, self._offer.text)
+            self.accepted = AcceptedSection(value, self._offer.stored)
 
     def _answer_accepted(self, generation: int) -> Acceptance:
         message = f"section {self._offer.team} accepted as version {generation}"
--- a/almondspool/coordination/configuration.py
+++ b/almondspool/coordination/configuration.py
@@ -20,7 +20,11 @@
     SectionFetches,
     Wanted,
 )
-from almondspool.coordination.section_store import SectionStore
+from almondspool.coordination.section_store import (
+    SectionStore,
+    StoredSection,
+    make_stored_section,
+)
 from almondspool.errors import DocumentError, PeerError
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.document_checks import check_document
@@ -131,13 +135,12 @@
         return []
 
     def on_accepted(
-        self, manifest_value: bytes, team: str, text: bytes, now: float
+        self, manifest_value: bytes, stored: StoredSection, now: float
     ) -> list[Action]:
         """Take a section that was accepted through this instance."""
         actions = self._take_manifest(manifest_value, ACCEPTANCE)
-        name = section_name(team, section_digest(text))
-        if name in self._wanted_by_name():
-            actions += self._take_section(name, text, ACCEPTANCE, now)
+        if section_name(stored.section.team, stored.digest) in self._wanted_by_name():
+            self.sections.add(stored)
         return actions + self._advance(now)
 
     def on_peer_objects(
@@ -232,7 +235,7 @@
             detail = f"{name}: digest {digest[:16]} is not the accepted one"
             return self.refusals.refuse("section_damaged", source, detail)
         try:
-            self.sections.add(wanted.team, text)
+            self.sections.add(make_stored_section(wanted.team, text))
         except DocumentError as error:
             return self._refuse_candidates(digest, source, str(error))
         return []
--- a/almondspool/coordination/configuration_task.py
+++ b/almondspool/coordination/configuration_task.py
@@ -158,9 +158,11 @@
         """Take the manifest as read from the platform; None if there is none."""
         self._inbox.put(ManifestRead(value))
 
-    def accept(self, text: bytes, base_digest: str, token: str) -> Acceptance:
+    def accept(
+        self, team: str, text: bytes, base_digest: str, token: str
+    ) -> Acceptance:
         """Accept a section in the calling green thread, as Acceptor.accept does."""
-        acceptance = self._acceptor.accept(text, base_digest, token)
+        acceptance = self._acceptor.accept(team, text, base_digest, token)
         is_accepted = acceptance.code is ResultCode.OK
         self._log.write(
             "configuration.accepted" if is_accepted else "configuration.not_accepted",
@@ -208,8 +210,8 @@
                 return configuration.on_platform_failed((name,), now)
             case SectionRead(name, value):
                 return configuration.on_platform_section(name, value, now)
-            case AcceptedSection(value, team, text):
-                return configuration.on_accepted(value, team, text, now)
+            case AcceptedSection(value, stored):
+                return configuration.on_accepted(value, stored, now)
         return configuration.on_tick(now)
 
     def _carry_out(self, action: Action) -> None:
--- a/almondspool/coordination/section_store.py
+++ b/almondspool/coordination/section_store.py
@@ -32,6 +32,18 @@
         return unpack_section(self.packed)
 
 
+def make_stored_section(team: str, text: bytes) -> StoredSection:
+    """Check a section's text.
+
+    Raises:
+        DocumentError: When the text is invalid or of another team.
+    """
+    section = decode_section(text, f"section {team}")
+    if section.team != team:
+        raise DocumentError(f"section {team}: the text names team {section.team!r}")
+    return StoredSection(section_digest(text), section, pack_section(text))
+
+
 class SectionStore:
     """Valid sections by digest."""
 
@@ -43,20 +55,9 @@
         """Return the section with a digest, or None."""
         return self._by_digest.get(digest)
 
-    def add(self, team: str, text: bytes) -> StoredSection:
-        """Check and keep a section's text.
-
-        Raises:
-            DocumentError: When the text is invalid or of another team.
-        """
-        digest = section_digest(text)
-        if digest not in self._by_digest:
-            section = decode_section(text, f"section {team}")
-            if section.team != team:
-                raise DocumentError(f"section {team} names team {section.team!r}")
-            stored = StoredSection(digest, section, pack_section(text))
-            self._by_digest[digest] = stored
-        return self._by_digest[digest]
+    def add(self, stored: StoredSection) -> None:
+        """Keep a section."""
+        self._by_digest[stored.digest] = stored
 
     def keep(self, digests: Set[str]) -> None:
         """Forget every section but those with the given digests."""
--- /dev/null
+++ b/almondspool/protocol/operator.py
@@ -0,0 +1,266 @@
+"""The operators' interface: document, status and explanations as JSON over HTTP."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import TypedDict
+
+import msgspec
+
+from almondspool.codes import ResultCode
+from almondspool.errors import AlmondspoolError
+from almondspool.protocol.document import MAX_SECTION_BYTES
+from almondspool.transport.http_server import HttpRequest, HttpResponse, HttpServer
+
+DOCUMENT_PATH = "/v1/document"
+SECTION_PREFIX = "/v1/document/"
+STATUS_PATH = "/v1/status"
+EXPLAIN_PATH = "/v1/explain"
+
+_STATUS_BY_CODE = {
+    ResultCode.OK: 200,
+    ResultCode.DOCUMENT_CONFLICT: 409,
+    ResultCode.DOCUMENT_TOO_LARGE: 413,
+    ResultCode.DOCUMENT_UNKNOWN_TEAM: 404,
+    ResultCode.SERVICE_UNKNOWN: 404,
+    ResultCode.SHARD_UNKNOWN: 404,
+    ResultCode.INTERNAL: 500,
+}
+
+
+class ErrorAnswer(TypedDict):
+    """Why a request was refused."""
+
+    code: int
+    message: str
+
+
+class SectionSummary(TypedDict):
+    """An accepted section; ``version`` is the generation that accepted it."""
+
+    team: str
+    digest: str
+    version: int
+
+
+class DocumentAnswer(TypedDict):
+    """The document in force at one instance."""
+
+    generation: int
+    sections: list[SectionSummary]
+
+
+class SectionAnswer(TypedDict):
+    """One section in force, as its team wrote it."""
+
+    team: str
+    digest: str
+    version: int
+    generation: int
+    text: str
+
+
+class ApplyAnswer(TypedDict):
+    """The outcome of offering a section.
+
+    Attributes:
+        code: OK, or why it was not accepted.
+        team: The section's team.
+        generation: The generation that contains it; 0 if none does.
+        digest: Digest of the offered text.
+        message: One line or more for people.
+        current_digest: Digest of the accepted section, after a conflict.
+        current_version: Its version, after a conflict.
+    """
+
+    code: int
+    team: str
+    generation: int
+    digest: str
+    message: str
+    current_digest: str
+    current_version: int
+
+
+class MemberRow(TypedDict):
+    """One instance as another knows it; ``status`` is a MemberStatus in lower case."""
+
+    instance: str
+    zone: str
+    status: str
+    generation: int
+    caller_address: str
+
+
+class BacklogRow(TypedDict):
+    """The queue of one service.
+
+    Attributes:
+        team: The section.
+        service: The service.
+        queued: Requests or legs that wait.
+        oldest_ms: Age of the oldest, in milliseconds.
+        arrivals_per_s: Arrival rate.
+        served_per_s: Service rate.
+        drain_s: Seconds until it is empty; negative if it grows.
+        is_warning: Whether it is predicted to reach its limit.
+    """
+
+    team: str
+    service: str
+    queued: int
+    oldest_ms: float
+    arrivals_per_s: float
+    served_per_s: float
+    drain_s: float
+    is_warning: bool
+
+
+class StatusAnswer(TypedDict):
+    """One instance's view of the system.
+
+    Attributes:
+        instance: Who answers.
+        zone: Its availability zone.
+        generation: The document generation it runs.
+        is_ready: Whether it serves.
+        is_leaving: Whether it is stopping.
+        members: Every instance it knows, itself included.
+        backlog: Queues by service.
+        platform_calls: Calls to the platform since the start, by method.
+        refusals: Refused configuration input since the start, by reason.
+    """
+
+    instance: str
+    zone: str
+    generation: int
+    is_ready: bool
+    is_leaving: bool
+    members: list[MemberRow]
+    backlog: list[BacklogRow]
+    platform_calls: dict[str, int]
+    refusals: dict[str, int]
+
+
+class CandidateRow(TypedDict):
+    """An upstream weighed for a shard.
+
+    Attributes:
+        upstream: The upstream.
+        zone: Its availability zone.
+        score_ms: Expected wait in milliseconds; the lower one wins.
+        state: ``serving``, ``drained``, ``draining`` or ``avoided``.
+    """
+
+    upstream: str
+    zone: str
+    score_ms: float
+    state: str
+
+
+class ExplainAnswer(TypedDict):
+    """Which upstream would run a shard now, and why."""
+
+    team: str
+    shard: str
+    snapshot: int
+    upstream: str
+    reason: str
+    candidates: list[CandidateRow]
+
+
+class OperatorInterface(abc.ABC):
+    """What an instance offers operators; the HTTP routes call it.
+
+    Every method may raise an AlmondspoolError, whose code and message are answered.
+    """
+
+    @abc.abstractmethod
+    def document(self) -> DocumentAnswer:
+        """Return the document in force."""
+
+    @abc.abstractmethod
+    def section(self, team: str) -> SectionAnswer:
+        """Return one section in force."""
+
+    @abc.abstractmethod
+    def apply(self, team: str, text: bytes, base: str, token: str) -> ApplyAnswer:
+        """Accept a section edited from a base digest, or say why not."""
+
+    @abc.abstractmethod
+    def status(self) -> StatusAnswer:
+        """Return this instance's view of the system."""
+
+    @abc.abstractmethod
+    def explain(self, team: str, shard: str) -> ExplainAnswer:
+        """Return which upstream would run a shard now, and why."""
+
+
+def http_status(code: ResultCode) -> int:
+    """Return the HTTP status of a result code in operators' answers."""
+    if code in _STATUS_BY_CODE:
+        return _STATUS_BY_CODE[code]
+    return 503 if code // 100 in (2, 3, 6) else 400
+
+
+class OperatorRoutes:
+    """Decodes operators' HTTP requests and encodes the answers."""
+
+    def __init__(self, operator: OperatorInterface) -> None:
+        """Answer from an instance's operator interface."""
+        self._operator = operator
+
+    def add_to(self, server: HttpServer) -> None:
+        """Register every route with a server."""
+        server.add_route("GET", DOCUMENT_PATH, self.get_document)
+        server.add_route("GET", SECTION_PREFIX, self.get_section)
+        server.add_route("PUT", SECTION_PREFIX, self.put_section)
+        server.add_route("GET", STATUS_PATH, self.get_status)
+        server.add_route("GET", EXPLAIN_PATH, self.get_explain)
+
+    def get_document(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``GET /v1/document``."""
+        return _answer(self._operator.document)
+
+    def get_section(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``GET /v1/document/{team}``."""
+        return _answer(lambda: self._operator.section(request.path))
+
+    def put_section(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``PUT /v1/document/{team}?base=DIGEST&token=T``."""
+        if len(request.body) > MAX_SECTION_BYTES:
+            message = f"section exceeds {MAX_SECTION_BYTES} bytes"
+            return _error_response(ResultCode.DOCUMENT_TOO_LARGE, message)
+        token = request.query.get("token", "")
+        if not 1 <= len(token) <= 64:
+            message = "token: allowed are 1 to 64 characters, unique for each write"
+            return _error_response(ResultCode.FIELD_INVALID, message)
+        base = request.query.get("base", "")
+        return _answer(
+            lambda: self._operator.apply(request.path, request.body, base, token)
+        )
+
+    def get_status(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``GET /v1/status``."""
+        return _answer(self._operator.status)
+
+    def get_explain(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``GET /v1/explain?team=T&shard=S``."""
+        team = request.query.get("team", "")
+        shard = request.query.get("shard", "")
+        return _answer(lambda: self._operator.explain(team, shard))
+
+
+def _answer(ask: Callable[[], Mapping[str, object]]) -> HttpResponse:
+    try:
+        answer = ask()
+    except AlmondspoolError as error:
+        return _error_response(error.code, str(error))
+    status = http_status(ResultCode(answer.get("code", 0)))
+    return HttpResponse(status, msgspec.json.encode(answer))
+
+
+def _error_response(code: ResultCode, message: str) -> HttpResponse:
+    body = msgspec.json.encode(ErrorAnswer(code=int(code), message=message))
+    return HttpResponse(http_status(code), body)
--- a/tests/configuration_session.py
+++ b/tests/configuration_session.py
@@ -115,7 +115,8 @@
             self.run("on_peer_objects", sender, message, self.now())
 
     def accept(self, text: str, base: str = "", token: str = "token"):
-        acceptance = self.acceptor.accept(text.encode(), base, token)
+        team = text.split()[1]
+        acceptance = self.acceptor.accept(team, text.encode(), base, token)
         self.session.note(
             f"{self.name} answers its operator: {acceptance.code.name}"
             f" after {acceptance.attempts} attempts: {acceptance.message}"
--- a/tests/coordination/test_configuration_task.py
+++ b/tests/coordination/test_configuration_task.py
@@ -77,7 +77,7 @@
 
     def test_accepted_section_runs_everywhere(self):
         text = section_text("alert-desk", 1).encode()
-        acceptance = self.tasks["perth-0"].accept(text, "", "t1")
+        acceptance = self.tasks["perth-0"].accept("alert-desk", text, "", "t1")
         self.assertEqual(ResultCode.OK, acceptance.code)
         self.wait_for_generation(1)
         for documents in self.documents_by_instance.values():
@@ -88,7 +88,7 @@
 
     def test_section_accepted_elsewhere_is_seen_by_the_watch(self):
         text = section_text("alert-desk", 1).encode()
-        self.tasks["perth-0"].accept(text, "", "t1")
+        self.tasks["perth-0"].accept("alert-desk", text, "", "t1")
         self.wait_for_generation(1)
         third = self.start("perth-1")
         third.post_view(make_view(0))
