Warn of a growing backlog before its limit

BacklogMonitor (pure) measures growth by the difference of a fast and a slow average of the length, on a scale of seconds and one of hours, and warns while the limit is predicted within the scale's horizon. A straight line through the last samples was ruled out: it needs the samples kept, and one scale either misses a burst or cries at noise.

The limit of a service is the length at which a new leg would wait past its section's deadline.

A swinging queue is warned of once; without hysteresis it is cleared more than 3 times.

--- a/almondspool/coordination/gatherer.py
+++ b/almondspool/coordination/gatherer.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.gatherer_actions import (
+    Action,
+    CancelRunning,
+    GathererCounts,
+    LaneRow,
+    SendResult,
+    StartExchange,
+)
 from almondspool.coordination.lane import Exchange, Lane, Run, Sharer
-from almondspool.protocol.upstream import Leg, LegResult
+from almondspool.protocol.upstream import LegResult
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -22,73 +30,6 @@
 _BUSY_CODES = (ResultCode.LEG_SHED, ResultCode.LEG_DRAINING)
 
 
-class StartExchange(NamedTuple):
-    """Send legs to an upstream over one connection.
-
-    Attributes:
-        exchange_id: Named again in on_result and on_end.
-        upstream_id: Where to.
-        legs: The legs, with the time left as their deadline.
-        timeout_s: Total time for the exchange, in seconds.
-    """
-
-    exchange_id: int
-    upstream_id: str
-    legs: tuple[Leg, ...]
-    timeout_s: float
-
-
-class SendResult(NamedTuple):
-    """Send a leg's one result to whoever submitted the leg."""
-
-    sender: object
-    result: LegResult
-
-
-class CancelRunning(NamedTuple):
-    """Tell an upstream that nobody wants these results any more."""
-
-    upstream_id: str
-    leg_ids: tuple[str, ...]
-
-
-Action = StartExchange | SendResult | CancelRunning
-
-
-class LaneRow(NamedTuple):
-    """One upstream's state for status and metrics; times in seconds."""
-
-    upstream_id: str
-    waiting: int
-    in_flight: int
-    limit: int
-    granted: int
-    oldest_wait_s: float
-    latency_s: float
-
-
-class GathererCounts(NamedTuple):
-    """Totals since the start.
-
-    Attributes:
-        legs: Legs submitted.
-        runs_sent: Runs sent to upstreams.
-        exchanges: Exchanges that carried them.
-        shared: Legs that joined an equal run.
-        shed: Legs answered LEG_SHED here, for lack of room.
-        expired: Legs whose deadline passed before they were sent.
-        cancelled: Legs cancelled.
-    """
-
-    legs: int = 0
-    runs_sent: int = 0
-    exchanges: int = 0
-    shared: int = 0
-    shed: int = 0
-    expired: int = 0
-    cancelled: int = 0
-
-
 class Gatherer:
     """Queues, coalesces and shares legs; each leg gets exactly one SendResult."""
 
@@ -186,18 +127,7 @@
 
     def rows(self, now: float) -> tuple[LaneRow, ...]:
         """Return the state of each upstream, ordered by id."""
-        return tuple(
-            LaneRow(
-                upstream_id,
-                len(lane),
-                lane.in_flight,
-                lane.limit.limit,
-                lane.granted,
-                lane.oldest_wait_s(now),
-                lane.limit.latency_s,
-            )
-            for upstream_id, lane in sorted(self._lanes_by_id.items())
-        )
+        return tuple(lane.row(now) for _, lane in sorted(self._lanes_by_id.items()))
 
     def counts(self) -> GathererCounts:
         """Return the totals since the start."""
@@ -310,6 +240,7 @@
     def _start(self, now: float, lane: Lane, runs: list[Run]) -> StartExchange:
         exchange_id = next(self._exchange_ids)
         lane.in_flight += 1
+        lane.started += len(runs)
         self._exchanges_by_id[exchange_id] = Exchange(lane, runs, now)
         self._totals["exchanges"] += 1
         self._totals["runs_sent"] += len(runs)
--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/gatherer_task.py
@@ -6,10 +6,10 @@
 
 import eventlet
 
-from almondspool.coordination.gatherer import (
+from almondspool.coordination.gatherer import Gatherer
+from almondspool.coordination.gatherer_actions import (
     Action,
     CancelRunning,
-    Gatherer,
     GathererCounts,
     LaneRow,
     SendResult,
--- a/almondspool/coordination/lane.py
+++ b/almondspool/coordination/lane.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from almondspool.coordination.gatherer_actions import LaneRow
 from almondspool.coordination.limits import AdaptiveLimit
 from almondspool.coordination.priority_queue import PriorityQueue
 
@@ -94,6 +94,8 @@
         granted: Connections this instance may open.
         limit: Adaptive limit of exchanges.
         in_flight: Exchanges that run now.
+        arrived: Runs that came to wait, since the start.
+        started: Runs that were sent, since the start.
     """
 
     def __init__(self, upstream_id: str, slots: int, granted: int) -> None:
@@ -102,6 +104,8 @@
         self.granted = granted
         self.limit = AdaptiveLimit(slots, granted)
         self.in_flight = 0
+        self.arrived = 0
+        self.started = 0
         self._queue: PriorityQueue[Run] = PriorityQueue(AGING_S)
         self._held: Run | None = None
 
@@ -121,6 +125,7 @@
 
     def push(self, now: float, run: Run) -> None:
         """Let a run wait in its class."""
+        self.arrived += 1
         self._queue.push(now, run, run.priority)
 
     def pop(self, now: float) -> Run | None:
@@ -165,6 +170,17 @@
         since = self._queue.oldest_since()
         return now - since if since is not None else 0.0
 
-    def next_expiry(self) -> float:
-        """Return the earliest deadline of a waiting run; infinity if none waits."""
-        return min((run.expires_at for run in self.waiting()), default=math.inf)
+    def row(self, now: float) -> LaneRow:
+        """Return the state for status and metrics."""
+        return LaneRow(
+            self.upstream_id,
+            len(self),
+            self.in_flight,
+            self.limit.limit,
+            self.granted,
+            self.oldest_wait_s(now),
+            self.limit.latency_s,
+            self.limit.floor_s,
+            self.arrived,
+            self.started,
+        )
--- a/tests/coordination/gatherer_session.py
+++ b/tests/coordination/gatherer_session.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.gatherer import (
+from almondspool.coordination.gatherer import Gatherer
+from almondspool.coordination.gatherer_actions import (
     CancelRunning,
-    Gatherer,
     SendResult,
     StartExchange,
 )
--- /dev/null
+++ b/tests/coordination/test_backlog.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import math
+import random
+
+import testtools
+
+from almondspool.coordination import backlog
+from almondspool.coordination.backlog import (
+    BacklogCleared,
+    BacklogKey,
+    BacklogMonitor,
+    BacklogWarning,
+)
+from almondspool.transport.timers import VirtualTimers
+from tests.golden_session import verify_session
+
+KEY = BacklogKey("perth", "alert-desk-1")
+LIMIT = 2000
+INTERVAL_S = 10.0
+HOUR_S = 3600.0
+
+
+class _Night:
+    """A queue whose arrivals exceed what is served by a little."""
+
+    def __init__(self):
+        self.timers = VirtualTimers()
+        self.monitor = BacklogMonitor()
+        self.random = random.Random(4)
+        self.length = 0.0
+        self.events = []
+        self.full_at = math.inf
+
+    def run(self, duration_s, arrivals_per_s, served_per_s):
+        for _ in range(int(duration_s / INTERVAL_S)):
+            self.timers.advance(INTERVAL_S)
+            self._step(arrivals_per_s, served_per_s)
+
+    def _step(self, arrivals_per_s, served_per_s):
+        now = self.timers.now()
+        arrived = arrivals_per_s * INTERVAL_S * self.random.uniform(0.97, 1.03)
+        served = min(self.length + arrived, served_per_s * INTERVAL_S)
+        self.length = min(LIMIT, self.length + arrived - served)
+        if self.length >= LIMIT:
+            self.full_at = min(self.full_at, now)
+        self.monitor.arrived(now, KEY, arrived)
+        self.monitor.served(now, KEY, served)
+        age_s = self.length / served_per_s
+        for action in self.monitor.observe(now, KEY, int(self.length), LIMIT, age_s):
+            self.events.append((now, action))
+
+    def line(self):
+        [row] = self.monitor.rows(self.timers.now())
+        return (
+            f"{self.timers.now() / HOUR_S:5.2f} h  {row.length} of {row.limit} wait,"
+            f" oldest {row.oldest_age_s:.0f} s, {row.arrivals_per_s:.2f}/s in,"
+            f" {row.served_per_s:.2f}/s out,"
+            f" limit in {row.time_to_limit_s / HOUR_S:.1f} h,"
+            f" drains in {row.time_to_drain_s:.0f} s,"
+            f" {'warning' if row.warning else 'no warning'}"
+        )
+
+
+class BacklogTests(testtools.TestCase):
+    def test_story_of_a_night(self):
+        night, lines, told = _Night(), [], 0
+        plan = [(20.00, 20.0)] * 2 + [(20.06, 20.0)] * 9 + [(16.0, 20.0)] * 2
+        for arrivals_per_s, served_per_s in plan:
+            for _ in range(2):
+                night.run(HOUR_S / 2, arrivals_per_s, served_per_s)
+                for at, action in night.events[told:]:
+                    kind = type(action).__name__
+                    lines.append(f"{at / HOUR_S:5.2f} h  {kind} at {action.row.length}")
+                told = len(night.events)
+                lines.append(night.line())
+        verify_session("backlog_night", lines)
+
+    def lead_s(self):
+        night = _Night()
+        night.run(12 * HOUR_S, 20.06, 20.0)
+        self.assertLess(night.full_at, math.inf)
+        warned_at, action = night.events[0]
+        self.assertIsInstance(action, BacklogWarning)
+        return night.full_at - warned_at
+
+    def test_a_slow_growth_is_warned_of_hours_before_the_limit(self):
+        self.assertGreater(self.lead_s(), 5 * HOUR_S)
+
+    def test_without_the_prediction_the_warning_comes_late(self):
+        short = [scale._replace(horizon_s=0.0) for scale in backlog.TREND_SCALES]
+        self.patch(backlog, "TREND_SCALES", tuple(short))
+        self.assertLess(self.lead_s(), 3 * HOUR_S)
+
+    def test_a_fast_growth_is_warned_of_before_the_limit(self):
+        night = _Night()
+        night.run(600, 18.0, 20.0)
+        night.run(600, 30.0, 20.0)
+        self.assertLess(night.events[0][0], night.full_at - 60)
+
+    def test_a_steady_queue_raises_no_warning(self):
+        night = _Night()
+        night.run(300, 20.5, 20.0)
+        night.run(6 * HOUR_S, 19.99, 20.0)
+        self.assertEqual([], night.events)
+
+    def swinging(self):
+        night = _Night()
+        night.run(2000, 20.5, 20.0)
+        for _ in range(12):
+            night.run(600, 19.8, 20.0)
+            night.run(600, 20.2, 20.0)
+        return [type(action) for _, action in night.events]
+
+    def test_a_swinging_queue_is_warned_of_once(self):
+        self.assertLessEqual(len(self.swinging()), 2)
+
+    def test_without_hysteresis_a_swinging_queue_is_warned_of_often(self):
+        self.patch(backlog, "CLEAR_HORIZON_FACTOR", 0.0)
+        self.patch(backlog, "CLEAR_AFTER_S", 0.0)
+        self.patch(backlog, "CLEAR_SHARE", 1.0)
+        self.assertGreater(self.swinging().count(BacklogCleared), 3)
--- a/tests/coordination/test_gatherer.py
+++ b/tests/coordination/test_gatherer.py
@@ -5,7 +5,8 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination import gatherer, priority_queue
-from almondspool.coordination.gatherer import Gatherer, SendResult, StartExchange
+from almondspool.coordination.gatherer import Gatherer
+from almondspool.coordination.gatherer_actions import SendResult, StartExchange
 from almondspool.coordination.lane import Lane
 from almondspool.protocol.upstream import LegResult
 from almondspool.state.document import Priority
