--- a/almondspool/coordination/front.py
+++ b/almondspool/coordination/front.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
+
 from almondspool.codes import ResultCode, describe
+from almondspool.coordination.admission_task import AdmissionDecision, AdmissionRequest
+from almondspool.coordination.claims import ClaimState
 from almondspool.coordination.request_run import RequestRun, RunServices
-from almondspool.coordination.search import SearchContext, make_session
+from almondspool.coordination.search import make_session
 from almondspool.protocol.caller import (
     CallerInterface,
     EntryList,
@@ -17,10 +22,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from almondspool.coordination.admission_task import AdmissionTask
+    from almondspool.coordination.claims import ClaimDecision
+    from almondspool.coordination.claims_task import ClaimsTask
+    from almondspool.coordination.search_context import SearchContext
     from almondspool.state.document import Document, Priority, Section
 
 _MS_PER_S = 1000
 NO_CONFIGURATION_RETRY_MS = 500
+_NEVER_SENT_GROUPS = (1, 2)
+_ANSWER_DECODER = msgspec.msgpack.Decoder(SearchAnswer)
 
 
 class FrontServices(NamedTuple):
@@ -28,24 +39,41 @@
 
     Attributes:
         run: What each run uses.
-        context: What all sessions share.
+        context: Returns what all sessions share since the last re-join.
+        admission: Admits requests by priority.
+        claims: Returns the claims of the present incarnation.
         document: Returns the document in force.
         entries: Returns the addresses for a zone.
+        may_act: Whether the instance's lease and document allow it to serve.
         is_refusing: Whether new requests are refused because the instance leaves.
     """
 
     run: RunServices
-    context: SearchContext
+    context: Callable[[], SearchContext]
+    admission: AdmissionTask
+    claims: Callable[[], ClaimsTask]
     document: Callable[[], Document]
     entries: Callable[[str], EntryList]
+    may_act: Callable[[], bool]
     is_refusing: Callable[[], bool]
 
 
+class _Arrival(NamedTuple):
+    """A request that passed the first checks."""
+
+    request: SearchRequest
+    at: float
+    generation: int
+    section: Section
+    priority: Priority
+
+
 class Front(CallerInterface):
     """Checks, admits and runs requests; each runs on its caller's green thread."""
 
-    def __init__(self, services: FrontServices) -> None:
+    def __init__(self, instance: str, services: FrontServices) -> None:
         """Start without requests."""
+        self._instance = instance
         self._services = services
         self._in_flight_ids: set[str] = set()
 
@@ -68,7 +96,7 @@
         answer = self._answer(request, arrived)
         elapsed_ms = (timers.now() - arrived) * _MS_PER_S
         answer = answer._replace(
-            elapsed_ms=round(elapsed_ms, 3), instance=self._services.context.instance
+            elapsed_ms=round(elapsed_ms, 3), instance=self._instance
         )
         self._note(request, answer)
         return answer
@@ -79,57 +107,104 @@
         refusal = self._refuse_early(request, document, section)
         if refusal is not None:
             return refusal
+        priority = priority_of(section, request.caller)
+        arrival = _Arrival(request, arrived, document.generation, section, priority)
+        metrics = self._services.run.metrics
         self._in_flight_ids.add(request.request_id)
-        self._services.run.metrics.requests_in_flight.inc()
+        metrics.requests_in_flight.inc()
         try:
-            return self._run(request, document.generation, section, arrived)
+            answer = self._admit(arrival)
         finally:
             self._in_flight_ids.discard(request.request_id)
-            self._services.run.metrics.requests_in_flight.dec()
+            metrics.requests_in_flight.dec()
+        elapsed_s = self._services.run.timers.now() - arrived
+        metrics.request_seconds.labels(priority.name.lower()).observe(elapsed_s)
+        return answer
 
     def _refuse_early(
         self, request: SearchRequest, document: Document, section: Section | None
     ) -> SearchAnswer | None:
+        generation = document.generation
         if self._services.is_refusing():
-            return _refusal(request, document, ResultCode.NOT_RUN_LEAVING)
-        if document.generation == 0:
-            answer = _refusal(request, document, ResultCode.NOT_RUN_NO_CONFIGURATION)
+            return _refusal(request, generation, ResultCode.NOT_RUN_LEAVING)
+        if generation == 0 or not self._services.may_act():
+            answer = _refusal(request, generation, ResultCode.NOT_RUN_NO_CONFIGURATION)
             return answer._replace(retry_after_ms=NO_CONFIGURATION_RETRY_MS)
         if section is None:
             detail = f"no section of team {request.team!r} in the document"
-            return _refusal(request, document, ResultCode.SERVICE_UNKNOWN, detail)
+            return _refusal(request, generation, ResultCode.SERVICE_UNKNOWN, detail)
         if request.request_id in self._in_flight_ids:
-            return _refusal(request, document, ResultCode.REQUEST_DUPLICATE)
+            return _refusal(request, generation, ResultCode.REQUEST_DUPLICATE)
         return None
 
-    def _run(
-        self,
-        request: SearchRequest,
-        generation: int,
-        section: Section,
-        arrived: float,
+    def _admit(self, arrival: _Arrival) -> SearchAnswer:
+        request = arrival.request
+        deadline_ms = request.deadline_ms or arrival.section.deadline_ms
+        scope = "one" if request.shard or request.services else "all"
+        decision = self._services.admission.enter(
+            AdmissionRequest(
+                request.request_id,
+                arrival.priority,
+                deadline_ms / _MS_PER_S,
+                f"{request.team}/{scope}",
+            )
+        )
+        if not decision.admitted:
+            return _refused_admission(arrival, decision)
+        try:
+            if request.idempotent:
+                return self._run(arrival, math.inf)
+            return self._run_once(arrival)
+        finally:
+            self._services.admission.leave(decision)
+
+    def _run_once(self, arrival: _Arrival) -> SearchAnswer:
+        """Run a non-idempotent request under its claim, or tell what became of it."""
+        claims = self._services.claims()
+        claim = claims.claim(arrival.request)
+        if not claim.is_claimed:
+            return self._answer_unclaimed(arrival, claim)
+        state, answer = ClaimState.UNKNOWN, None
+        try:
+            answer = self._run(arrival, claim.send_before)
+            state = _closing_state(answer)
+        finally:
+            recorded = b"" if answer is None else msgspec.msgpack.encode(answer)
+            claims.record(arrival.request.request_id, state, recorded)
+        return answer
+
+    def _answer_unclaimed(
+        self, arrival: _Arrival, claim: ClaimDecision
     ) -> SearchAnswer:
-        priority = priority_of(section, request.caller)
+        if claim.answer:
+            return _ANSWER_DECODER.decode(claim.answer)
+        request = arrival.request
+        answer = _refusal(request, arrival.generation, claim.code, claim.detail)
+        if claim.code is ResultCode.NOT_RUN_PLATFORM_DOWN:
+            return answer._replace(retry_after_ms=NO_CONFIGURATION_RETRY_MS)
+        return answer
+
+    def _run(self, arrival: _Arrival, send_before: float) -> SearchAnswer:
+        request = arrival.request
+
+        def current_section() -> Section | None:
+            return self._services.document().sections_by_team.get(request.team)
+
+        timers = self._services.run.timers
         session = make_session(
-            self._services.context,
+            self._services.context(),
             request,
-            lambda: self._section(request.team),
-            generation,
-            arrived,
-            self._services.run.timers.wall_time(),
+            current_section,
+            arrival.generation,
+            arrival.at,
+            timers.wall_time() - (timers.now() - arrival.at),
+            send_before,
         )
         run = RequestRun(
-            self._services.run,
-            request,
-            session,
-            lambda: self._section(request.team),
-            priority,
+            self._services.run, request, session, current_section, arrival.priority
         )
         return run.run()
 
-    def _section(self, team: str) -> Section | None:
-        return self._services.document().sections_by_team.get(team)
-
     def _note(self, request: SearchRequest, answer: SearchAnswer) -> None:
         metrics = self._services.run.metrics
         metrics.requests.labels(answer.code.name).inc()
@@ -156,14 +231,26 @@
 
 
 def _refusal(
-    request: SearchRequest,
-    document: Document,
-    code: ResultCode,
-    detail: str = "",
+    request: SearchRequest, generation: int, code: ResultCode, detail: str = ""
 ) -> SearchAnswer:
     return SearchAnswer(
         request.request_id,
         code,
-        generation=document.generation,
+        generation=generation,
         message=detail or describe(code),
     )
+
+
+def _refused_admission(arrival: _Arrival, decision: AdmissionDecision) -> SearchAnswer:
+    answer = _refusal(
+        arrival.request, arrival.generation, decision.code, decision.detail
+    )
+    return answer._replace(retry_after_ms=decision.retry_after_ms)
+
+
+def _closing_state(answer: SearchAnswer) -> ClaimState:
+    if answer.code is ResultCode.OUTCOME_UNKNOWN:
+        return ClaimState.UNKNOWN
+    if int(answer.code) // 100 in _NEVER_SENT_GROUPS:
+        return ClaimState.UNSENT
+    return ClaimState.DONE
