Tell where bookings took effect and move port choice out of the launcher

Tests of at-most-once need the searchers' journals as one table. A leg that arrives with its deadline passed is no longer given a slot.

--- a/almondspool/standins/launcher.py
+++ b/almondspool/standins/launcher.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import pathlib
-import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -19,12 +17,12 @@
 
 from almondspool.standins.control_client import ControlClient
 from almondspool.standins.deployments import (
-    LOOPBACK,
     PLANS_BY_NAME,
     Deployment,
     build_deployment,
     count_searchers,
 )
+from almondspool.standins.ports import free_ports, loopback_address
 from almondspool.standins.processes import Child, answers_ok
 from almondspool.standins.searcher_settings import (
     SearcherProcessSettings,
@@ -32,10 +30,6 @@
     dump_process_settings,
 )
 
-# Below the range from which the kernel takes ports of outgoing connections.
-LOWEST_PORT = 12_000
-HIGHEST_PORT = 32_000
-PORT_ATTEMPTS = 100
 FIXED_PORTS = 2
 PORTS_PER_INSTANCE = 2
 GRACE_S = 60.0
@@ -86,15 +80,15 @@
         """
         searchers = count_searchers(PLANS_BY_NAME[deployment])
         count = FIXED_PORTS + searcher_processes + searchers
-        ports = _free_ports(count + PORTS_PER_INSTANCE * instances)
+        ports = free_ports(count + PORTS_PER_INSTANCE * instances)
         self._temporary = tempfile.TemporaryDirectory(prefix="almondspool-")
         self.directory = pathlib.Path(self._temporary.name)
         self._http = urllib3.PoolManager(maxsize=4)
         self._children_by_name: dict[str, Child] = {}
         self._searcher_controls_by_name: dict[str, str] = {}
         self._process_by_upstream_id: dict[str, str] = {}
-        self.platform_address = _loopback(ports.start)
-        self._platform_control = _loopback(ports.start + 1)
+        self.platform_address = loopback_address(ports.start)
+        self._platform_control = loopback_address(ports.start + 1)
         self.platform = ControlClient(self._platform_control, self._http)
         first_control = ports.start + FIXED_PORTS
         first_searcher = first_control + searcher_processes
@@ -205,6 +199,23 @@
         addresses = self._searcher_controls_by_name.values()
         return [ControlClient(address, self._http) for address in addresses]
 
+    def connections_by_upstream_id(self) -> dict[str, dict[str, int]]:
+        """Return open, peak, violations and accepted of each searcher."""
+        counts_by_id: dict[str, dict[str, int]] = {}
+        for control in self.searcher_controls():
+            counts_by_id.update(control.journal()["connections"])
+        return counts_by_id
+
+    def bookings_by_request_id(self) -> dict[str, list[str]]:
+        """Return the upstreams where each non-idempotent request took effect."""
+        upstream_ids: dict[str, list[str]] = {}
+        for control in self.searcher_controls():
+            for entry in control.journal()["entries"]:
+                if entry.get("idempotent") is False:
+                    ran_at = upstream_ids.setdefault(entry["request_id"], [])
+                    ran_at.append(entry["upstream_id"])
+        return upstream_ids
+
     def kill_searcher(self, upstream_id: str) -> None:
         """Close one searcher's listener and connections."""
         self.searcher_control(upstream_id).change_searcher(upstream_id, down=True)
@@ -276,7 +287,7 @@
         searchers = list(self.deployment.searchers_by_id.values())
         for number in range(processes):
             name = f"searchers-{number + 1}"
-            control = _loopback(first_control + number)
+            control = loopback_address(first_control + number)
             self._searcher_controls_by_name[name] = control
             self._plan_searcher_process(name, control, searchers[number::processes])
 
@@ -309,10 +320,6 @@
             self._add_child(name, "almondspool.daemon", f"--settings={path}")
 
 
-def _loopback(port: int) -> str:
-    return f"{LOOPBACK}:{port}"
-
-
 def _plan_instances(
     deployment: Deployment, count: int, first_port: int
 ) -> dict[str, Instance]:
@@ -322,33 +329,11 @@
         name = f"{zone}-{number // len(deployment.zones) + 1}"
         port = first_port + PORTS_PER_INSTANCE * number
         instances_by_name[name] = Instance(
-            name, zone, _loopback(port), _loopback(port + 1)
+            name, zone, loopback_address(port), loopback_address(port + 1)
         )
     return instances_by_name
 
 
-def _free_ports(count: int) -> range:
-    chooser = random.SystemRandom()
-    for _ in range(PORT_ATTEMPTS):
-        start = chooser.randrange(LOWEST_PORT, HIGHEST_PORT - count)
-        ports = range(start, start + count)
-        if all(_is_free(port) for port in ports):
-            return ports
-    raise OSError(f"no {count} consecutive free ports on {LOOPBACK}")
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            if kind == socket.SOCK_STREAM:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                return False
-    return True
-
-
 def main(argv: list[str]) -> None:
     """Run a deployment until interrupted."""
     del argv
--- a/almondspool/standins/leg_runs.py
+++ b/almondspool/standins/leg_runs.py
@@ -217,6 +217,8 @@
             self._runs_by_leg_id.pop(leg.leg_id, None)
 
     def _refuse(self, leg: WireLeg) -> str:
+        if leg.deadline_ms <= 0:
+            return DEADLINE
         if self.draining:
             return DRAINING
         if leg.snapshot not in self.snapshots:
--- /dev/null
+++ b/almondspool/standins/ports.py
@@ -0,0 +1,45 @@
+"""Finds free loopback ports."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+from almondspool.standins.deployments import LOOPBACK
+
+# Below the range from which the kernel takes ports of outgoing connections.
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
+PORT_ATTEMPTS = 100
+
+
+def loopback_address(port: int) -> str:
+    """Return the ``ip:port`` of a loopback port."""
+    return f"{LOOPBACK}:{port}"
+
+
+def free_ports(count: int) -> range:
+    """Return consecutive ports that are free for TCP and UDP.
+
+    Raises:
+        OSError: When none were found.
+    """
+    chooser = random.SystemRandom()
+    for _ in range(PORT_ATTEMPTS):
+        start = chooser.randrange(LOWEST_PORT, HIGHEST_PORT - count)
+        ports = range(start, start + count)
+        if all(_is_free(port) for port in ports):
+            return ports
+    raise OSError(f"no {count} consecutive free ports on {LOOPBACK}")
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            if kind == socket.SOCK_STREAM:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
--- a/tests/standins/test_searcher.py
+++ b/tests/standins/test_searcher.py
@@ -82,18 +82,26 @@
         (entry,) = self.entries()
         self.assertEqual("request-b", entry["request_id"])
         self.assertEqual((False, True), (entry["idempotent"], entry["finished"]))
+        bookings = self.cluster.bookings_by_request_id()
+        self.assertEqual({"request-b": [SEARCHER]}, bookings)
 
     def test_refusals_run_nothing(self):
         unknown = make_leg("u", f"{SERVICE}/99")
         gone = make_leg("g", SHARD, snapshot=99)
-        results = run_legs(self.connection, unknown, gone)
+        expired = make_leg("e", SHARD, deadline_ms=0)
+        results = run_legs(self.connection, unknown, gone, expired)
         self.control.change_searcher(SEARCHER, draining=True)
         self.addCleanup(self.control.change_searcher, SEARCHER, draining=False)
         results += run_legs(self.connection, make_leg("d", SHARD))
         self.assertEqual(503, call(self.connection, "GET", "/v1/health")[0])
         status_by_leg_id = {item["leg_id"]: item["status"] for item in results}
         self.assertEqual(
-            {"u": "shard_unknown", "g": "snapshot_gone", "d": "draining"},
+            {
+                "u": "shard_unknown",
+                "g": "snapshot_gone",
+                "e": "deadline",
+                "d": "draining",
+            },
             status_by_leg_id,
         )
         self.assertEqual({False}, {item["was_run"] for item in results})
@@ -140,7 +148,7 @@
 
 class ConnectionTests(SearcherCase):
     def counts(self) -> dict[str, int]:
-        return self.control.journal()["connections"][SEARCHER]
+        return self.cluster.connections_by_upstream_id()[SEARCHER]
 
     def test_limit_counts_real_connections(self):
         limit = self.cluster.deployment.searchers_by_id[SEARCHER].connections
