Add the command-line tool

Cause: operators check, compare, apply and drain without knowing which instance holds what, and scripts need exit codes and JSON. Conclusion: ten subcommands on one client that asks the next instance when one is gone, except for a non-idempotent request.

--- /dev/null
+++ b/almondspool/cli/main.py
@@ -0,0 +1,215 @@
+"""Entry point of the command-line tool: parses flags, runs one subcommand, prints."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+import uuid
+from typing import TYPE_CHECKING, TextIO
+
+from absl import flags
+
+from almondspool.cli import document_commands, drain_commands, request_commands
+from almondspool.cli.client import InstanceClient
+from almondspool.cli.options import make_flags, read_options
+from almondspool.cli.results import Command, CommandContext, CommandResult
+from almondspool.codes import ResultCode, exit_code
+from almondspool.errors import AlmondspoolError, DocumentError, UsageError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MANY = 1000
+ANSWER_GROUP = 3
+
+COMMANDS: tuple[Command, ...] = (
+    Command(
+        "check",
+        "FILE...",
+        "Check section files, offline.",
+        1,
+        MANY,
+        False,
+        document_commands.check,
+    ),
+    Command(
+        "diff",
+        "FILE...",
+        "Show what applying section files would change.",
+        1,
+        MANY,
+        True,
+        document_commands.diff,
+    ),
+    Command(
+        "apply",
+        "FILE...",
+        "Offer section files for acceptance.",
+        1,
+        MANY,
+        True,
+        document_commands.apply,
+    ),
+    Command(
+        "show",
+        "[TEAM]",
+        "Show the document in force, or the text of one section.",
+        0,
+        1,
+        True,
+        document_commands.show,
+    ),
+    Command(
+        "status",
+        "",
+        "Show instances, backlog and platform calls.",
+        0,
+        0,
+        True,
+        request_commands.status,
+    ),
+    Command(
+        "entries",
+        "",
+        "Show which addresses callers should use.",
+        0,
+        0,
+        True,
+        request_commands.entries,
+    ),
+    Command(
+        "search",
+        "TEAM",
+        "Run one request and show its answer.",
+        1,
+        1,
+        True,
+        request_commands.search,
+    ),
+    Command(
+        "explain",
+        "TEAM SHARD",
+        "Show which upstream would run a shard, and why.",
+        2,
+        2,
+        True,
+        request_commands.explain,
+    ),
+    Command(
+        "drain",
+        "UPSTREAM...",
+        "Give upstreams no new work.",
+        1,
+        MANY,
+        True,
+        drain_commands.drain,
+    ),
+    Command(
+        "undrain",
+        "UPSTREAM...",
+        "Give upstreams work again.",
+        1,
+        MANY,
+        True,
+        drain_commands.undrain,
+    ),
+)
+COMMANDS_BY_NAME = {command.name: command for command in COMMANDS}
+
+EXAMPLES = """\
+examples:
+  almondspool check sections/*.yaml
+  almondspool --instance=10.0.0.1:7100 show alert-desk > alert-desk.yaml
+  almondspool --instance=10.0.0.1:7100,10.0.0.2:7100 apply alert-desk.yaml --wait
+  almondspool search alert-desk --query=suburb=Bayswater --caller=flood-desk
+  almondspool drain alert-desk-01-a --wait
+  almondspool status --json
+"""
+
+
+def format_help() -> str:
+    """Return the help: subcommands, flags and examples."""
+    lines = ["usage: almondspool [flags] COMMAND [arguments]", "", "commands:"]
+    for command in COMMANDS:
+        call = f"{command.name} {command.usage}".strip()
+        lines.append(f"  {call:<20} {command.summary}")
+    lines += ["", "flags:"]
+    defined = make_flags()
+    for name in sorted(defined):
+        flag = defined[name]
+        shown = f"--{name}" if flag.boolean else f"--{name}=VALUE"
+        help_text = flag.help.partition(";\n")[0]
+        lines.append(f"  {shown:<21} {help_text}")
+    lines += [
+        "",
+        "exit code: 0, or the group digit times 10 plus the last digit of the",
+    ]
+    lines += ["numbered result code, for example 42 for 402 DOCUMENT_CONFLICT", "", ""]
+    return "\n".join(lines) + EXAMPLES
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the tool and return the exit code.
+
+    Args:
+        argv: The program's name and its arguments.
+    """
+    as_json = "--json" in argv
+    try:
+        result = _run_command(argv)
+    except AlmondspoolError as error:
+        result = _describe_error(error)
+    if as_json:
+        print(json.dumps(result.data))
+    elif result.lines:
+        print("\n".join(result.lines), file=_choose_stream(result.code))
+    return exit_code(result.code)
+
+
+def _choose_stream(code: ResultCode) -> TextIO:
+    """Return where to print: an answer is output, also a partial one."""
+    is_answer = code is ResultCode.OK or code // 100 == ANSWER_GROUP
+    return sys.stdout if is_answer else sys.stderr
+
+
+def _run_command(argv: Sequence[str]) -> CommandResult:
+    values = make_flags()
+    try:
+        name, *arguments = values(list(argv))[1:] or [""]
+    except flags.Error as error:
+        raise UsageError(f"{error}; see almondspool --help") from error
+    if values.help or name == "help":
+        text = format_help()
+        return CommandResult(ResultCode.OK, text.splitlines(), {"help": text})
+    command = COMMANDS_BY_NAME.get(name)
+    if command is None:
+        names = ", ".join(COMMANDS_BY_NAME)
+        raise UsageError(f"no command {name!r}; commands are {names}")
+    if not command.minimum <= len(arguments) <= command.maximum:
+        raise UsageError(f"usage: almondspool {command.name} {command.usage}")
+    options = read_options(values)
+    if command.needs_instance and not options.instances:
+        raise UsageError("name an instance: --instance=ip:port")
+    client = InstanceClient(options.instances, options.timeout_s)
+    context = CommandContext(
+        options, tuple(arguments), client, time.sleep, lambda: uuid.uuid4().hex
+    )
+    return command.function(context)
+
+
+def _describe_error(error: AlmondspoolError) -> CommandResult:
+    problems = error.problems if isinstance(error, DocumentError) else ()
+    data = {
+        "code": int(error.code),
+        "name": error.code.name,
+        "message": str(error),
+        "problems": [problem._asdict() for problem in problems],
+    }
+    lines = [f"error {int(error.code)} {error.code.name}:", *str(error).splitlines()]
+    return CommandResult(error.code, lines, data)
+
+
+def run() -> None:
+    """Entry point of the almondspool command."""
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/almondspool/cli/request_commands.py
@@ -0,0 +1,143 @@
+"""The subcommands status, entries, search and explain."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from almondspool.cli.results import CommandContext, CommandResult
+from almondspool.cli.tables import format_table
+from almondspool.codes import ResultCode
+from almondspool.errors import InstanceError, UsageError
+from almondspool.protocol.operator import (
+    BacklogRow,
+    CandidateRow,
+    MemberRow,
+    StatusAnswer,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_SHOWN_RECORDS = 20
+MAX_SHOWN_SHARDS = 10
+_MEMBER_COLUMNS = tuple(MemberRow.__annotations__)
+_BACKLOG_COLUMNS = tuple(BacklogRow.__annotations__)
+_CANDIDATE_COLUMNS = tuple(CandidateRow.__annotations__)
+
+
+def status(context: CommandContext) -> CommandResult:
+    """Show the instances, the backlog and the platform calls as one instance sees."""
+    answer = context.client.status()
+    lines = [_headline(answer), "", *format_table(_MEMBER_COLUMNS, answer["members"])]
+    if answer["backlog"]:
+        lines += ["", *format_table(_BACKLOG_COLUMNS, answer["backlog"])]
+    for title, counts in (
+        ("platform calls", answer["platform_calls"]),
+        ("refused configuration", answer["refusals"]),
+    ):
+        if counts:
+            lines += ["", f"{title}: {_format_counts(counts)}"]
+    return CommandResult(ResultCode.OK, lines, answer)
+
+
+def _headline(answer: StatusAnswer) -> str:
+    state = "ready" if answer["is_ready"] else "not ready"
+    if answer["is_leaving"]:
+        state = "leaving"
+    return (
+        f"instance {answer['instance']} in {answer['zone']}: {state},"
+        f" generation {answer['generation']}"
+    )
+
+
+def _format_counts(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{key} {count}" for key, count in sorted(counts.items()))
+
+
+def entries(context: CommandContext) -> CommandResult:
+    """Show which addresses callers should use, and for how long."""
+    answer = context.client.entries(context.options.zone)
+    rows = answer["entries"]
+    lines = [f"use for {answer['ttl_ms']} ms"]
+    lines += format_table(("address", "zone", "instance"), rows)
+    return CommandResult(ResultCode.OK, lines, answer)
+
+
+def search(context: CommandContext) -> CommandResult:
+    """Run one request and show the answer with its coverage."""
+    answer = context.client.search(_build_request(context))
+    code = _read_code(answer)
+    if "coverage" not in answer:
+        raise InstanceError(str(answer.get("message", "")), code)
+    return CommandResult(code, _describe_answer(code, answer), answer)
+
+
+def _build_request(context: CommandContext) -> dict[str, Any]:
+    options = context.options
+    issued_at_ms = options.issued_at_ms
+    if not options.idempotent and not issued_at_ms:
+        issued_at_ms = round(time.time() * 1000)
+    return {
+        "request_id": options.request_id or context.new_token(),
+        "team": context.arguments[0],
+        "caller": options.caller,
+        "query": dict(_split_term(term) for term in options.query),
+        "services": list(options.services),
+        "shard": options.shard,
+        "deadline_ms": options.deadline_ms,
+        "idempotent": options.idempotent,
+        "issued_at_ms": issued_at_ms,
+    }
+
+
+def _split_term(term: str) -> tuple[str, str]:
+    field, separator, value = term.partition("=")
+    if not separator or not field:
+        raise UsageError(f"--query={term}: allowed is field=value")
+    return field, value
+
+
+def _read_code(answer: Mapping[str, Any]) -> ResultCode:
+    try:
+        return ResultCode(answer["code"])
+    except (KeyError, ValueError) as error:
+        raise InstanceError(f"the answer has no known code: {error}") from error
+
+
+def _describe_answer(code: ResultCode, answer: Mapping[str, Any]) -> list[str]:
+    coverage = answer["coverage"]
+    records = answer["records"]
+    lines = [
+        f"{int(code)} {code.name}: {coverage['answered']} of {coverage['total']} shards"
+        f" of snapshot {answer['snapshot']} answered, {len(records)} records,"
+        f" {answer['elapsed_ms']:.1f} ms, by {answer['instance']}",
+    ]
+    if answer["message"]:
+        lines.append(answer["message"])
+    if answer["retry_after_ms"]:
+        lines.append(f"come back in {answer['retry_after_ms']} ms")
+    for missing in coverage["missing"][:MAX_SHOWN_SHARDS]:
+        reason = ResultCode(missing["code"]).name
+        lines.append(f"missing {missing['shard']}: {missing['outcome']}, {reason}")
+    lines += _more(coverage["missing"], MAX_SHOWN_SHARDS, "missing shards")
+    for record in records[:MAX_SHOWN_RECORDS]:
+        fields = [f"{key}={value}" for key, value in sorted(record["fields"].items())]
+        lines.append(f"{record['record_id']}: {' '.join(fields)}")
+    return lines + _more(records, MAX_SHOWN_RECORDS, "records; see --json")
+
+
+def _more(items: list[object], shown: int, what: str) -> list[str]:
+    return [f"and {len(items) - shown} more {what}"] if len(items) > shown else []
+
+
+def explain(context: CommandContext) -> CommandResult:
+    """Show which upstream would run a shard now, and why."""
+    team, shard = context.arguments
+    answer = context.client.explain(team, shard)
+    chosen = answer["upstream"] or "no upstream"
+    lines = [
+        f"{team} {shard}, snapshot {answer['snapshot']}: {chosen}, {answer['reason']}",
+        *format_table(_CANDIDATE_COLUMNS, answer["candidates"]),
+    ]
+    return CommandResult(ResultCode.OK, lines, answer)
--- /dev/null
+++ b/almondspool/cli/section_files.py
@@ -0,0 +1,81 @@
+"""Section files: reading them, and the base line that ``show`` puts first."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.errors import DocumentError
+from almondspool.protocol.document import parse_section
+
+if TYPE_CHECKING:
+    from almondspool.state.document import Section
+
+BASE_PREFIX = "# base: "
+
+
+class SectionFile(NamedTuple):
+    """A valid section file.
+
+    Attributes:
+        path: Where it was read.
+        text: Its text without the base line.
+        base: Digest that the base line names; None without one.
+        section: The parsed section.
+    """
+
+    path: str
+    text: str
+    base: str | None
+    section: Section
+
+
+def read_section_file(path: str) -> SectionFile:
+    """Read and check a section file.
+
+    Raises:
+        DocumentError: When it cannot be read, or with every problem found.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise DocumentError(f"{path}: cannot read it: {error}") from error
+    # The whole text is parsed, so that the lines in messages are the file's.
+    section = parse_section(text, path)
+    base, text = split_base(text)
+    return SectionFile(path, text, base, section)
+
+
+def read_section_files(paths: tuple[str, ...]) -> list[SectionFile]:
+    """Read and check section files.
+
+    Raises:
+        DocumentError: With the problems of all files.
+    """
+    files = []
+    errors = []
+    for path in paths:
+        try:
+            files.append(read_section_file(path))
+        except DocumentError as error:
+            errors.append(error)
+    if errors:
+        codes = {error.code for error in errors}
+        code = codes.pop() if len(codes) == 1 else ResultCode.DOCUMENT_INVALID
+        problems = tuple(each for error in errors for each in error.problems)
+        raise DocumentError("\n".join(map(str, errors)), code, problems)
+    return files
+
+
+def split_base(text: str) -> tuple[str | None, str]:
+    """Return the digest of the base line, or None, and the text without the line."""
+    first, separator, rest = text.partition("\n")
+    if not first.startswith(BASE_PREFIX):
+        return None, text
+    return first.removeprefix(BASE_PREFIX).strip(), rest
+
+
+def join_base(base: str, text: str) -> str:
+    """Return a section's text under a base line."""
+    return f"{BASE_PREFIX}{base}\n{text}"
--- /dev/null
+++ b/almondspool/cli/waiting.py
@@ -0,0 +1,67 @@
+"""Waits until a generation is in force on every live instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondspool.cli.results import CommandContext, CommandResult
+from almondspool.codes import ResultCode
+
+if TYPE_CHECKING:
+    from almondspool.protocol.operator import MemberRow, StatusAnswer
+
+POLL_S = 0.1
+LIVE_STATUSES = ("alive", "suspect", "leaving")
+
+
+def wait_until_in_force(
+    context: CommandContext, result: CommandResult, generation: int
+) -> CommandResult:
+    """Wait and add the instances that run a generation to a result.
+
+    Args:
+        context: Gives the timeout.
+        result: The result of the write.
+        generation: The generation to wait for.
+    """
+    waited_s = 0.0
+    while True:
+        live = live_members(context.client.status())
+        behind = [row for row in live if row["generation"] < generation]
+        if not behind or waited_s >= context.options.timeout_s:
+            break
+        context.sleep(POLL_S)
+        waited_s += POLL_S
+    return _report(result, generation, live, behind)
+
+
+def live_members(status: StatusAnswer) -> list[MemberRow]:
+    """Return the instances that are not known to be dead."""
+    return [row for row in status["members"] if row["status"] in LIVE_STATUSES]
+
+
+def _report(
+    result: CommandResult,
+    generation: int,
+    live: list[MemberRow],
+    behind: list[MemberRow],
+) -> CommandResult:
+    names = [row["instance"] for row in live if row not in behind]
+    lines = [
+        *result.lines,
+        f"generation {generation} is in force on {len(names)} of {len(live)} live"
+        f" instances: {', '.join(names)}",
+    ]
+    for row in behind:
+        lines.append(
+            f"not yet on {row['instance']} ({row['status']}), which runs generation"
+            f" {row['generation']}"
+        )
+    code = ResultCode.DOCUMENT_NOT_IN_FORCE if behind else ResultCode.OK
+    data = {
+        **result.data,
+        "code": int(code),
+        "in_force": names,
+        "behind": [row["instance"] for row in behind],
+    }
+    return CommandResult(code, lines, data)
--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -339,11 +339,9 @@
 
     def _answer_conflict(self, entry: SectionEntry | None) -> Acceptance:
         offer = self._offer
-        base = (
-            f"version {offer.base_digest[:16]}" if offer.base_digest else "no version"
-        )
+        base = f"digest {offer.base_digest[:16]}" if offer.base_digest else "none"
         digest, version = entry or SectionEntry("", 0)
-        current = f"version {version} ({digest[:16]})" if entry else "no version"
+        current = f"version {version}, digest {digest[:16]}" if entry else "none"
         return self._answer(
             ResultCode.DOCUMENT_CONFLICT,
             f"section {offer.team} was edited from {base}; accepted is {current}",
--- a/almondspool/errors.py
+++ b/almondspool/errors.py
@@ -90,3 +90,15 @@
     """An exchange with an upstream failed as a whole."""
 
     code = ResultCode.LEG_FAILED
+
+
+class UsageError(AlmondspoolError):
+    """The command line is wrong."""
+
+    code = ResultCode.USAGE
+
+
+class InstanceError(AlmondspoolError):
+    """No instance answered the command-line tool, or one answered with an error."""
+
+    code = ResultCode.INSTANCE_UNREACHABLE
--- /dev/null
+++ b/tests/cli/loopback.py
@@ -0,0 +1,111 @@
+"""Connects the command-line tool's client to instances of a virtual session."""
+
+from __future__ import annotations
+
+import io
+import types
+import urllib.parse
+from typing import TYPE_CHECKING
+
+from almondspool.coordination.document_answers import (
+    apply_section,
+    describe_document,
+    describe_section,
+)
+from almondspool.errors import RequestError
+from almondspool.protocol.operator import OperatorInterface, OperatorRoutes
+from almondspool.transport.http_server import HttpResponse, HttpServer
+
+if TYPE_CHECKING:
+    from tests.configuration_session import ConfigurationSession
+
+
+class SessionOperator(OperatorInterface):
+    """Answers operators from one instance of a session."""
+
+    def __init__(self, instance):
+        self._instance = instance
+        self._session = instance.session
+
+    def document(self):
+        return describe_document(self._instance.configuration)
+
+    def section(self, team):
+        return describe_section(self._instance.configuration, team)
+
+    def apply(self, team, text, base, token):
+        return apply_section(self._instance.acceptor, team, text, base, token)
+
+    def status(self):
+        rows = [
+            {
+                "instance": each.name,
+                "zone": "perth-north",
+                "status": "alive",
+                "generation": each.configuration.document.generation,
+                "caller_address": f"{each.name}:7100",
+            }
+            for each in self._session.instances
+        ]
+        return {
+            "instance": self._instance.name,
+            "zone": "perth-north",
+            "generation": self._instance.configuration.document.generation,
+            "is_ready": True,
+            "is_leaving": False,
+            "members": rows,
+            "backlog": [],
+            "platform_calls": dict(self._session.platform.calls),
+            "refusals": dict(self._instance.configuration.refusals.counts),
+        }
+
+    def explain(self, team, shard):
+        if shard == "none":
+            raise RequestError("no shard 'none'")
+        row = {"upstream": "a", "zone": "z", "score_ms": 1.25, "state": "serving"}
+        return {
+            "team": team,
+            "shard": shard,
+            "snapshot": 1,
+            "upstream": "a",
+            "reason": "lowest score",
+            "candidates": [row],
+        }
+
+
+class LoopbackPool:
+    """Stands for the client's connection pool; no socket is opened."""
+
+    def __init__(self, session: ConfigurationSession, search_answer=b"{}"):
+        self.unreachable = set()
+        self.search_requests = []
+        self._servers_by_name = {}
+        self._search_answer = search_answer
+        for instance in session.instances:
+            server = HttpServer(1_000_000)
+            OperatorRoutes(SessionOperator(instance)).add_to(server)
+            server.add_route("POST", "/v1/search", self._search)
+            server.add_route("GET", "/v1/entries", self._entries)
+            self._servers_by_name[instance.name] = server
+
+    def request(self, method, url, body=None, timeout=None):
+        parts = urllib.parse.urlsplit(url)
+        if parts.hostname in self.unreachable:
+            raise OSError("connection refused")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": urllib.parse.unquote(parts.path),
+            "QUERY_STRING": parts.query,
+            "wsgi.input": io.BytesIO(body or b""),
+        }
+        response = self._servers_by_name[parts.hostname]._respond(environ)
+        return types.SimpleNamespace(data=response.body, status=response.status)
+
+    def _search(self, request):
+        self.search_requests.append(request.body)
+        return HttpResponse(200, self._search_answer)
+
+    def _entries(self, request):
+        body = b'{"ttl_ms": 5000, "entries": [{"instance": "perth-1",'
+        body += b' "address": "127.0.0.1:7100", "zone": "perth-north"}]}'
+        return HttpResponse(200, body)
