--- /dev/null
+++ b/almondspool/coordination/instance_operator.py
@@ -0,0 +1,162 @@
+"""Answers operators' questions from the tasks of one instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.document_answers import (
+    apply_section,
+    describe_document,
+    describe_section,
+)
+from almondspool.errors import RequestError
+from almondspool.protocol.operator import (
+    ApplyAnswer,
+    BacklogRow,
+    CandidateRow,
+    DocumentAnswer,
+    ExplainAnswer,
+    MemberRow,
+    OperatorInterface,
+    SectionAnswer,
+    StatusAnswer,
+)
+from almondspool.state.members import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from almondspool.coordination.configuration_task import ConfigurationTask
+    from almondspool.coordination.replicas import ReplicaChooser
+    from almondspool.state.document import Section, Shard
+    from almondspool.state.members import Member, View
+    from almondspool.transport.timers import TimerService
+
+_MS_PER_S = 1000
+
+
+class OperatorServices(NamedTuple):
+    """What the operator interface reads.
+
+    Attributes:
+        timers: The time.
+        configuration: Returns the configuration task.
+        view: Returns the membership.
+        chooser: Returns the replica chooser.
+        backlog: Returns the queues by service.
+        platform_calls: Returns calls to the platform by method.
+        is_ready: Whether the instance serves.
+        is_leaving: Whether it is stopping.
+    """
+
+    timers: TimerService
+    configuration: Callable[[], ConfigurationTask]
+    view: Callable[[], View]
+    chooser: Callable[[], ReplicaChooser]
+    backlog: Callable[[], list[BacklogRow]]
+    platform_calls: Callable[[], Mapping[str, int]]
+    is_ready: Callable[[], bool]
+    is_leaving: Callable[[], bool]
+
+
+class InstanceOperator(OperatorInterface):
+    """The operator interface of one instance."""
+
+    def __init__(self, instance: str, zone: str, services: OperatorServices) -> None:
+        """Answer for an instance in an availability zone."""
+        self._instance = instance
+        self._zone = zone
+        self._services = services
+
+    def document(self) -> DocumentAnswer:
+        """Return the document in force."""
+        return describe_document(self._services.configuration().configuration)
+
+    def section(self, team: str) -> SectionAnswer:
+        """Return one section in force."""
+        return describe_section(self._services.configuration().configuration, team)
+
+    def apply(self, team: str, text: bytes, base: str, token: str) -> ApplyAnswer:
+        """Accept a section edited from a base digest, or say why not."""
+        return apply_section(self._services.configuration(), team, text, base, token)
+
+    def status(self) -> StatusAnswer:
+        """Return this instance's view of the system."""
+        services = self._services
+        task = services.configuration()
+        members = services.view().members_by_instance
+        return StatusAnswer(
+            instance=self._instance,
+            zone=self._zone,
+            generation=task.document.generation,
+            is_ready=services.is_ready(),
+            is_leaving=services.is_leaving(),
+            members=[_member_row(member) for _, member in sorted(members.items())],
+            backlog=services.backlog(),
+            platform_calls=dict(services.platform_calls()),
+            refusals=dict(task.configuration.refusals.counts),
+        )
+
+    def explain(self, team: str, shard: str) -> ExplainAnswer:
+        """Return which upstream would run a shard now, and why."""
+        section = self._find_section(team)
+        snapshot = section.newest_snapshot()
+        found = snapshot.shards_by_id.get(shard)
+        if found is None:
+            raise RequestError(
+                f"shard {shard!r} is not in snapshot {snapshot.snapshot_id}"
+                f" of team {team!r}",
+                ResultCode.SHARD_UNKNOWN,
+            )
+        now = self._services.timers.now()
+        choice = self._services.chooser().choose(now, section, found.replicas)
+        scores_by_id = {
+            candidate.upstream_id: candidate.score_s for candidate in choice.candidates
+        }
+        return ExplainAnswer(
+            team=team,
+            shard=shard,
+            snapshot=snapshot.snapshot_id,
+            upstream=choice.upstream_id,
+            reason=choice.reason,
+            candidates=_candidate_rows(section, found, scores_by_id),
+        )
+
+    def _find_section(self, team: str) -> Section:
+        sections_by_team = self._services.configuration().document.sections_by_team
+        if team not in sections_by_team:
+            raise RequestError(
+                f"no section of team {team!r} in the document",
+                ResultCode.SERVICE_UNKNOWN,
+            )
+        return sections_by_team[team]
+
+
+def _member_row(member: Member) -> MemberRow:
+    return MemberRow(
+        instance=member.instance,
+        zone=member.zone,
+        status=MemberStatus(member.status).name.lower(),
+        generation=member.generation,
+        caller_address=member.caller_address,
+    )
+
+
+def _candidate_rows(
+    section: Section, shard: Shard, scores_by_id: Mapping[str, float]
+) -> list[CandidateRow]:
+    rows = []
+    for upstream_id in shard.replicas:
+        is_weighed = upstream_id in scores_by_id
+        is_drained = upstream_id in section.drained
+        not_weighed = "drained" if is_drained else "avoided"
+        rows.append(
+            CandidateRow(
+                upstream=upstream_id,
+                zone=section.upstreams_by_id[upstream_id].zone,
+                score_ms=scores_by_id.get(upstream_id, 0.0) * _MS_PER_S,
+                state="serving" if is_weighed else not_weighed,
+            )
+        )
+    return rows
