Forget single stragglers, pause lost replicas, keep hedges for real ones

Cause: a trial on a scratch simulation (one instance, 10 services of three replicas in three zones, 8 ms round trip, 6 ms legs, 1% of them ten times slow) showed three faults. The latency peak faded over 10 s, so that with random stragglers it said nothing; the hedge delay came from buckets up to 41% too wide; and where first asks emptied the budget, real stragglers got no hedge.

Now the peak falls back within a quarter second to the usual latency, which fades over 30 s; buckets are half as wide; the quantile is 0.97; a leg that was refused a hedge may use a larger part of the budget; an upstream that refuses, cuts off or has no holder gets no new work for 1 s, doubling to 16 s, if another replica works.

Ruled out: weighing all three replicas in place of two (within noise here), and a smaller zone cost (worse).

--- a/almondspool/coordination/budget.py
+++ b/almondspool/coordination/budget.py
@@ -8,6 +8,7 @@
 WINDOW_S = 10
 MINIMUM_EXTRA_LEGS = 10
 HEDGE_PART = 0.7
+OVERDUE_HEDGE_PART = 0.85
 
 
 class BudgetCounts(NamedTuple):
@@ -37,8 +38,10 @@
     """Caps hedges and retries over a sliding window of WINDOW_S seconds.
 
     In each window, extra legs stay within the share of the first legs plus
-    MINIMUM_EXTRA_LEGS, which let an instance with little traffic hedge. Hedges may
-    use HEDGE_PART of it only; the rest is kept for retries, which save coverage.
+    MINIMUM_EXTRA_LEGS, which let an instance with little traffic hedge. A leg that
+    has only just become slow may use HEDGE_PART of it, one that was refused a hedge
+    before OVERDUE_HEDGE_PART: it is more likely to be a straggler. The rest is kept
+    for retries, which save coverage.
     """
 
     def __init__(self, share: float) -> None:
@@ -61,9 +64,14 @@
         """Return whether one retry may be sent, and count it if so."""
         return self._take(now, 1.0)
 
-    def take_hedge(self, now: float) -> bool:
-        """Return whether one hedge may be sent, and count it if so."""
-        return self._take(now, HEDGE_PART)
+    def take_hedge(self, now: float, is_overdue: bool = False) -> bool:
+        """Return whether one hedge may be sent, and count it if so.
+
+        Args:
+            now: Monotonic seconds.
+            is_overdue: Whether the leg was refused a hedge before.
+        """
+        return self._take(now, OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART)
 
     def _take(self, now: float, part: float) -> bool:
         first, extra = self._sums(now)
--- a/almondspool/coordination/latency.py
+++ b/almondspool/coordination/latency.py
@@ -1,7 +1,7 @@
 """Latencies of one upstream: a decayed peak and a small decaying histogram.
 
 An HDR histogram with two digits takes about 20 kB for each upstream, 40 MB for
-2,000 of them; the buckets here take LATENCY_BYTES.
+2,000 of them; the buckets here take under 400 bytes.
 """
 
 from __future__ import annotations
@@ -10,17 +10,18 @@
 import math
 
 FIRST_EDGE_S = 0.0005
-BUCKETS = 34
-BUCKETS_PER_DOUBLING = 2
-# An array object of 80 bytes, its floats, and records of 16 slots with boxed floats.
-LATENCY_BYTES = 80 + 4 * BUCKETS + 16 * 8 + 9 * 24
-PEAK_DECAY_S = 3.0
+BUCKETS = 68
+BUCKETS_PER_DOUBLING = 4
+PEAK_DECAY_S = 0.25
+BASE_DECAY_S = 30.0
+BASE_WEIGHT = 0.2
+MINIMUM_BASE_S = 0.0005
 MAX_SAMPLES = 512.0
 QUANTILE_REFRESH_SAMPLES = 16
 
 
 class LatencyHistogram:
-    """Counts latencies in buckets that grow by the square root of two.
+    """Counts latencies in buckets that grow by the fourth root of two.
 
     All counts are halved at MAX_SAMPLES, so that old samples fade.
     """
@@ -80,31 +81,43 @@
 
 
 class DecayedPeak:
-    """Follows rises at once and falls back exponentially (peak EWMA)."""
+    """Follows rises at once and falls back exponentially to the usual latency.
 
-    __slots__ = ("_at", "_value")
+    A single straggler is forgotten after a few PEAK_DECAY_S; an upstream that is
+    slow as a rule raises its usual latency, which fades over BASE_DECAY_S without
+    new samples, so that it is tried again.
+    """
+
+    __slots__ = ("_at", "_base", "_excess")
 
     def __init__(self, now: float, value: float) -> None:
         """Start from a value in seconds at a monotonic second."""
-        self._value = value
         self._at = now
+        self._base = value
+        self._excess = 0.0
 
     def add(self, now: float, latency_s: float) -> None:
         """Take one latency, in seconds, at a monotonic second."""
-        weight = self._weight(now)
-        faded = self._value * weight + latency_s * (1.0 - weight)
-        self._value = max(latency_s, faded)
-        self._at = now
+        self._fade(now)
+        # A change is limited to the usual latency itself, so one straggler moves
+        # it little.
+        change = min(latency_s - self._base, self._base)
+        self._base = max(MINIMUM_BASE_S, self._base + change * BASE_WEIGHT)
+        self._excess = max(self._excess, latency_s - self._base)
 
     def raise_to(self, now: float, latency_s: float) -> None:
         """Take a lower bound, in seconds, of a latency that was not seen whole."""
-        if latency_s > self.value(now):
-            self._value = latency_s
-            self._at = now
+        self._fade(now)
+        self._excess = max(self._excess, latency_s - self._base)
 
     def value(self, now: float) -> float:
         """Return the peak in seconds, faded since the last latency."""
-        return self._value * self._weight(now)
-
-    def _weight(self, now: float) -> float:
-        return math.exp(-max(0.0, now - self._at) / PEAK_DECAY_S)
+        age_s = max(0.0, now - self._at)
+        base = self._base * math.exp(-age_s / BASE_DECAY_S)
+        return base + self._excess * math.exp(-age_s / PEAK_DECAY_S)
+
+    def _fade(self, now: float) -> None:
+        age_s = max(0.0, now - self._at)
+        self._base *= math.exp(-age_s / BASE_DECAY_S)
+        self._excess *= math.exp(-age_s / PEAK_DECAY_S)
+        self._at = max(now, self._at)
--- a/almondspool/coordination/quarantine.py
+++ b/almondspool/coordination/quarantine.py
@@ -14,7 +14,7 @@
     from almondspool.protocol.caller import SearchRequest
 
 QUARANTINE_CRASHES = 2
-MAX_ENTRIES = 4096
+MAX_ENTRIES = 4096  # about 400 bytes each
 MAX_UPSTREAMS_PER_ENTRY = 4
 
 
--- a/almondspool/coordination/replicas.py
+++ b/almondspool/coordination/replicas.py
@@ -19,6 +19,8 @@
 MINIMUM_LATENCY_S = 0.0005
 ZONE_COST_S = 0.004
 FAILURE_LATENCY_S = 0.5
+FIRST_PAUSE_S = 1.0
+MAX_PAUSE_S = 16.0
 SHED_LATENCY_S = 0.05
 REPORT_LIFETIME_S = 5.0
 REPORT_TRUST = 0.75
@@ -26,18 +28,19 @@
 DRAINING_LIFETIME_S = 5.0
 RAMP_S = 20.0
 MINIMUM_RAMP_SHARE = 0.1
-HEDGE_QUANTILE = 0.95
+HEDGE_QUANTILE = 0.97
 HEDGE_MINIMUM_SAMPLES = 20
 HEDGE_FLOOR_S = 0.002
 HEDGE_DEFAULT_S = 0.050
 HEDGE_SIBLING_FACTOR = 2.0
 
+_UNREACHABLE_CODES = frozenset(
+    {ResultCode.LEG_REFUSED, ResultCode.LEG_CUT_OFF, ResultCode.LEG_NO_HOLDER}
+)
+# A timeout can be the fault of one silent connection, so it pauses nothing.
 _FAILURE_CODES = frozenset(
     {
         ResultCode.LEG_TIMEOUT,
-        ResultCode.LEG_REFUSED,
-        ResultCode.LEG_CUT_OFF,
-        ResultCode.LEG_NO_HOLDER,
         ResultCode.LEG_REPLY_MALFORMED,
         ResultCode.LEG_REPLY_OVERSIZED,
         ResultCode.LEG_FAILED,
@@ -68,9 +71,11 @@
 class _UpstreamStats:
     __slots__ = (
         "draining_until",
+        "failures",
         "first_seen",
         "histogram",
         "in_flight",
+        "paused_until",
         "peak",
         "report",
         "reported_at",
@@ -80,16 +85,24 @@
         self.first_seen = now
         self.in_flight = 0
         self.draining_until = -math.inf
+        self.paused_until = -math.inf
+        self.failures = 0
         self.peak = DecayedPeak(now, INITIAL_LATENCY_S)
         self.histogram = LatencyHistogram()
         self.report: LoadReport | None = None
         self.reported_at = -math.inf
 
+    def pause(self, now: float) -> None:
+        """Keep new work away for a time that grows with repeated failures."""
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0**self.failures)
+        self.failures = min(self.failures + 1, 16)
+        self.paused_until = now + pause_s
+
 
 class ReplicaChooser:
     """Chooses replicas and learns from what became of the legs.
 
-    Memory: LATENCY_BYTES of ``latency`` and a load report for each upstream.
+    Memory: about 900 bytes for each upstream, its load report included.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
@@ -116,9 +129,9 @@
         allowed = self._allowed(section, replicas, tried)
         if not allowed:
             return Choice("", (), "no_replica_left")
-        working, reason = self._without_draining(now, allowed)
+        working, reason = self._without_unfit(now, allowed)
         warm = self._without_cold(now, working)
-        pair = self._rng.sample(warm, min(2, len(warm)))
+        pair = warm if len(warm) <= 2 else self._draw_two(warm)
         candidates = tuple(self._weigh(now, section, each) for each in pair)
         best = min(candidates, key=lambda candidate: candidate.score_s)
         return Choice(best.upstream_id, candidates, reason)
@@ -143,12 +156,15 @@
         if code == ResultCode.OK:
             stats.histogram.add(latency_s)
             stats.peak.add(now, latency_s)
+            stats.failures = 0
         elif code == ResultCode.LEG_DRAINING:
             stats.draining_until = now + DRAINING_LIFETIME_S
         elif code == ResultCode.LEG_CANCELLED:
             stats.peak.raise_to(now, latency_s)
         elif code == ResultCode.LEG_SHED:
             stats.peak.raise_to(now, max(latency_s, SHED_LATENCY_S))
+        elif code in _UNREACHABLE_CODES:
+            stats.pause(now)
         elif code in _FAILURE_CODES:
             stats.peak.raise_to(now, max(latency_s, FAILURE_LATENCY_S))
 
@@ -188,6 +204,14 @@
         for upstream_id in self._stats_by_upstream.keys() - kept:
             del self._stats_by_upstream[upstream_id]
 
+    def _draw_two(self, upstream_ids: list[str]) -> tuple[str, str]:
+        # Runs once for each leg, where random.sample costs too much.
+        first = int(self._rng.random() * len(upstream_ids))
+        second = int(self._rng.random() * (len(upstream_ids) - 1))
+        if second >= first:
+            second += 1
+        return upstream_ids[first], upstream_ids[second]
+
     def _stats(self, now: float, upstream_id: str) -> _UpstreamStats:
         stats = self._stats_by_upstream.get(upstream_id)
         if stats is None:
@@ -205,32 +229,35 @@
             and upstream_id not in tried
         ]
 
-    def _without_draining(
-        self, now: float, allowed: list[str]
-    ) -> tuple[list[str], str]:
+    def _without_unfit(self, now: float, allowed: list[str]) -> tuple[list[str], str]:
+        """Leave out draining and unreachable upstreams if others remain."""
         working = [
-            upstream_id
-            for upstream_id in allowed
-            if self._stats(now, upstream_id).draining_until <= now
+            upstream_id for upstream_id in allowed if self._is_fit(now, upstream_id)
         ]
         if working:
             return working, "best_of_two" if len(working) > 1 else "only_replica"
-        return allowed, "only_draining_replicas"
+        return allowed, "only_unfit_replicas"
+
+    def _is_fit(self, now: float, upstream_id: str) -> bool:
+        stats = self._stats(now, upstream_id)
+        return stats.draining_until <= now and stats.paused_until <= now
 
     def _without_cold(self, now: float, working: list[str]) -> list[str]:
+        shares = [self._ramp_share(now, upstream_id) for upstream_id in working]
+        if min(shares) >= 1.0:
+            return working
         # One draw for all: several cold upstreams share the ramp's traffic.
         draw = self._rng.random()
-        warm = [
-            upstream_id
-            for upstream_id in working
-            if self._ramp_share(now, upstream_id) > draw
-        ]
+        pairs = zip(working, shares, strict=True)
+        warm = [upstream_id for upstream_id, share in pairs if share > draw]
         return warm or working
 
     def _ramp_share(self, now: float, upstream_id: str) -> float:
         stats = self._stats(now, upstream_id)
         share = (now - stats.first_seen) / RAMP_S
-        if stats.report and now - stats.reported_at < REPORT_LIFETIME_S:
+        if stats.report is None:
+            return 1.0 if share >= 1.0 else max(MINIMUM_RAMP_SHARE, share)
+        if now - stats.reported_at < REPORT_LIFETIME_S:
             share = stats.report.warmth
         return max(MINIMUM_RAMP_SHARE, min(1.0, share))
 
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -247,8 +247,8 @@
         choice = self._choose(now, run)
         if not choice.upstream_id or not self._deadline.may_send(now):
             return
-        if not self._context.budget.take_hedge(now):
-            run.hedge_delay_s *= 2
+        if not self._context.budget.take_hedge(now, run.is_overdue):
+            run.is_overdue = True
             self._wake_at(now + run.hedge_delay_s, run)
             return
         run.is_hedged = True
--- a/almondspool/coordination/shard_run.py
+++ b/almondspool/coordination/shard_run.py
@@ -41,6 +41,7 @@
         hedge_delay_s: Wait before the next try to hedge, in seconds.
         budget_waits: How often a retry had to wait for the budget.
         is_hedged: Whether a hedge was sent.
+        is_overdue: Whether a hedge was refused by the budget.
         may_have_run: Whether an upstream may have run the shard's query.
         outcome: None until the shard is settled.
         code: Result code of the last failure, or OK.
@@ -53,6 +54,7 @@
         "code",
         "hedge_delay_s",
         "is_hedged",
+        "is_overdue",
         "may_have_run",
         "open_by_leg",
         "outcome",
@@ -70,6 +72,7 @@
         self.hedge_delay_s = 0.0
         self.budget_waits = 0
         self.is_hedged = False
+        self.is_overdue = False
         self.may_have_run = False
         self.outcome: ShardOutcome | None = None
         self.code = ResultCode.LEG_NO_HOLDER
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -153,9 +153,7 @@
         verify_session("search_drain", bench.lines)
 
     def test_without_the_drain_hint_new_work_goes_to_a_draining_upstream(self):
-        self.patch(
-            ReplicaChooser, "_without_draining", lambda self, now, up: (up, "any")
-        )
+        self.patch(ReplicaChooser, "_without_unfit", lambda self, now, up: (up, "any"))
         bench = SearchBench()
         bench.reply_by_upstream["s0-a"] = Reply(0.002, ResultCode.LEG_DRAINING, False)
         for number in range(6):
@@ -282,7 +280,7 @@
         self.assertThat(counts.denied, testtools.matchers.GreaterThan(0))
 
     def test_without_the_budget_extra_legs_exceed_the_share(self):
-        self.patch(ExtraLegBudget, "take_hedge", lambda self, now: True)
+        self.patch(ExtraLegBudget, "take_hedge", lambda self, now, is_overdue: True)
         bench = _run_slow(200)
         self.assertThat(len(bench.sent), testtools.matchers.GreaterThan(450))
 
