Retire connections that went silent, and don't blame the upstream

ConnectionWatch (pure) compares older with newer connections. Without a newer one, all known are in doubt and the next exchange opens a new connection, whose answer decides.

Retiring on a timeout beside any newer answer was ruled out: an overloaded upstream, where old and new time out alike, would be sent a wave of reconnects.

Tests over sockets: three silent connections cost one timeout; without the watch three.

--- a/almondspool/codes.py
+++ b/almondspool/codes.py
@@ -77,6 +77,7 @@
     LEG_SUSPECT = 812
     LEG_NO_HOLDER = 813
     LEG_FAILED = 814
+    LEG_CONNECTION_SILENT = 815
 
 
 DESCRIPTION_BY_CODE: dict[ResultCode, str] = {
@@ -137,6 +138,9 @@
     ResultCode.LEG_SUSPECT: "The request is suspected of crashing upstreams.",
     ResultCode.LEG_NO_HOLDER: "No live instance holds connections to the upstream.",
     ResultCode.LEG_FAILED: "The upstream reported an error.",
+    ResultCode.LEG_CONNECTION_SILENT: (
+        "No answer on an old connection while newer ones answer."
+    ),
 }
 
 
--- a/almondspool/protocol/http_upstream.py
+++ b/almondspool/protocol/http_upstream.py
@@ -18,7 +18,12 @@
     LoadReport,
     UpstreamInterface,
 )
-from almondspool.transport.http_pool import IDLE_LIMIT_S, HttpPool, PooledConnection
+from almondspool.transport.http_pool import (
+    IDLE_LIMIT_S,
+    ConnectionJudge,
+    HttpPool,
+    PooledConnection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
@@ -57,6 +62,25 @@
     """A reused connection closed before the first byte of a reply."""
 
 
+class _Exchange:
+    """One request and its reply on one connection."""
+
+    __slots__ = ("connection", "has_answer", "pool", "reader", "upstream_id")
+
+    def __init__(
+        self,
+        upstream_id: str,
+        pool: HttpPool,
+        connection: PooledConnection,
+        reader: ReplyReader,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.pool = pool
+        self.connection = connection
+        self.reader = reader
+        self.has_answer = False
+
+
 class HttpUpstream(UpstreamInterface):
     """Runs legs over keep-alive connections, bounded by the grant of each upstream.
 
@@ -64,9 +88,15 @@
         ignored_replies: Reply lines that belonged to no open leg.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        """Start without any grant; clock returns monotonic seconds."""
+    def __init__(self, clock: Callable[[], float], judge: ConnectionJudge) -> None:
+        """Start without any grant.
+
+        Args:
+            clock: Returns monotonic seconds.
+            judge: Decides which connections went silent.
+        """
         self._clock = clock
+        self._judge = judge
         self._pools_by_id: dict[str, HttpPool] = {}
         self._grants_by_id: dict[str, int] = {}
         self._end_by_socket: dict[socket.socket, float] = {}
@@ -138,8 +168,9 @@
         self, upstream: Upstream, reader: ReplyReader, end: float, max_idle_s: float
     ) -> Iterator[LegResult]:
         pool = self._pool(upstream)
+        wait_s = max(0.0, end - self._clock())
         try:
-            connection = pool.acquire(max(0.0, end - self._clock()), max_idle_s)
+            connection = pool.acquire(wait_s, max_idle_s, self._doubtful(upstream))
         except UpstreamError as error:
             yield from reader.fail(Failure(error.code, str(error), False))
             return
@@ -147,7 +178,8 @@
         try:
             failure = self._connect(connection, end)
             if failure is None:
-                failure = yield from self._exchange(connection, reader, end)
+                exchange = _Exchange(upstream.upstream_id, pool, connection, reader)
+                failure = yield from self._exchange(exchange, end)
                 whole = failure is None
             if failure is not None:
                 yield from reader.fail(failure)
@@ -167,34 +199,35 @@
             return Failure(ResultCode.LEG_REFUSED, str(error), False)
         return None
 
-    def _exchange(
-        self, connection: PooledConnection, reader: ReplyReader, end: float
-    ) -> Iterator[LegResult]:
-        sock = connection.http.sock
+    def _exchange(self, exchange: _Exchange, end: float) -> Iterator[LegResult]:
+        sock = exchange.connection.http.sock
+        sent_at = self._clock()
         self._end_by_socket[sock] = end
         try:
-            response = self._send(connection, reader, end)
+            response = self._send(exchange, end)
+            exchange.has_answer = True
+            self._note_answer(exchange)
             if response.status != 200:
                 return _failure_of_status(response)
-            return (yield from self._read(sock, response, reader, end))
+            return (yield from self._read(sock, response, exchange.reader, end))
         except _TIMEOUTS as error:
-            return Failure(ResultCode.LEG_TIMEOUT, str(error), True)
+            return self._timed_out(exchange, sent_at, str(error))
         except _BROKEN as error:
-            return self._broken(error, end)
+            if self._clock() < end:
+                return _broken(error)
+            return self._timed_out(exchange, sent_at, f"cut at deadline: {error}")
         finally:
             self._end_by_socket.pop(sock, None)
 
-    def _send(
-        self, connection: PooledConnection, reader: ReplyReader, end: float
-    ) -> HTTPResponse:
-        body = leg_codec.encode_legs(tuple(reader.open_by_id.values()))
-        http_connection = connection.http
+    def _send(self, exchange: _Exchange, end: float) -> HTTPResponse:
+        body = leg_codec.encode_legs(tuple(exchange.reader.open_by_id.values()))
+        connection = exchange.connection
         try:
-            http_connection.request(
+            connection.http.request(
                 "POST", "/v1/legs", body, _HEADERS, preload_content=False
             )
-            http_connection.timeout = self._remaining(end)
-            return http_connection.getresponse()
+            connection.http.timeout = self._remaining(end)
+            return connection.http.getresponse()
         except _TIMEOUTS:
             raise
         except OSError as error:
@@ -223,19 +256,35 @@
         yield from reader.end()
         return None
 
+    def _note_answer(self, exchange: _Exchange) -> None:
+        retired = self._judge.on_answer(
+            self._clock(), exchange.upstream_id, exchange.connection.serial
+        )
+        if retired:
+            exchange.pool.retire_to(retired)
+
+    def _timed_out(self, exchange: _Exchange, sent_at: float, detail: str) -> Failure:
+        if exchange.has_answer:
+            return Failure(ResultCode.LEG_TIMEOUT, detail, True)
+        serial = exchange.connection.serial
+        retired = self._judge.on_timeout(
+            self._clock(), exchange.upstream_id, serial, sent_at
+        )
+        if not retired:
+            return Failure(ResultCode.LEG_TIMEOUT, detail, True)
+        closed = exchange.pool.retire_to(retired)
+        detail = f"connection {serial} went silent; {closed} idle ones retired"
+        return Failure(ResultCode.LEG_CONNECTION_SILENT, detail, True)
+
+    def _doubtful(self, upstream: Upstream) -> int:
+        return self._judge.newest_doubtful(self._clock(), upstream.upstream_id)
+
     def _remaining(self, end: float) -> float:
         remaining = end - self._clock()
         if remaining <= 0:
             raise TimeoutError("the deadline of the exchange passed")
         return remaining
 
-    def _broken(self, error: Exception, end: float) -> Failure:
-        if self._clock() >= end:
-            return Failure(ResultCode.LEG_TIMEOUT, f"cut at deadline: {error}", True)
-        if _is_framing_error(error):
-            return Failure(ResultCode.LEG_REPLY_MALFORMED, str(error), True)
-        return Failure(ResultCode.LEG_CUT_OFF, str(error), True)
-
     def _after_stale(
         self, upstream: Upstream, reader: ReplyReader, end: float, detail: str
     ) -> Iterator[LegResult]:
@@ -262,7 +311,7 @@
     ) -> bytes | None:
         pool = self._pool(upstream)
         try:
-            connection = pool.acquire(wait_s)
+            connection = pool.acquire(wait_s, newer_than=self._doubtful(upstream))
         except UpstreamError:
             return None
         whole = False
@@ -283,15 +332,18 @@
         if pool is None or pool.address != upstream.address:
             if pool is not None:
                 pool.set_limit(0)
+                self._judge.forget(upstream.upstream_id)
             grant = self._grants_by_id.get(upstream.upstream_id, 0)
             pool = HttpPool(upstream.address, grant, self._clock)
             self._pools_by_id[upstream.upstream_id] = pool
         return pool
 
 
-def make_upstream(timers: TimerService) -> tuple[HttpUpstream, TimerHandle]:
+def make_upstream(
+    timers: TimerService, judge: ConnectionJudge
+) -> tuple[HttpUpstream, TimerHandle]:
     """Return the HTTP form of the upstreams and the handle of its deadline sweep."""
-    upstream = HttpUpstream(timers.now)
+    upstream = HttpUpstream(timers.now, judge)
     return upstream, timers.subscribe(OVERDUE_SWEEP_S, upstream.close_overdue)
 
 
@@ -316,6 +368,12 @@
     return Failure(ResultCode.LEG_FAILED, detail, True)
 
 
+def _broken(error: Exception) -> Failure:
+    if _is_framing_error(error):
+        return Failure(ResultCode.LEG_REPLY_MALFORMED, str(error), True)
+    return Failure(ResultCode.LEG_CUT_OFF, str(error), True)
+
+
 def _is_framing_error(error: Exception) -> bool:
     # urllib3 wraps the errors of a body, with the first one as the cause.
     cause = error.__cause__ or error
--- a/almondspool/transport/http_pool.py
+++ b/almondspool/transport/http_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import itertools
 import threading
 from typing import TYPE_CHECKING
@@ -19,6 +20,37 @@
 IDLE_LIMIT_S = 45.0
 
 
+class ConnectionJudge(abc.ABC):
+    """Tells connections that went silent from an upstream that is slow."""
+
+    @abc.abstractmethod
+    def on_answer(self, now: float, upstream_id: str, serial: int) -> int:
+        """Take the first byte of a reply.
+
+        Returns:
+            The newest connection to retire with all older ones; 0 for none.
+        """
+
+    @abc.abstractmethod
+    def on_timeout(
+        self, now: float, upstream_id: str, serial: int, sent_at: float
+    ) -> int:
+        """Take an exchange that timed out without a byte of reply.
+
+        Returns:
+            The newest connection to retire with all older ones, if the connection
+            is to blame and not the upstream; else 0.
+        """
+
+    @abc.abstractmethod
+    def newest_doubtful(self, now: float, upstream_id: str) -> int:
+        """Return the newest connection not to be reused now; 0 for none."""
+
+    @abc.abstractmethod
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream's connections."""
+
+
 class PooledConnection:
     """One connection with its age.
 
--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -6,6 +6,7 @@
 import testtools
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.connections import ConnectionWatch
 from almondspool.protocol import leg_codec
 from almondspool.protocol.caller import Record
 from almondspool.protocol.http_upstream import HttpUpstream
@@ -26,7 +27,9 @@
     def setUp(self):
         super().setUp()
         self.shift_s = 0.0
-        self.http = HttpUpstream(lambda: time.monotonic() + self.shift_s)
+        self.http = HttpUpstream(
+            lambda: time.monotonic() + self.shift_s, ConnectionWatch()
+        )
 
     def serve(self, script, grant=2):
         server = RawServer(script)
--- /dev/null
+++ b/tests/protocol/test_silent_connections.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import threading
+import time
+
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.connections import ConnectionWatch
+from almondspool.protocol.http_upstream import HttpUpstream
+from tests.protocol.raw_server import RawServer, line, make_leg, wait_until, whole
+
+TIMEOUT_S = 0.25
+
+
+class _BlindWatch(ConnectionWatch):
+    """Never finds a connection to blame."""
+
+    def on_timeout(self, now, upstream_id, serial, sent_at):
+        return 0
+
+
+class SilentConnectionTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.silent = set()
+        self.together = threading.Barrier(3)
+
+    def script(self, connection, body, nth):
+        if nth <= 3:
+            self.together.wait(5)
+        if connection not in self.silent:
+            connection.sendall(whole(line(body["legs"][0]["leg_id"])))
+
+    def open_three_and_silence_them(self, judge):
+        self.http = HttpUpstream(time.monotonic, judge)
+        self.http.set_grants({"searcher-1": 4})
+        self.server = RawServer(self.script)
+        self.addCleanup(self.server.close)
+        threads = [
+            threading.Thread(target=self.run_leg, args=[name, 5.0]) for name in "abc"
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(5)
+        self.assertEqual(3, self.http.open_connections("searcher-1"))
+        self.silent.update(self.server.connections)
+
+    def run_leg(self, name, timeout_s=TIMEOUT_S):
+        [result] = self.http.run(self.server.upstream, (make_leg(name),), timeout_s)
+        return result.code
+
+    def test_one_timeout_is_enough_to_replace_all_silent_connections(self):
+        self.open_three_and_silence_them(ConnectionWatch())
+        codes = [self.run_leg(name) for name in "defg"]
+        self.assertEqual([ResultCode.LEG_TIMEOUT] + [ResultCode.OK] * 3, codes)
+        self.assertEqual(1, self.http.open_connections("searcher-1"))
+
+    def test_without_the_watch_each_silent_connection_costs_a_timeout(self):
+        self.open_three_and_silence_them(_BlindWatch())
+        codes = [self.run_leg(name) for name in "defg"]
+        self.assertEqual([ResultCode.LEG_TIMEOUT] * 3 + [ResultCode.OK], codes)
+
+    def silent_while_a_newer_one_answers(self, judge):
+        self.open_three_and_silence_them(judge)
+        codes = []
+        old = threading.Thread(target=lambda: codes.append(self.run_leg("d", 0.6)))
+        old.start()
+        wait_until(lambda: len(self.server.requests) == 4)
+        self.http.retire("searcher-1")
+        self.assertEqual(ResultCode.OK, self.run_leg("e"))
+        old.join(5)
+        return codes[0]
+
+    def test_a_silent_connection_is_not_blamed_on_the_upstream(self):
+        code = self.silent_while_a_newer_one_answers(ConnectionWatch())
+        self.assertEqual(ResultCode.LEG_CONNECTION_SILENT, code)
+
+    def test_without_the_watch_it_is_blamed(self):
+        code = self.silent_while_a_newer_one_answers(_BlindWatch())
+        self.assertEqual(ResultCode.LEG_TIMEOUT, code)
