--- /dev/null
+++ b/almondspool/coordination/entries.py
@@ -0,0 +1,71 @@
+"""Entry look-up: which addresses a caller should use, and for how long."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondspool.protocol.caller import Entry, EntryList
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from almondspool.state.members import Member, View
+
+MAX_ENTRIES = 6
+MAX_NEAR_ENTRIES = 4
+# A near instance above this load has no advantage over those of other zones.
+NEAR_LOAD_LIMIT = 0.85
+# Keeps a fully loaded instance in the list, as reported load may be old.
+MIN_WEIGHT = 0.05
+TTL_JITTER = 0.2
+_MS_PER_S = 1000
+
+
+def choose_entries(
+    view: View, own: Member, zone: str, ttl_s: float, rng: random.Random
+) -> EntryList:
+    """Return addresses in an order that differs from caller to caller.
+
+    The order is a random one with weights by free capacity, so that callers spread
+    over all instances, also when the first of their list goes.
+
+    Args:
+        view: The membership.
+        own: The instance that answers; the last resort.
+        zone: The caller's availability zone; may be unknown.
+        ttl_s: How long callers may keep the list, in seconds; jittered by a fifth.
+        rng: Draws the order and the jitter.
+    """
+    members = view.serving() or view.present() or (own,)
+    near = [member for member in members if _is_near(member, zone)]
+    far = [member for member in members if not _is_near(member, zone)]
+    near_order = _weighted_shuffle(near, rng)
+    far_order = _weighted_shuffle(far, rng)
+    order = near_order[:MAX_NEAR_ENTRIES] + far_order + near_order[MAX_NEAR_ENTRIES:]
+    jittered_s = ttl_s * rng.uniform(1 - TTL_JITTER, 1 + TTL_JITTER)
+    return EntryList(
+        tuple(
+            Entry(member.instance, member.caller_address, member.zone)
+            for member in order[:MAX_ENTRIES]
+        ),
+        int(jittered_s * _MS_PER_S),
+    )
+
+
+def longest_ttl_s(ttl_s: float) -> float:
+    """Return how long a given-out list may live, jitter included, in seconds."""
+    return ttl_s * (1 + TTL_JITTER)
+
+
+def _is_near(member: Member, zone: str) -> bool:
+    return member.zone == zone and member.load < NEAR_LOAD_LIMIT
+
+
+def _weighted_shuffle(members: Iterable[Member], rng: random.Random) -> list[Member]:
+    # Exponential keys divided by weight order as repeated weighted draws do.
+    keyed = [
+        (rng.expovariate(max(MIN_WEIGHT, 1 - member.load)), member.instance, member)
+        for member in members
+    ]
+    return [member for _, _, member in sorted(keyed, key=lambda item: item[:2])]
--- a/almondspool/coordination/membership_task.py
+++ b/almondspool/coordination/membership_task.py
@@ -221,8 +221,9 @@
                 self._post(decide)
 
 
-def create_membership_task(
+def make_membership_task(
     settings: object,
+    incarnation: int,
     platform: PlatformInterface,
     timers: TimerService,
     events: Events,
@@ -233,6 +234,8 @@
 
     Args:
         settings: The checked settings of the instance.
+        incarnation: Higher than that of any earlier process of this name, usually
+            milliseconds since the epoch.
         platform: Calls to the platform.
         timers: The timer service.
         events: Where changes are announced.
@@ -244,7 +247,7 @@
     """
     own = Member(
         instance=settings.instance,
-        incarnation=int(timers.wall_time() * 1000),
+        incarnation=incarnation,
         zone=settings.zone,
         caller_address=settings.caller_address,
         peer_address=settings.peer_address,
