--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -7,34 +7,8 @@
 
 import eventlet
 
-from almondspool.coordination.admission_task import make_admission_task
-from almondspool.coordination.claims_task import make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
-from almondspool.coordination.front import Front, FrontServices
-from almondspool.coordination.gatherer_task import make_gatherer_task
-from almondspool.coordination.leg_router import LegRouter, LegTransport
-from almondspool.coordination.load_poll_task import LoadPollTask
-from almondspool.coordination.peer_dispatch import PeerDispatch
-from almondspool.coordination.platform_calls import make_platform_calls
-from almondspool.coordination.request_run import RunServices
-from almondspool.coordination.search_context import make_context
-from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
-from almondspool.protocol.document import MAX_SECTION_BYTES
-from almondspool.protocol.http_upstream import make_upstream
-from almondspool.protocol.operator import OperatorRoutes
-from almondspool.protocol.peer import (
-    CancelLegs,
-    FetchObjects,
-    LegBatch,
-    LegResults,
-    ObjectsReply,
-    PeerCodec,
-    Suspicion,
-)
-from almondspool.protocol.platform import make_platform
-from almondspool.transport.http_server import HttpServer
 from almondspool.transport.metrics import Metrics
-from almondspool.transport.peer_channel import PeerChannels
 from almondspool.transport.timers import EventletTimers
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -154,7 +154,7 @@
             if isinstance(outcome, Acceptance):
                 return self._finish(write, outcome._replace(attempts=attempt))
             if attempt < MAX_ATTEMPTS:
-                self._pause(self._pause_s(attempt))
+                self._pause(self._pause_s(attempt, outcome.error))
         return write.give_up(outcome)._replace(attempts=MAX_ATTEMPTS)
 
     def _finish(self, write: _Write, acceptance: Acceptance) -> Acceptance:
@@ -162,9 +162,10 @@
             self._on_accepted(write.accepted)
         return acceptance
 
-    def _pause_s(self, attempt: int) -> float:
+    def _pause_s(self, attempt: int, error: AlmondspoolError) -> float:
         longest_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**attempt)
-        return self._rng.uniform(0.0, longest_s)
+        asked_s = getattr(error, "retry_after_s", 0.0)
+        return min(MAX_PAUSE_S, asked_s) + self._rng.uniform(0.0, longest_s)
 
 
 class _Write:
--- a/almondspool/coordination/manifest_watch.py
+++ b/almondspool/coordination/manifest_watch.py
@@ -24,6 +24,10 @@
 MAX_RETRY_S = 10.0
 DUTY_CHECK_S = 1.0
 DUTY_KEY = "configuration/watch"
+_LOST_PLACE_CODES = (
+    ResultCode.PLATFORM_HISTORY_GONE,
+    ResultCode.PLATFORM_REPLY_INVALID,
+)
 
 
 def holds_watch(instance: str, view: View, watchers: int) -> bool:
@@ -71,6 +75,7 @@
         self._rng = rng
         self._on_manifest = on_manifest
         self._is_watcher = False
+        self._version: int | None = None
         self._thread: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -111,20 +116,37 @@
             waited_s += DUTY_CHECK_S
 
     def _watch(self) -> PlatformError | None:
-        """Read once, then follow the changes until the duty moves or a call fails."""
+        """Follow the changes until the duty moves or a call fails.
+
+        After a failure the watch resumes from the last version seen, unless the
+        platform no longer keeps the changes since then.
+        """
+        if self._version is None:
+            error = self._list()
+            if error is not None:
+                return error
+        while self._is_watcher:
+            watched = self._platform.watch(MANIFEST_KIND, self._version, WATCH_WAIT_S)
+            if not isinstance(watched, Success):
+                return self._fail_watch(watched.failure())
+            events, self._version = watched.unwrap()
+            for event in events:
+                if event.name == MANIFEST_NAME:
+                    self._on_manifest(None if event.deleted else event.value)
+        self._version = None
+        return None
+
+    def _list(self) -> PlatformError | None:
         listed = self._platform.list(MANIFEST_KIND)
         if not isinstance(listed, Success):
             return listed.failure()
         objects = listed.unwrap()
         found = objects.objects_by_name.get(MANIFEST_NAME)
         self._on_manifest(found.value if found else None)
-        version = objects.version
-        while self._is_watcher:
-            watched = self._platform.watch(MANIFEST_KIND, version, WATCH_WAIT_S)
-            if not isinstance(watched, Success):
-                return watched.failure()
-            events, version = watched.unwrap()
-            for event in events:
-                if event.name == MANIFEST_NAME:
-                    self._on_manifest(None if event.deleted else event.value)
+        self._version = objects.version
         return None
+
+    def _fail_watch(self, error: PlatformError) -> PlatformError:
+        if error.code in _LOST_PLACE_CODES:
+            self._version = None
+        return error
