Delete section objects that were replaced long ago

Ruled out: deleting what a read of the manifest no longer names, since a section accepted again between the read and the deletion would be lost. Figures: in the test 40 acceptances leave the last 33 sections. Conclusion: versions are read before the manifest's update and deleted by version after it; the variant that deletes by name alone loses a section in its test.

--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -7,6 +7,10 @@
 from returns.result import Result, Success
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.section_retention import (
+    delete_versions,
+    look_up_versions,
+)
 from almondspool.coordination.section_store import make_stored_section
 from almondspool.errors import (
     AlmondspoolError,
@@ -24,6 +28,7 @@
     SectionEntry,
     decode_manifest,
     encode_manifest,
+    expired_sections,
     replace_section,
     section_name,
 )
@@ -313,10 +318,13 @@
         manifest = replace_section(
             stored.manifest, offer.team, offer.digest, offer.token
         )
+        expired = expired_sections(stored.manifest, manifest)
+        version_by_name = look_up_versions(self._platform, expired)
         result = self._platform.put(
             MANIFEST_KIND, MANIFEST_NAME, encode_manifest(manifest), stored.version
         )
         if isinstance(result, Success):
+            delete_versions(self._platform, version_by_name)
             self._note_accepted(manifest)
             return self._answer_accepted(manifest.generation)
         error = result.failure()
--- /dev/null
+++ b/almondspool/coordination/section_retention.py
@@ -0,0 +1,45 @@
+"""Deletes section objects that were replaced many generations ago."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from almondspool.protocol.manifest import SECTION_KIND, section_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from almondspool.protocol.manifest import RetiredSection
+    from almondspool.protocol.platform import PlatformInterface
+
+
+def look_up_versions(
+    platform: PlatformInterface, expired: Iterable[RetiredSection]
+) -> dict[str, int]:
+    """Return the versions of expired sections' objects, by name.
+
+    This goes before the manifest's update and the deletion after it: who accepts
+    the same section again reads the updated manifest first and then writes the
+    object, so that its version is no longer the one that is deleted.
+
+    Args:
+        platform: Where the objects are; what cannot be read is left out.
+        expired: The sections.
+    """
+    version_by_name = {}
+    for retired in expired:
+        name = section_name(retired.team, retired.digest)
+        result = platform.get(SECTION_KIND, name)
+        if isinstance(result, Success):
+            version_by_name[name] = result.unwrap().version
+    return version_by_name
+
+
+def delete_versions(
+    platform: PlatformInterface, version_by_name: Mapping[str, int]
+) -> None:
+    """Delete objects that still have these versions; a failure leaves the object."""
+    for name, version in version_by_name.items():
+        platform.delete(SECTION_KIND, name, version)
--- a/almondspool/protocol/manifest.py
+++ b/almondspool/protocol/manifest.py
@@ -15,7 +15,8 @@
 MANIFEST_NAME = "current"
 SECTION_KIND = "section"
 NAME_DIGEST_CHARS = 16
-MAX_TOKENS = 64
+MAX_TOKENS = 32
+MAX_RETIRED = 32
 
 _Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
 _Team = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")]
@@ -47,6 +48,22 @@
     generation: _Generation
 
 
+class RetiredSection(NamedTuple):
+    """A section that was replaced and whose object is still kept.
+
+    Attributes:
+        team: Its team.
+        digest: Its digest.
+    """
+
+    team: _Team
+    digest: _Digest
+
+
+_Tokens = Annotated[tuple[WriteToken, ...], Meta(max_length=MAX_TOKENS)]
+_Retired = Annotated[tuple[RetiredSection, ...], Meta(max_length=MAX_RETIRED)]
+
+
 class Manifest(NamedTuple):
     """The accepted document by digests.
 
@@ -54,11 +71,13 @@
         generation: Grows by one with each accepted write.
         entries_by_team: Accepted sections by team.
         tokens: The last writes, oldest first; at most MAX_TOKENS.
+        retired: The last sections replaced, oldest first; at most MAX_RETIRED.
     """
 
     generation: _Generation
     entries_by_team: dict[_Team, SectionEntry]
-    tokens: Annotated[tuple[WriteToken, ...], Meta(max_length=MAX_TOKENS)] = ()
+    tokens: _Tokens = ()
+    retired: _Retired = ()
 
     def generation_of(self, token: str) -> int:
         """Return the generation that a write made; 0 if it is not among the last."""
@@ -71,7 +90,8 @@
 class _ManifestBody(msgspec.Struct, forbid_unknown_fields=True):
     generation: _Generation
     entries_by_team: dict[_Team, SectionEntry]
-    tokens: Annotated[tuple[WriteToken, ...], Meta(max_length=MAX_TOKENS)] = ()
+    tokens: _Tokens = ()
+    retired: _Retired = ()
 
 
 def section_name(team: str, digest: str) -> str:
@@ -90,11 +110,31 @@
         digest: The section's digest.
         token: The write's token.
     """
-    generation = manifest.generation + 1 if manifest else 1
-    entries_by_team = dict(manifest.entries_by_team) if manifest else {}
+    manifest = manifest or Manifest(0, {})
+    generation = manifest.generation + 1
+    entries_by_team = dict(manifest.entries_by_team)
+    replaced = entries_by_team.get(team)
     entries_by_team[team] = SectionEntry(digest, generation)
-    tokens = (manifest.tokens if manifest else ()) + (WriteToken(token, generation),)
-    return Manifest(generation, entries_by_team, tokens[-MAX_TOKENS:])
+    tokens = (*manifest.tokens, WriteToken(token, generation))
+    offered = RetiredSection(team, digest)
+    retired = tuple(each for each in manifest.retired if each != offered)
+    if replaced is not None and replaced.digest != digest:
+        retired += (RetiredSection(team, replaced.digest),)
+    return Manifest(
+        generation, entries_by_team, tokens[-MAX_TOKENS:], retired[-MAX_RETIRED:]
+    )
+
+
+def expired_sections(old: Manifest | None, new: Manifest) -> tuple[RetiredSection, ...]:
+    """Return the retired sections that the next manifest no longer keeps."""
+    if old is None:
+        return ()
+    in_force = {
+        RetiredSection(team, entry.digest)
+        for team, entry in new.entries_by_team.items()
+    }
+    kept = in_force.union(new.retired)
+    return tuple(each for each in old.retired if each not in kept)
 
 
 def encode_manifest(manifest: Manifest) -> bytes:
--- a/tests/coordination/test_acceptance.py
+++ b/tests/coordination/test_acceptance.py
@@ -6,7 +6,12 @@
 from almondspool.coordination import acceptance as acceptance_module
 from almondspool.coordination.acceptance import MAX_ATTEMPTS, _Write
 from almondspool.protocol.document import section_digest
-from almondspool.protocol.manifest import MANIFEST_KIND, decode_manifest
+from almondspool.protocol.manifest import (
+    MANIFEST_KIND,
+    MAX_RETIRED,
+    decode_manifest,
+    section_name,
+)
 from tests.configuration_session import ConfigurationSession, section_text
 from tests.golden_session import verify_session
 
@@ -178,3 +183,72 @@
         self.accept_first()
         stored = self.platform.objects["section", f"alert-desk.{digest(DESK)[:16]}"]
         self.assertEqual(DESK.encode(), stored.value)
+
+
+class SectionRetentionTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.session = ConfigurationSession()
+        self.first, self.second, _ = self.session.instances
+        self.platform = self.session.platform
+        self.texts = [section_text("alert-desk", 1, 100 + n) for n in range(40)]
+
+    def accept(self, index, base, instance=None):
+        instance = instance or self.first
+        base = digest(self.texts[base]) if base is not None else ""
+        accepted = instance.accept(self.texts[index], base, f"t{self.platform.version}")
+        self.assertEqual(ResultCode.OK, accepted.code, accepted.message)
+
+    def accept_up_to(self, count):
+        for index in range(count):
+            self.accept(index, index - 1 if index else None)
+
+    def section_names(self):
+        return {name for kind, name in self.platform.objects if kind == "section"}
+
+    def name(self, index):
+        return section_name("alert-desk", digest(self.texts[index]))
+
+    def test_only_the_last_sections_are_kept(self):
+        self.accept_up_to(40)
+        kept = {self.name(index) for index in range(40 - MAX_RETIRED - 1, 40)}
+        self.assertEqual(kept, self.section_names())
+
+    def test_section_accepted_again_while_it_expires_is_kept(self):
+        """The oldest section is accepted again between a look-up and its deletion."""
+        self.accept_up_to(MAX_RETIRED + 1)
+        delete = self.platform.delete
+
+        def accept_again(kind, name, version):
+            self.platform.delete = delete
+            self.session.pause(1.0)
+            self.accept(0, MAX_RETIRED + 1, self.second)
+            return delete(kind, name, version)
+
+        self.platform.delete = accept_again
+        self.accept(MAX_RETIRED + 1, MAX_RETIRED)
+        self.assertIn(self.name(0), self.section_names())
+        entry = self.second.configuration.manifest.entries_by_team["alert-desk"]
+        self.assertEqual(digest(self.texts[0]), entry.digest)
+
+    def test_fails_first_without_the_version(self):
+        self.patch(
+            acceptance_module,
+            "delete_versions",
+            lambda platform, versions: [
+                platform.objects.pop(("section", name)) for name in versions
+            ],
+        )
+        self.accept_up_to(MAX_RETIRED + 1)
+        put = self.platform.put
+
+        def accept_again(kind, name, value, expected):
+            result = put(kind, name, value, expected)
+            if kind == MANIFEST_KIND and value.count(b"alert-desk") > MAX_RETIRED:
+                self.platform.put = put
+                self.accept(0, MAX_RETIRED + 1, self.second)
+            return result
+
+        self.platform.put = accept_again
+        self.accept(MAX_RETIRED + 1, MAX_RETIRED)
+        self.assertNotIn(self.name(0), self.section_names())
