--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -7,6 +7,10 @@
 from returns.result import Result, Success
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.section_retention import (
+    delete_versions,
+    look_up_versions,
+)
 from almondspool.coordination.section_store import make_stored_section
 from almondspool.errors import (
     AlmondspoolError,
@@ -24,6 +28,7 @@
     SectionEntry,
     decode_manifest,
     encode_manifest,
+    expired_sections,
     replace_section,
     section_name,
 )
@@ -154,7 +159,7 @@
             if isinstance(outcome, Acceptance):
                 return self._finish(write, outcome._replace(attempts=attempt))
             if attempt < MAX_ATTEMPTS:
-                self._pause(self._pause_s(attempt))
+                self._pause(self._pause_s(attempt, outcome.error))
         return write.give_up(outcome)._replace(attempts=MAX_ATTEMPTS)
 
     def _finish(self, write: _Write, acceptance: Acceptance) -> Acceptance:
@@ -162,9 +167,10 @@
             self._on_accepted(write.accepted)
         return acceptance
 
-    def _pause_s(self, attempt: int) -> float:
+    def _pause_s(self, attempt: int, error: AlmondspoolError) -> float:
         longest_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**attempt)
-        return self._rng.uniform(0.0, longest_s)
+        asked_s = getattr(error, "retry_after_s", 0.0)
+        return min(MAX_PAUSE_S, asked_s) + self._rng.uniform(0.0, longest_s)
 
 
 class _Write:
@@ -312,10 +318,13 @@
         manifest = replace_section(
             stored.manifest, offer.team, offer.digest, offer.token
         )
+        expired = expired_sections(stored.manifest, manifest)
+        version_by_name = look_up_versions(self._platform, expired)
         result = self._platform.put(
             MANIFEST_KIND, MANIFEST_NAME, encode_manifest(manifest), stored.version
         )
         if isinstance(result, Success):
+            delete_versions(self._platform, version_by_name)
             self._note_accepted(manifest)
             return self._answer_accepted(manifest.generation)
         error = result.failure()
