Tell a quarantined caller how long it is refused

Cause: a quarantined request was told to come back after one or two seconds, while the quarantine lasts minutes. The answer now gives the time that is left.

--- a/almondspool/coordination/cut_offs.py
+++ b/almondspool/coordination/cut_offs.py
@@ -50,6 +50,10 @@
         """Return how the request may run from now on."""
         return self._quarantine.verdict(now_ms, self._digest)
 
+    def suspicion_left_ms(self, now_ms: int) -> int:
+        """Return how long the request stays suspect or refused, in milliseconds."""
+        return self._quarantine.left_ms(now_ms, self._digest)
+
     def note(self, now_ms: int, run: ShardRun, leg: OpenLeg) -> bool:
         """Record a leg that was cut off; return whether it counts as a crash."""
         service_id = run.shard.service_id
--- a/almondspool/coordination/quarantine.py
+++ b/almondspool/coordination/quarantine.py
@@ -65,6 +65,11 @@
             return Verdict.QUARANTINED
         return Verdict.SUSPECT
 
+    def left_ms(self, now_ms: int, digest: str) -> int:
+        """Return how long a fingerprint is remembered still, in milliseconds."""
+        entry = self._entries_by_fingerprint.get(digest)
+        return max(0, entry.expires_ms() - now_ms) if entry else 0
+
     def note_cut_off(self, now_ms: int, digest: str, upstream_id: str) -> Suspicion:
         """Record a crash seen by this instance and return the message for peers."""
         expires_ms = now_ms + self._lifetime_ms
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -162,12 +162,12 @@
         self.next_wake = None
         if not self._is_finished:
             self.next_wake = min(self._wakes.next_due(), self._deadline.finish_at)
-        actions = tuple(self._actions)
-        self._actions.clear()
+        actions, self._actions = tuple(self._actions), []
         return actions
 
     def _send_pending(self, now: float) -> None:
-        while self._may_send():
+        # A suspect request runs on one upstream at a time.
+        while not (self._is_suspect and self._run_by_leg):
             if self._pending:
                 run, reason = self._pending.popleft()
             else:
@@ -177,9 +177,6 @@
             if run.outcome is None:
                 self._send_next(now, run, reason)
 
-    def _may_send(self) -> bool:
-        return not (self._is_suspect and self._run_by_leg)
-
     def _send_next(self, now: float, run: ShardRun, reason: str) -> None:
         """Send a shard's first leg or a retry, wait for the budget, or give up."""
         choice = self._choose(now, run)
@@ -216,13 +213,11 @@
             idempotent=request.idempotent,
         )
         run.note_sent(OpenLeg(leg.leg_id, choice.upstream_id, now, self._cut_offs.seen))
-        run.attempts += 1
         self._run_by_leg[leg.leg_id] = run
         self._context.chooser.begin(now, choice.upstream_id)
         reason = f"{reason}:{choice.reason}"
-        self._actions.append(
-            SendLeg(choice.upstream_id, leg, reason, choice.candidates)
-        )
+        action = SendLeg(choice.upstream_id, leg, reason, choice.candidates)
+        self._actions.append(action)
         if self._may_hedge(run):
             run.hedge_delay_s = self._context.chooser.hedge_delay_s(
                 choice.upstream_id, run.shard.replicas
@@ -362,6 +357,9 @@
 
     def _refuse(self, now: float, code: ResultCode, detail: str = "") -> None:
         answer = self._answers.refuse(now, code, detail)
+        if code == ResultCode.NOT_RUN_QUARANTINED:
+            left_ms = self._cut_offs.suspicion_left_ms(self._epoch_ms(now))
+            answer = answer._replace(retry_after_ms=left_ms)
         self._actions.append(Finish(answer, code.name.lower()))
         self._is_finished = True
 
--- a/almondspool/coordination/shard_run.py
+++ b/almondspool/coordination/shard_run.py
@@ -82,6 +82,7 @@
         """Record a leg in flight."""
         self.open_by_leg[leg.leg_id] = leg
         self.tried.add(leg.upstream_id)
+        self.attempts += 1
 
     def note_failure(self, code: ResultCode, was_run: bool) -> None:
         """Record the failure of a leg."""
--- a/tests/coordination/search_bench.py
+++ b/tests/coordination/search_bench.py
@@ -29,6 +29,7 @@
 
 ZONES = ("perth-north", "perth-south", "perth-hills")
 LEG_S = 0.006
+LEG_FIELDS = ("leg_id", "shard", "snapshot", "deadline_ms")
 
 
 def make_section(services=2, replicas=3, snapshot_ids=(7,), drained=()):
@@ -148,7 +149,7 @@
         fields = {"discarded": discarded} if discarded else {}
         self.write(
             "leg.result",
-            leg=result.leg_id,
+            leg_id=result.leg_id,
             upstream=result.upstream_id,
             code=ResultCode(result.code).name,
             snapshot=result.snapshot,
@@ -158,17 +159,13 @@
 
     def note(self, action):
         if isinstance(action, SendLeg):
-            leg = action.leg
+            fields = {name: getattr(action.leg, name) for name in LEG_FIELDS}
             weighed = [
-                f"{each.upstream_id}:{each.score_s * 1000:.2f}ms"
-                for each in action.candidates
+                f"{name}:{score * 1000:.2f}ms" for name, score in action.candidates
             ]
             self.write(
                 "leg.send",
-                leg=leg.leg_id,
-                shard=leg.shard,
-                snapshot=leg.snapshot,
-                deadline_ms=leg.deadline_ms,
+                **fields,
                 upstream=action.upstream_id,
                 reason=action.reason,
                 weighed=weighed,
@@ -176,7 +173,7 @@
         elif isinstance(action, CancelLeg):
             self.write(
                 "leg.cancel",
-                leg=action.leg_id,
+                leg_id=action.leg_id,
                 upstream=action.upstream_id,
                 reason=action.reason,
             )
@@ -188,27 +185,25 @@
                 reason=action.reason,
             )
         else:
-            self._note_answer(action)
+            self._note_answer(action.answer, action.reason)
 
-    def _note_answer(self, action):
-        answer = action.answer
+    def _note_answer(self, answer, reason):
         coverage = answer.coverage
+        missing = [
+            f"{shard}:{outcome}:{code.name}"
+            for shard, outcome, code in coverage.missing
+        ]
+        counts = coverage._asdict() | {"missing": missing}
+        records = [record.record_id for record in answer.records]
         self.write(
             "answer",
             request=answer.request_id,
             code=answer.code.name,
             snapshot=answer.snapshot,
-            answered=f"{coverage.answered}/{coverage.total}",
-            late=coverage.late,
-            failed=coverage.failed,
-            not_sent=coverage.not_sent,
-            missing=[
-                f"{each.shard}:{each.outcome}:{each.code.name}"
-                for each in coverage.missing
-            ],
-            records=[record.record_id for record in answer.records],
+            **counts,
+            records=records,
             retry_after_ms=answer.retry_after_ms,
-            reason=action.reason,
+            reason=reason,
         )
 
     def write(self, event, **fields):
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -177,8 +177,17 @@
         self.assertEqual(ResultCode.PARTIAL, bench.answers[0].code)
         for answer in bench.answers[1:]:
             self.assertEqual(ResultCode.NOT_RUN_QUARANTINED, answer.code)
+            self.assertThat(answer.retry_after_ms, testtools.matchers.GreaterThan(5e5))
         verify_session("search_crashing_request", bench.lines)
 
+    def test_suspect_that_crashes_another_upstream_is_quarantined(self):
+        bench = SearchBench(make_section(replicas=1))
+        _crash_all(bench)
+        codes = [bench.run(make_request(request_id=f"r-{n}")).code for n in range(3)]
+        refused = ResultCode.NOT_RUN_QUARANTINED
+        self.assertEqual([ResultCode.PARTIAL, ResultCode.PARTIAL, refused], codes)
+        verify_session("search_suspect_request", bench.lines)
+
     def test_without_quarantine_a_crashing_request_takes_all_replicas(self):
         self.patch(Quarantine, "verdict", lambda *args: Verdict.CLEAR)
         self.patch(CutOffs, "needs_probe", lambda self, run: False)
