Bound the answer that a claim keeps where it is written

Cause: only pack_answer bounded it; a caller of ClaimsTask.record that encodes the answer itself could fill a bucket of 900 kB with a few answers.

--- a/almondspool/coordination/claims.py
+++ b/almondspool/coordination/claims.py
@@ -327,10 +327,14 @@
         return decision, None
     if op.state == ClaimState.UNSENT and present.state != ClaimState.CLAIMED:
         return decision, None
-    answer = op.answer if size + len(op.answer) < MAX_BUCKET_BYTES else b""
+    answer = op.answer if _fits(op.answer, size) else b""
     return decision, present._replace(state=op.state, answer=answer)
 
 
+def _fits(answer: bytes, size: int) -> bool:
+    return len(answer) <= MAX_ANSWER_BYTES and size + len(answer) < MAX_BUCKET_BYTES
+
+
 def _fence(op: ClaimOp, present: Claim | None, expires_ms: int) -> Claim | None:
     """Return a claim closed as unsent in place of one that may still be written.
 
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -248,6 +248,15 @@
         self.assertTrue(decisions[0].is_claimed)
         self.assertEqual(ResultCode.NOT_RUN_OVERLOADED, decisions[3].code)
 
+    def test_answer_too_large_to_keep_leaves_the_outcome_unknown(self):
+        fleet = Fleet()
+        op = fleet.op("i-1")
+        fleet.ask("i-1", op)
+        fleet.close("i-1", op, ClaimState.DONE, b"x" * (claims.MAX_ANSWER_BYTES + 1))
+        decision = fleet.ask("i-2", fleet.op("i-2"))
+        self.assertEqual(ResultCode.OUTCOME_UNKNOWN, decision.code)
+        self.assertIn("too large", decision.detail)
+
     def test_unreadable_bucket_is_named(self):
         error = self.assertRaises(PlatformError, decode_bucket, b"\xc1")
         self.assertEqual(ResultCode.PLATFORM_REPLY_INVALID, error.code)
