Answer running legs at their own deadline, judge connections by load polls

A leg in an exchange with later deadlines is answered 20 ms after its own. The upstream is told a deadline up to 10 ms shorter, so that its report of a missed one arrives in time and the connection stays usable.

--- a/almondspool/coordination/gatherer.py
+++ b/almondspool/coordination/gatherer.py
@@ -26,6 +26,13 @@
 MAX_WAITING_PER_UPSTREAM = 2048
 # A leg joins a run in flight that has at least this share of its own time left.
 JOIN_TIME_SHARE = 0.5
+# The upstream is told a shorter deadline, so that its own report of a missed one
+# arrives in time and the connection stays usable.
+REPLY_MARGIN_SHARE = 0.1
+MAX_REPLY_MARGIN_S = 0.01
+# A running leg is answered this long after its deadline, if its exchange goes on for
+# legs with later ones.
+RUNNING_GRACE_S = 0.02
 
 _BUSY_CODES = (ResultCode.LEG_SHED, ResultCode.LEG_DRAINING)
 
@@ -110,16 +117,18 @@
         return actions
 
     def on_timer(self, now: float) -> list[Action]:
-        """Answer waiting legs whose deadline passed."""
+        """Answer legs whose deadline passed."""
         actions: list[Action] = []
+        for exchange in self._exchanges_by_id.values():
+            self._expire_running(now, exchange, actions)
         for lane in self._lanes_by_id.values():
             if len(lane):
                 self._expire(now, lane, actions)
         return actions
 
-    def is_waiting(self) -> bool:
-        """Return whether any leg waits for a connection."""
-        return any(len(lane) for lane in self._lanes_by_id.values())
+    def has_open_legs(self) -> bool:
+        """Return whether any leg has no result yet."""
+        return bool(self._runs_by_leg_id)
 
     def in_flight(self) -> int:
         """Return how many exchanges run."""
@@ -247,7 +256,7 @@
         for run in runs:
             run.exchange_id = exchange_id
         legs = tuple(
-            run.leg._replace(deadline_ms=max(1, int((run.expires_at - now) * 1000)))
+            run.leg._replace(deadline_ms=_deadline_ms(run.expires_at - now))
             for run in runs
         )
         timeout_s = max(run.expires_at for run in runs) - now
@@ -292,6 +301,18 @@
             lane.remove(run)
             self._fail_expired(run, actions)
 
+    def _expire_running(
+        self, now: float, exchange: Exchange, actions: list[Action]
+    ) -> None:
+        due = now - RUNNING_GRACE_S
+        expired = [
+            run for run in exchange.runs_by_leg_id.values() if run.expires_at <= due
+        ]
+        for run in expired:
+            del exchange.runs_by_leg_id[run.leg.leg_id]
+            detail = "the deadline passed while the leg ran"
+            self._fail(run, ResultCode.LEG_TIMEOUT, detail, True, actions)
+
     def _fail_expired(self, run: Run, actions: list[Action]) -> None:
         self._totals["expired"] += len(run.sharers)
         detail = "the deadline passed before a connection was free"
@@ -320,6 +341,11 @@
             del self._runs_by_key[run.key]
 
 
+def _deadline_ms(remaining_s: float) -> int:
+    margin_s = min(MAX_REPLY_MARGIN_S, REPLY_MARGIN_SHARE * remaining_s)
+    return max(1, int((remaining_s - margin_s) * 1000))
+
+
 def _failure(run: Run, code: ResultCode, detail: str, was_run: bool) -> LegResult:
     return LegResult(
         run.leg.leg_id, code, 0, run.leg.shard, (), run.upstream_id, detail, was_run
--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/gatherer_task.py
@@ -170,7 +170,7 @@
     def _on_expiry(self) -> None:
         self._expiry_armed = False
         self._perform(self._gatherer.on_timer(self._timers.now()))
-        if self._gatherer.is_waiting():
+        if self._gatherer.has_open_legs():
             self._arm_expiry()
 
     def _log_start(self, action: StartExchange) -> None:
--- a/tests/coordination/test_gatherer.py
+++ b/tests/coordination/test_gatherer.py
@@ -68,6 +68,16 @@
         counts = session.gatherer.counts()
         self.assertEqual((4, 4, 0), (counts.runs_sent, counts.exchanges, counts.shared))
 
+    def test_a_short_deadline_does_not_wait_for_a_longer_one(self):
+        session = GathererSession({"searcher-1": 1}, service_s=0.2)
+        session.submit("searcher-1", make_leg("long"), make_leg("short", "s2", 30))
+        session.timers.advance(0.060)
+        [result] = session.results_by_leg_id["short"]
+        self.assertEqual((ResultCode.LEG_TIMEOUT, True), (result.code, result.was_run))
+        session.timers.advance(1.0)
+        codes = [results[0].code for results in session.results_by_leg_id.values()]
+        self.assertEqual([ResultCode.LEG_TIMEOUT, ResultCode.OK], codes)
+
     def exchanges_of_burst(self):
         session = GathererSession({"searcher-1": 3}, slots=9)
         for number in range(200):
@@ -213,4 +223,4 @@
         model.finish()
         self.assertEqual(set(model.submitted), set(model.results))
         self.assertEqual(0, model.gatherer.in_flight())
-        self.assertFalse(model.gatherer.is_waiting())
+        self.assertFalse(model.gatherer.has_open_legs())
--- a/tests/protocol/test_silent_connections.py
+++ b/tests/protocol/test_silent_connections.py
@@ -11,6 +11,8 @@
 from tests.protocol.raw_server import RawServer, line, make_leg, wait_until, whole
 
 TIMEOUT_S = 0.25
+LOAD = b'{"running":0,"queued":0,"draining":false,"warmth":1.0}'
+LOAD_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LOAD) + LOAD
 
 
 class _BlindWatch(ConnectionWatch):
@@ -27,6 +29,10 @@
         self.together = threading.Barrier(3)
 
     def script(self, connection, body, nth):
+        if not body:
+            if connection not in self.silent:
+                connection.sendall(LOAD_REPLY)
+            return
         if nth <= 3:
             self.together.wait(5)
         if connection not in self.silent:
@@ -57,6 +63,12 @@
         self.assertEqual([ResultCode.LEG_TIMEOUT] + [ResultCode.OK] * 3, codes)
         self.assertEqual(1, self.http.open_connections("searcher-1"))
 
+    def test_load_polls_find_silent_connections_before_a_leg_does(self):
+        self.open_three_and_silence_them(ConnectionWatch())
+        polls = [self.http.load(self.server.upstream, TIMEOUT_S) for _ in range(2)]
+        self.assertEqual([True, False], [poll is None for poll in polls])
+        self.assertEqual(ResultCode.OK, self.run_leg("d"))
+
     def test_without_the_watch_each_silent_connection_costs_a_timeout(self):
         self.open_three_and_silence_them(_BlindWatch())
         codes = [self.run_leg(name) for name in "defg"]
