--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -10,6 +10,8 @@
 from almondspool.coordination.admission_task import make_admission_task
 from almondspool.coordination.claims_task import make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
+from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.entries import choose_entries
 from almondspool.coordination.front import Front, FrontServices
 from almondspool.coordination.gatherer_task import make_gatherer_task
 from almondspool.coordination.instance_operator import (
@@ -18,10 +20,15 @@
 )
 from almondspool.coordination.leg_router import LegRouter, LegTransport
 from almondspool.coordination.load_poll_task import LoadPollTask
+from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
 from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.rendezvous import rank
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context
+from almondspool.coordination.shutdown import ShutdownSettings
+from almondspool.coordination.stop_task import StopServices, StopTask
+from almondspool.events import REJOINED, VIEW_CHANGED, Events
 from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
 from almondspool.protocol.document import MAX_SECTION_BYTES
 from almondspool.protocol.http_upstream import make_upstream
@@ -36,33 +43,52 @@
     Suspicion,
 )
 from almondspool.protocol.platform import make_platform
+from almondspool.state.members import MemberStatus
 from almondspool.transport.http_server import HttpServer
 from almondspool.transport.metrics import Metrics
 from almondspool.transport.peer_channel import PeerChannels
 from almondspool.transport.timers import EventletTimers
 
 if TYPE_CHECKING:
-    from typing import Any
+    from typing import Any, NamedTuple
 
+    from almondspool.codes import ResultCode
+    from almondspool.coordination.member_actions import Rejoin
     from almondspool.logs import EventLog
+    from almondspool.protocol.caller import EntryList
+    from almondspool.state.document import Document, Upstream
+
+_LOCAL_STATE_INTERVAL_S = 0.25
+_MS_PER_S = 1000
 
 
 class Application:
     """One instance: its tasks, its listeners and its planned stop."""
 
     def __init__(self, settings: Any, log: EventLog) -> None:
-        """Build every part; nothing runs before start()."""
+        """Build every part; nothing runs before start().
+
+        Raises:
+            AlmondspoolError: If the peer address is in use.
+        """
         self._settings = settings
         self._log = log
         self._rng = random.Random()
         self._timers = EventletTimers()
         self._metrics = Metrics()
-        self._incarnation = int(self._timers.wall_time() * 1000)
-        self._is_stopping = False
-        self.stopped = False
+        self._events = Events()
+        self._incarnation = int(self._timers.wall_time() * _MS_PER_S)
         self._build_transport()
         self._build_request_path()
+        self._build_stop()
         self._build_http()
+        self._events.subscribe(VIEW_CHANGED, lambda _: self._on_view_changed())
+        self._events.subscribe(REJOINED, self._on_rejoined)
+
+    @property
+    def exit_code(self) -> ResultCode | None:
+        """The result of the planned stop; None while it has not ended."""
+        return self._stop.exit_code
 
     def start(self) -> None:
         """Listen and start every task.
@@ -70,42 +96,45 @@
         Raises:
             OSError: If a listening address is in use.
         """
-        self._channels.listen(self._settings.peer_address)
+        settings = self._settings
+        self._channels.listen(settings.peer_address)
         self._configuration = start_configuration_task(
-            self._settings.instance,
+            settings.instance,
             self._platform,
             self._send_peer,
             self._timers,
             self._log,
             self._rng,
             self._on_document,
-            self._settings.watchers,
-            self._settings.platform_poll_s,
+            settings.watchers,
+            settings.platform_poll_s,
         )
         eventlet.spawn(self._dispatch.run)
-        self._http.listen(self._settings.caller_address)
-        self._load_polls.start(self._settings.upstream_poll_s)
+        self._membership.start(settings.heartbeat_interval_s)
+        self._timers.subscribe(_LOCAL_STATE_INTERVAL_S, self._publish_local_state)
+        self._load_polls.start(settings.upstream_poll_s)
+        self._http.listen(settings.caller_address)
         self._log.write(
             "instance.started",
-            instance=self._settings.instance,
-            zone=self._settings.zone,
+            instance=settings.instance,
+            zone=settings.zone,
             incarnation=self._incarnation,
         )
 
     def begin_stop(self) -> None:
         """Begin a planned stop."""
-        self._is_stopping = True
-        eventlet.spawn(self._drain)
+        settings = self._settings
+        self._stop.begin(
+            ShutdownSettings(
+                self._membership.spread_time_s(),
+                settings.entry_ttl_s,
+                settings.drain_s,
+            )
+        )
 
-    def abort_stop(self) -> None:
+    def interrupt_stop(self) -> None:
         """Stop at once; the requests cut off are named in the log."""
-        cut = self._front.in_flight_ids()
-        self._log.write("instance.cut", requests=len(cut), ids=cut)
-
-    def _drain(self) -> None:
-        while self._front.in_flight():
-            eventlet.sleep(0.05)
-        self.stopped = True
+        self._stop.interrupt()
 
     def _build_transport(self) -> None:
         settings = self._settings
@@ -115,15 +144,25 @@
         )
         self._channels.set_incarnation(self._incarnation)
         self._dispatch = PeerDispatch(self._channels, self._log)
-        client = make_platform(settings.platform_address, settings.platform_timeout_s)
         self._platform = make_platform_calls(
-            client,
+            make_platform(settings.platform_address, settings.platform_timeout_s),
             self._timers,
             self._log,
             settings.platform_calls_per_s,
             self._rng,
         )
-        self._upstream, self._overdue_sweep = make_upstream(self._timers)
+        self._membership = make_membership_task(
+            settings,
+            self._incarnation,
+            self._platform,
+            self._timers,
+            self._events,
+            self._log,
+            self._metrics.registry,
+        )
+        self._upstream, self._overdue_sweep = make_upstream(
+            self._timers, ConnectionWatch()
+        )
 
     def _build_request_path(self) -> None:
         settings = self._settings
@@ -134,16 +173,11 @@
             self._gatherer.submit, self._gatherer.cancel, self._send_peer
         )
         self._router = LegRouter(
-            settings.instance, transport, self._holders_of, self._view, self._log
-        )
-        self._make_incarnation_parts()
-        run = RunServices(
-            self._timers,
-            self._router,
+            settings.instance,
+            transport,
+            self._holders_of,
+            self._membership.view,
             self._log,
-            self._metrics,
-            self._share_suspicion,
-            settings.log_decisions,
         )
         self._admission = make_admission_task(
             self._timers,
@@ -152,19 +186,8 @@
             settings.queue_limit,
             self._rng.getrandbits(32),
         )
-        self._front = Front(
-            settings.instance,
-            FrontServices(
-                run,
-                lambda: self._context,
-                self._admission,
-                lambda: self._claims,
-                lambda: self._configuration.document,
-                self._entries,
-                lambda: True,
-                lambda: self._is_stopping,
-            ),
-        )
+        self._make_session_parts()
+        self._front = Front(settings.instance, self._front_services())
         self._load_polls = LoadPollTask(
             self._upstream,
             self._timers,
@@ -173,7 +196,8 @@
         )
         self._register_peer_messages()
 
-    def _make_incarnation_parts(self) -> None:
+    def _make_session_parts(self) -> None:
+        """Make what must not outlive a re-join: leg ids, claims, learnt latencies."""
         settings = self._settings
         self._context = make_context(
             settings.instance,
@@ -190,10 +214,30 @@
             settings.instance,
             self._incarnation,
             settings.claim_retention_s,
-            lambda instance, incarnation: True,
+            self._is_owner_live,
             self._rng,
         )
 
+    def _front_services(self) -> FrontServices:
+        run = RunServices(
+            self._timers,
+            self._router,
+            self._log,
+            self._metrics,
+            self._share_suspicion,
+            self._settings.log_decisions,
+        )
+        return FrontServices(
+            run=run,
+            context=lambda: self._context,
+            admission=self._admission,
+            claims=lambda: self._claims,
+            document=lambda: self._configuration.document,
+            entries=self._entries,
+            may_act=self._may_act,
+            is_refusing=lambda: not self._stop.accepts_new(),
+        )
+
     def _register_peer_messages(self) -> None:
         register = self._dispatch.register
         register(LegBatch, lambda item: self._gatherer.submit(item.message, item.reply))
@@ -210,84 +254,120 @@
         register(Suspicion, lambda item: self._merge_suspicion(item.message))
         self._dispatch.register_down(self._router.on_channel_down)
 
+    def _build_stop(self) -> None:
+        self._stop = StopTask(
+            StopServices(
+                self._timers,
+                self._log,
+                self._front.in_flight_ids,
+                self._membership.announce_leaving,
+                self._give_back,
+            )
+        )
+
     def _build_http(self) -> None:
-        self._http = HttpServer(MAX_SECTION_BYTES)
-        CallerRoutes(self._front).add_to(self._http)
+        settings = self._settings
         services = OperatorServices(
-            self._timers,
-            lambda: self._configuration,
-            self._view,
-            lambda: self._context.chooser,
-            list,
-            lambda: self._platform.calls_by_method,
-            self._is_ready,
-            lambda: self._is_stopping,
-        )
-        operator = InstanceOperator(
-            self._settings.instance, self._settings.zone, services
+            timers=self._timers,
+            configuration=lambda: self._configuration,
+            view=self._membership.view,
+            chooser=lambda: self._context.chooser,
+            backlog=list,
+            platform_calls=lambda: self._platform.calls_by_method,
+            is_ready=self._may_act,
+            is_leaving=self._stop.is_leaving,
         )
+        operator = InstanceOperator(settings.instance, settings.zone, services)
+        self._http = HttpServer(MAX_SECTION_BYTES)
+        CallerRoutes(self._front).add_to(self._http)
         OperatorRoutes(operator).add_to(self._http)
         HealthRoutes(self._metrics.registry, self._is_ready).add_to(self._http)
 
     def _is_ready(self) -> bool:
-        return True
+        return self._membership.may_act() and self._stop.accepts_new()
 
-    def _view(self):
-        from almondspool.state.members import Member, View
+    def _may_act(self) -> bool:
+        return self._membership.may_act() and self._configuration.is_ready()
 
-        settings = self._settings
-        own = Member(
-            settings.instance,
-            self._incarnation,
-            settings.zone,
-            settings.caller_address,
-            settings.peer_address,
-            generation=self._configuration.document.generation,
+    def _entries(self, zone: str) -> EntryList:
+        return choose_entries(
+            self._membership.view(),
+            self._membership.own(),
+            zone,
+            self._settings.entry_ttl_s,
+            self._rng,
         )
-        return View({settings.instance: own})
 
-    def _holders_of(self, upstream) -> tuple[str, ...]:
-        return (self._settings.instance,)
+    def _holders_of(self, upstream: Upstream) -> tuple[str, ...]:
+        names = (member.instance for member in self._membership.view().present())
+        return rank(upstream.upstream_id, names)[: self._settings.holders_per_upstream]
 
-    def _held_upstreams(self):
+    def _held_upstreams(self) -> dict[str, Upstream]:
         return {
             upstream_id: upstream
             for section in self._configuration.document.sections_by_team.values()
             for upstream_id, upstream in section.upstreams_by_id.items()
+            if self._settings.instance in self._holders_of(upstream)
         }
 
-    def _entries(self, zone):
-        from almondspool.protocol.caller import Entry, EntryList
-
-        settings = self._settings
-        entry = Entry(settings.instance, settings.caller_address, settings.zone)
-        return EntryList((entry,), int(settings.entry_ttl_s * 1000))
-
-    def _on_document(self, document) -> None:
+    def _on_document(self, document: Document) -> None:
         self._metrics.generation.set(document.generation)
         self._gatherer.set_document(document)
+        self._set_grants()
+        self._publish_local_state()
+
+    def _set_grants(self) -> None:
+        share = 2 * self._settings.holders_per_upstream
         grants = {
-            key: max(1, upstream.max_connections // 9)
-            for key, upstream in self._held_upstreams().items()
+            upstream_id: max(1, upstream.max_connections // share)
+            for upstream_id, upstream in self._held_upstreams().items()
         }
         self._gatherer.set_grants(grants)
 
-    def _send_peer(self, instance, message) -> bool:
-        member = self._view().members_by_instance.get(instance)
+    def _on_view_changed(self) -> None:
+        view = self._membership.view()
+        self._configuration.post_view(view)
+        self._set_grants()
+        for member in view.members_by_instance.values():
+            if member.status == MemberStatus.DEAD:
+                self._channels.drop(member.instance)
+
+    def _on_rejoined(self, rejoin: Rejoin) -> None:
+        self._incarnation = rejoin.incarnation
+        self._channels.set_incarnation(rejoin.incarnation)
+        self._gatherer.set_grants({})
+        self._make_session_parts()
+
+    def _publish_local_state(self) -> None:
+        load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
+        generation = self._configuration.document.generation
+        self._membership.set_local(LocalState(generation, load, 0))
+
+    def _send_peer(self, instance: str, message: NamedTuple) -> bool:
+        member = self._membership.view().members_by_instance.get(instance)
         if member is None:
             return False
         return self._channels.send(instance, member.peer_address, message)
 
     def _share_suspicion(self, suspicion: Suspicion) -> None:
-        for member in self._view().serving():
+        for member in self._membership.view().present():
             if member.instance != self._settings.instance:
                 self._send_peer(member.instance, suspicion)
 
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
-        now_ms = int(self._timers.wall_time() * 1000)
+        now_ms = int(self._timers.wall_time() * _MS_PER_S)
         self._context.quarantine.merge(now_ms, suspicion)
 
-    def _count_refusal(self, code) -> None:
+    def _is_owner_live(self, instance: str, incarnation: int) -> bool:
+        member = self._membership.view().members_by_instance.get(instance)
+        if member is None or member.status == MemberStatus.DEAD:
+            return False
+        return member.session <= incarnation
+
+    def _give_back(self) -> None:
+        self._gatherer.set_grants({})
+
+    def _count_refusal(self, code: ResultCode) -> None:
         self._metrics.peer_refusals.labels(code.name).inc()
 
 
--- /dev/null
+++ b/almondspool/coordination/stop_task.py
@@ -0,0 +1,105 @@
+"""Runs a planned stop: announces it, drains, gives back and ends the process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+
+from almondspool.coordination.shutdown import (
+    AnnounceLeaving,
+    CutOff,
+    Exit,
+    GiveBack,
+    Shutdown,
+    ShutdownSettings,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from almondspool.codes import ResultCode
+    from almondspool.coordination.shutdown import Action
+    from almondspool.logs import EventLog
+    from almondspool.transport.timers import TimerHandle, TimerService
+
+TICK_S = 0.05
+
+
+class StopServices(NamedTuple):
+    """What a planned stop uses of its instance.
+
+    Attributes:
+        timers: The time.
+        log: The event log.
+        in_flight_ids: Returns the requests without an answer.
+        announce_leaving: Tells peers and platform; blocks until they were told.
+        give_back: Gives back leases and shares; may block.
+    """
+
+    timers: TimerService
+    log: EventLog
+    in_flight_ids: Callable[[], tuple[str, ...]]
+    announce_leaving: Callable[[], None]
+    give_back: Callable[[], None]
+
+
+class StopTask:
+    """Owns the shutdown's decisions and carries out its actions."""
+
+    def __init__(self, services: StopServices) -> None:
+        """Start running."""
+        self._services = services
+        self._shutdown = Shutdown()
+        self._ticks: TimerHandle | None = None
+        self.exit_code: ResultCode | None = None
+
+    def accepts_new(self) -> bool:
+        """Return whether new requests are served."""
+        return self._shutdown.accepts_new()
+
+    def is_leaving(self) -> bool:
+        """Return whether a stop has begun."""
+        return self._ticks is not None
+
+    def begin(self, settings: ShutdownSettings) -> None:
+        """Take the first stop signal."""
+        services = self._services
+        services.log.write("stop.begin", **settings._asdict())
+        self._ticks = services.timers.subscribe(TICK_S, self._on_tick)
+        self._carry_out(self._shutdown.begin(settings, services.timers.now()))
+
+    def interrupt(self) -> None:
+        """Take the second stop signal."""
+        self._carry_out(self._shutdown.interrupt(self._services.in_flight_ids()))
+
+    def _on_tick(self) -> None:
+        phase = self._shutdown.phase
+        in_flight = self._services.in_flight_ids()
+        actions = self._shutdown.tick(in_flight, self._services.timers.now())
+        if self._shutdown.phase != phase:
+            self._services.log.write(
+                "stop.phase", phase=self._shutdown.phase.value, in_flight=len(in_flight)
+            )
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, AnnounceLeaving):
+                eventlet.spawn_n(self._services.announce_leaving)
+            elif isinstance(action, GiveBack):
+                eventlet.spawn_n(self._give_back)
+            elif isinstance(action, CutOff):
+                self._services.log.write(
+                    "stop.cut_off",
+                    code=int(action.code),
+                    reason=action.reason,
+                    requests=len(action.request_ids),
+                    ids=action.request_ids,
+                )
+            elif isinstance(action, Exit):
+                self.exit_code = action.code
+
+    def _give_back(self) -> None:
+        self._services.give_back()
+        self._carry_out(self._shutdown.given_back())
--- a/almondspool/daemon.py
+++ b/almondspool/daemon.py
@@ -17,7 +17,7 @@
 
 from almondspool.application import Application, make_application  # noqa: E402
 from almondspool.codes import ResultCode, exit_code  # noqa: E402
-from almondspool.errors import SettingsError  # noqa: E402
+from almondspool.errors import AlmondspoolError, SettingsError  # noqa: E402
 from almondspool.logs import AbslLineFormatter, EventLog  # noqa: E402
 from almondspool.settings import load_settings  # noqa: E402
 
@@ -56,10 +56,10 @@
         print(error, file=sys.stderr)
         return exit_code(error.code)
     signals = _StopSignals()
-    application = make_application(settings, log)
     try:
+        application = make_application(settings, log)
         application.start()
-    except OSError as error:
+    except (OSError, AlmondspoolError) as error:
         log.write("daemon.refused", detail=str(error))
         return exit_code(ResultCode.ADDRESS_IN_USE)
     return _run(application, signals, log)
@@ -69,13 +69,12 @@
     while signals.count == 0:
         eventlet.sleep(_SIGNAL_POLL_S)
     application.begin_stop()
-    while not application.stopped:
+    while application.exit_code is None:
         if signals.count > 1:
-            application.abort_stop()
-            return exit_code(ResultCode.INTERRUPTED)
+            application.interrupt_stop()
         eventlet.sleep(_SIGNAL_POLL_S)
-    log.write("daemon.stopped")
-    return exit_code(ResultCode.OK)
+    log.write("daemon.stopped", code=int(application.exit_code))
+    return exit_code(application.exit_code)
 
 
 def run() -> None:
