Weigh a replica of the own zone in every choice

Cause: with three replicas in three zones, two random ones leave out the own zone in a third of the choices, so that a third of the legs crossed zones for nothing.

Ruled out: weighing all replicas (the same within noise, and dearer for services with many); raising an upstream's peak when a leg's hedge delay has passed rather than when it ends (within noise).

Also renew_context: a re-joined instance gets new leg ids and keeps what it learnt of upstreams, budget and crashing requests.

--- a/almondspool/coordination/replicas.py
+++ b/almondspool/coordination/replicas.py
@@ -1,4 +1,8 @@
-"""Choice of the replica that runs a leg: the better of two random ones."""
+"""Choice of the replica that runs a leg: the best of a few random ones.
+
+Two random replicas are weighed, and one of the own availability zone if neither is:
+two alone would send a third of the legs of three replicas to another zone.
+"""
 
 from __future__ import annotations
 
@@ -131,8 +135,8 @@
             return Choice("", (), "no_replica_left")
         working, reason = self._without_unfit(now, allowed)
         warm = self._without_cold(now, working)
-        pair = warm if len(warm) <= 2 else self._draw_two(warm)
-        candidates = tuple(self._weigh(now, section, each) for each in pair)
+        drawn = warm if len(warm) <= 2 else self._draw(section, warm)
+        candidates = tuple(self._weigh(now, section, each) for each in drawn)
         best = min(candidates, key=lambda candidate: candidate.score_s)
         return Choice(best.upstream_id, candidates, reason)
 
@@ -204,13 +208,25 @@
         for upstream_id in self._stats_by_upstream.keys() - kept:
             del self._stats_by_upstream[upstream_id]
 
-    def _draw_two(self, upstream_ids: list[str]) -> tuple[str, str]:
+    def _draw(self, section: Section, upstream_ids: list[str]) -> list[str]:
+        """Draw two upstreams, and one of the own zone if neither is in it."""
+        pair = self._draw_two(upstream_ids)
+        own_zone = [
+            upstream_id
+            for upstream_id in upstream_ids
+            if section.upstreams_by_id[upstream_id].zone == self._zone
+        ]
+        if not own_zone or any(upstream_id in own_zone for upstream_id in pair):
+            return pair
+        return [*pair, own_zone[int(self._rng.random() * len(own_zone))]]
+
+    def _draw_two(self, upstream_ids: list[str]) -> list[str]:
         # Runs once for each leg, where random.sample costs too much.
         first = int(self._rng.random() * len(upstream_ids))
         second = int(self._rng.random() * (len(upstream_ids) - 1))
         if second >= first:
             second += 1
-        return upstream_ids[first], upstream_ids[second]
+        return [upstream_ids[first], upstream_ids[second]]
 
     def _stats(self, now: float, upstream_id: str) -> _UpstreamStats:
         stats = self._stats_by_upstream.get(upstream_id)
@@ -235,7 +251,7 @@
             upstream_id for upstream_id in allowed if self._is_fit(now, upstream_id)
         ]
         if working:
-            return working, "best_of_two" if len(working) > 1 else "only_replica"
+            return working, "best_of_drawn" if len(working) > 1 else "only_replica"
         return allowed, "only_unfit_replicas"
 
     def _is_fit(self, now: float, upstream_id: str) -> bool:
--- a/almondspool/coordination/search_context.py
+++ b/almondspool/coordination/search_context.py
@@ -67,3 +67,13 @@
         Quarantine(quarantine_s),
         rng,
     )
+
+
+def renew_context(
+    context: SearchContext, instance: str, incarnation: int
+) -> SearchContext:
+    """Return the context of a re-joined instance.
+
+    Leg ids are new; what was learnt of upstreams and crashing requests is kept.
+    """
+    return context._replace(leg_ids=make_leg_ids(instance, incarnation))
--- a/tests/coordination/test_replicas.py
+++ b/tests/coordination/test_replicas.py
@@ -106,6 +106,12 @@
         counts = count_choices(chooser, choices=60, held=0)
         self.assertEqual("s0-a", counts.most_common(1)[0][0])
 
+    def test_own_zone_is_weighed_in_every_choice(self):
+        chooser = make_chooser(ZONES[0], random.Random(1))
+        for number in range(50):
+            choice = chooser.choose(float(number), SECTION, REPLICAS)
+            self.assertIn("s0-a", [each.upstream_id for each in choice.candidates])
+
     def test_tried_and_unknown_replicas_are_left_out(self):
         chooser = make_warm_chooser()
         choice = chooser.choose(100.0, SECTION, (*REPLICAS, "gone"), REPLICAS)
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -8,6 +8,7 @@
 from almondspool.coordination.cut_offs import CutOffs
 from almondspool.coordination.quarantine import Quarantine, Verdict
 from almondspool.coordination.replicas import ReplicaChooser
+from almondspool.coordination.search_context import renew_context
 from almondspool.coordination.shard_run import CheckedResult
 from almondspool.protocol.caller import NO_COVERAGE, Record
 from almondspool.protocol.upstream import LegResult, LoadReport
@@ -275,6 +276,15 @@
         counted = {"unknown_leg": 1, "wrong_shard": 1, "duplicate": 1}
         self.assertEqual(counted, dict(session.discarded_by_reason))
 
+    def test_rejoined_instance_keeps_what_it_learnt_but_not_its_leg_ids(self):
+        bench = SearchBench()
+        bench.run()
+        first = bench.sent[0].leg.leg_id
+        bench.context = renew_context(bench.context, "i-1", 4)
+        bench.run()
+        self.assertNotEqual(first, bench.sent[2].leg.leg_id)
+        self.assertEqual(4, bench.context.budget.counts.first)
+
     def test_every_begun_leg_is_ended_at_the_chooser(self):
         bench = SearchBench()
         bench.reply_by_number = {1: SILENT, 2: REFUSED, 3: Reply(copies=2)}
