Count connections given up in the middle of a request for a while longer

A searcher notices a close only when its handler ends, so a new connection opened at once would make it hold more than the grant. Such a connection, and one that went silent, keeps its place for a second (LINGER_S); a wait for a place ends after 50 ms as LEG_SHED, not run. Letting one new connection through meanwhile was ruled out: it breaks the limit, and the doubt of silent connections closes an idle one first anyway.

With four legs that hang on a grant of 2 the server held 2 connections; without lingering 4.

--- a/almondspool/protocol/http_exchange.py
+++ b/almondspool/protocol/http_exchange.py
@@ -84,6 +84,7 @@
 
     Attributes:
         whole: Whether the reply ended properly, so that the connection can be reused.
+        abandoned: Whether the request may still run, since its time was up.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
     ) -> None:
         """Prepare a request that must have ended at a monotonic second."""
         self.whole = False
+        self.abandoned = False
         self._upstream_id = upstream_id
         self._pool = pool
         self._connection = connection
@@ -223,6 +225,7 @@
         return remaining
 
     def _timed_out(self, detail: str) -> Failure:
+        self.abandoned = True
         if self._has_answer:
             return Failure(ResultCode.LEG_TIMEOUT, detail, True)
         serial = self._connection.serial
--- a/almondspool/protocol/http_upstream.py
+++ b/almondspool/protocol/http_upstream.py
@@ -31,6 +31,9 @@
 
 CANCEL_TIMEOUT_S = 0.5
 SWEEP_INTERVAL_S = 0.1
+# Exchanges are started within the grant, so that only places which linger after a
+# timeout make one wait; its legs had better go elsewhere.
+MAX_POOL_WAIT_S = 0.05
 
 
 class HttpUpstream(UpstreamInterface):
@@ -115,7 +118,7 @@
         self, upstream: Upstream, reader: ReplyReader, end: float, max_idle_s: float
     ) -> Iterator[LegResult]:
         pool = self._pool(upstream)
-        wait_s = max(0.0, end - self._clock())
+        wait_s = min(MAX_POOL_WAIT_S, max(0.0, end - self._clock()))
         try:
             connection = pool.acquire(wait_s, max_idle_s, self._doubtful(upstream))
         except UpstreamError as error:
@@ -125,7 +128,7 @@
         try:
             yield from exchange.run_legs(reader)
         finally:
-            pool.release(connection, reusable=exchange.whole)
+            pool.release(connection, exchange.whole, exchange.abandoned)
 
     def _after_stale(
         self, upstream: Upstream, reader: ReplyReader, end: float, detail: str
@@ -154,6 +157,7 @@
         pool = self._pool(upstream)
         end = self._clock() + timeout_s
         try:
+            wait_s = min(MAX_POOL_WAIT_S, wait_s)
             connection = pool.acquire(wait_s, newer_than=self._doubtful(upstream))
         except UpstreamError:
             return None
@@ -161,7 +165,7 @@
         try:
             return exchange.control(method, path, body)
         finally:
-            pool.release(connection, reusable=exchange.whole)
+            pool.release(connection, exchange.whole, exchange.abandoned)
 
     def _exchange(
         self,
--- a/almondspool/transport/http_pool.py
+++ b/almondspool/transport/http_pool.py
@@ -18,6 +18,9 @@
 
 # Network address translators commonly forget a TCP flow after 60 s or more.
 IDLE_LIMIT_S = 45.0
+# The other end may count a connection that was closed in the middle of a request, or
+# that went silent, for a while longer.
+LINGER_S = 1.0
 
 
 class ConnectionJudge(abc.ABC):
@@ -99,14 +102,17 @@
         self._clock = clock
         self._idle: list[PooledConnection] = []
         self._in_use: set[PooledConnection] = set()
+        self._lingering_until: list[float] = []
         self._retired_serial = 0
         self._serials = itertools.count(1)
         self._changed = threading.Condition()
 
     @property
     def open_count(self) -> int:
-        """Return connections open now, idle or in use."""
-        return len(self._idle) + len(self._in_use)
+        """Return connections that the upstream may count: open or closed just now."""
+        now = self._clock()
+        self._lingering_until = [end for end in self._lingering_until if end > now]
+        return len(self._idle) + len(self._in_use) + len(self._lingering_until)
 
     def set_limit(self, limit: int) -> None:
         """Change the granted number and close idle connections beyond it."""
@@ -141,10 +147,18 @@
                 remaining = end - self._clock()
                 if remaining <= 0 or self._limit == 0:
                     raise self._busy_error()
-                self._changed.wait(remaining)
+                self._changed.wait(min([remaining, *self._linger_waits_s()]))
+
+    def release(
+        self, connection: PooledConnection, reusable: bool, abandoned: bool = False
+    ) -> None:
+        """Give a connection back; it is closed unless it can be reused.
 
-    def release(self, connection: PooledConnection, reusable: bool) -> None:
-        """Give a connection back; it is closed unless it can be reused."""
+        Args:
+            connection: From acquire.
+            reusable: Whether the last reply ended properly.
+            abandoned: Whether a request may still run on it at the other end.
+        """
         with self._changed:
             self._in_use.discard(connection)
             connection.uses += 1
@@ -153,10 +167,12 @@
                 self._idle.append(connection)
             else:
                 connection.http.close()
+                if abandoned:
+                    self._linger(1)
             self._changed.notify()
 
     def retire_to(self, serial: int) -> int:
-        """Close idle connections up to a serial, and busy ones when given back.
+        """Close silent connections: idle ones now, busy ones when given back.
 
         Args:
             serial: The newest connection to retire.
@@ -166,7 +182,9 @@
         """
         with self._changed:
             self._retired_serial = max(self._retired_serial, serial)
-            return self._close_idle(lambda idle: idle.serial <= serial)
+            closed = self._close_idle(lambda idle: idle.serial <= serial)
+            self._linger(closed)
+            return closed
 
     def close_stale(self) -> int:
         """Close connections that were idle too long or closed by the upstream."""
@@ -175,10 +193,11 @@
 
     def retire_all(self) -> int:
         """Close all idle connections, and busy ones when given back."""
-        newest = max(
-            (item.serial for item in self._in_use | set(self._idle)), default=0
-        )
-        return self.retire_to(newest)
+        with self._changed:
+            open_now = (*self._in_use, *self._idle)
+            newest = max((item.serial for item in open_now), default=0)
+            self._retired_serial = max(self._retired_serial, newest)
+            return self._close_idle(lambda idle: True)
 
     def _take(self, max_idle_s: float, newer_than: int) -> PooledConnection | None:
         connection = self._take_idle(max_idle_s, newer_than)
@@ -191,6 +210,13 @@
         http = HTTPConnection(self._host, self._port)
         return self._use(PooledConnection(http, next(self._serials), self._clock()))
 
+    def _linger(self, count: int) -> None:
+        self._lingering_until += [self._clock() + LINGER_S] * count
+
+    def _linger_waits_s(self) -> list[float]:
+        now = self._clock()
+        return [max(0.001, end - now) for end in self._lingering_until]
+
     def _take_idle(self, max_idle_s: float, newer_than: int) -> PooledConnection | None:
         now = self._clock()
         # The last used is the least likely to have been forgotten on the way.
--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -11,6 +11,7 @@
 from almondspool.protocol.caller import Record
 from almondspool.protocol.http_upstream import HttpUpstream
 from almondspool.protocol.upstream import LoadReport
+from almondspool.transport import http_pool
 from tests.protocol.raw_server import (
     END,
     HEAD,
@@ -214,6 +215,35 @@
         result = self.run_legs(server, make_leg("b"))["b"]
         self.assertEqual(ResultCode.LEG_NO_HOLDER, result.code)
 
+    def most_at_the_server(self):
+        """Run legs that hang past their deadline, and count what the server holds."""
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        held = []
+
+        def script(connection, body, nth):
+            held.append(connection)
+            gate.wait(5)
+
+        server = self.serve(script, grant=2)
+        codes = [
+            self.run_legs(server, make_leg(name), timeout_s=0.1)[name].code
+            for name in "abcd"
+        ]
+        return len(set(held)), codes
+
+    def test_a_connection_given_up_while_its_leg_runs_still_counts(self):
+        self.patch(http_pool, "LINGER_S", 60.0)
+        most, codes = self.most_at_the_server()
+        self.assertEqual(2, most)
+        timeouts, shed = [ResultCode.LEG_TIMEOUT] * 2, [ResultCode.LEG_SHED] * 2
+        self.assertEqual(timeouts + shed, codes)
+
+    def test_without_lingering_the_server_holds_more_than_the_grant(self):
+        self.patch(http_pool, "LINGER_S", 0.0)
+        most, _ = self.most_at_the_server()
+        self.assertEqual(4, most)
+
     def test_load_and_cancel(self):
         body = b'{"running":1,"queued":2,"draining":true,"warmth":0.5}'
         reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
