--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from almondspool.coordination.admission_task import make_admission_task
+from almondspool.coordination.backlog_task import make_backlog_task
 from almondspool.coordination.claims_task import make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
 from almondspool.coordination.connections import ConnectionWatch
@@ -17,6 +18,7 @@
 from almondspool.coordination.instance_operator import (
     InstanceOperator,
     OperatorServices,
+    backlog_rows,
 )
 from almondspool.coordination.leg_router import LegRouter, LegTransport
 from almondspool.coordination.load_poll_task import LoadPollTask
@@ -25,7 +27,7 @@
 from almondspool.coordination.platform_calls import make_platform_calls
 from almondspool.coordination.rendezvous import rank
 from almondspool.coordination.request_run import RunServices
-from almondspool.coordination.search_context import make_context
+from almondspool.coordination.search_context import make_context, renew_context
 from almondspool.coordination.shutdown import ShutdownSettings
 from almondspool.coordination.stop_task import StopServices, StopTask
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
@@ -53,12 +55,15 @@
     from typing import Any, NamedTuple
 
     from almondspool.codes import ResultCode
+    from almondspool.coordination.claims_task import ClaimsTask
     from almondspool.coordination.member_actions import Rejoin
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import EntryList
+    from almondspool.protocol.upstream import LoadReport
     from almondspool.state.document import Document, Upstream
 
 _LOCAL_STATE_INTERVAL_S = 0.25
+_GIVE_BACK_POLL_S = 0.05
 _MS_PER_S = 1000
 
 
@@ -186,19 +191,6 @@
             settings.queue_limit,
             self._rng.getrandbits(32),
         )
-        self._make_session_parts()
-        self._front = Front(settings.instance, self._front_services())
-        self._load_polls = LoadPollTask(
-            self._upstream,
-            self._timers,
-            self._held_upstreams,
-            lambda: self._context.chooser,
-        )
-        self._register_peer_messages()
-
-    def _make_session_parts(self) -> None:
-        """Make what must not outlive a re-join: leg ids, claims, learnt latencies."""
-        settings = self._settings
         self._context = make_context(
             settings.instance,
             self._incarnation,
@@ -207,13 +199,27 @@
             settings.quarantine_s,
             self._rng,
         )
-        self._claims = make_claims_task(
+        self._claims = self._make_claims()
+        self._front = Front(settings.instance, self._front_services())
+        self._load_polls = LoadPollTask(
+            self._upstream,
+            self._timers,
+            self._held_upstreams,
+            self._on_load_report,
+        )
+        self._backlog = make_backlog_task(
+            self._gatherer.rows, self._timers, self._log, self._metrics.registry
+        )
+        self._register_peer_messages()
+
+    def _make_claims(self) -> ClaimsTask:
+        return make_claims_task(
             self._platform,
             self._timers,
             self._log,
-            settings.instance,
+            self._settings.instance,
             self._incarnation,
-            settings.claim_retention_s,
+            self._settings.claim_retention_s,
             self._is_owner_live,
             self._rng,
         )
@@ -272,7 +278,7 @@
             configuration=lambda: self._configuration,
             view=self._membership.view,
             chooser=lambda: self._context.chooser,
-            backlog=list,
+            backlog=lambda: backlog_rows(self._backlog.rows()),
             platform_calls=lambda: self._platform.calls_by_method,
             is_ready=self._may_act,
             is_leaving=self._stop.is_leaving,
@@ -305,14 +311,21 @@
     def _held_upstreams(self) -> dict[str, Upstream]:
         return {
             upstream_id: upstream
-            for section in self._configuration.document.sections_by_team.values()
-            for upstream_id, upstream in section.upstreams_by_id.items()
+            for upstream_id, upstream in _upstreams_by_id(
+                self._configuration.document
+            ).items()
             if self._settings.instance in self._holders_of(upstream)
         }
 
+    def _on_load_report(self, upstream_id: str, report: LoadReport) -> None:
+        self._context.chooser.note_report(self._timers.now(), upstream_id, report)
+        self._backlog.on_load(upstream_id, report)
+
     def _on_document(self, document: Document) -> None:
         self._metrics.generation.set(document.generation)
         self._gatherer.set_document(document)
+        self._backlog.set_document(document)
+        self._context.chooser.forget_absent(_upstreams_by_id(document))
         self._set_grants()
         self._publish_local_state()
 
@@ -336,7 +349,10 @@
         self._incarnation = rejoin.incarnation
         self._channels.set_incarnation(rejoin.incarnation)
         self._gatherer.set_grants({})
-        self._make_session_parts()
+        self._context = renew_context(
+            self._context, self._settings.instance, rejoin.incarnation
+        )
+        self._claims = self._make_claims()
 
     def _publish_local_state(self) -> None:
         load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
@@ -365,12 +381,22 @@
         return member.session <= incarnation
 
     def _give_back(self) -> None:
+        while not self._claims.is_idle():
+            eventlet.sleep(_GIVE_BACK_POLL_S)
         self._gatherer.set_grants({})
 
     def _count_refusal(self, code: ResultCode) -> None:
         self._metrics.peer_refusals.labels(code.name).inc()
 
 
+def _upstreams_by_id(document: Document) -> dict[str, Upstream]:
+    return {
+        upstream_id: upstream
+        for section in document.sections_by_team.values()
+        for upstream_id, upstream in section.upstreams_by_id.items()
+    }
+
+
 def make_application(settings: Any, log: EventLog) -> Application:
     """Return the application of one instance, not started."""
     return Application(settings, log)
--- a/almondspool/coordination/front.py
+++ b/almondspool/coordination/front.py
@@ -5,11 +5,15 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-
 from almondspool.codes import ResultCode, describe
 from almondspool.coordination.admission_task import AdmissionDecision, AdmissionRequest
-from almondspool.coordination.claims import ClaimState
+from almondspool.coordination.claims import (
+    ClaimState,
+    closing_state,
+    pack_answer,
+    unpack_answer,
+)
+from almondspool.coordination.claims_task import CLAIM_TIMEOUT_S
 from almondspool.coordination.request_run import RequestRun, RunServices
 from almondspool.coordination.search import make_session
 from almondspool.protocol.caller import (
@@ -30,8 +34,6 @@
 
 _MS_PER_S = 1000
 NO_CONFIGURATION_RETRY_MS = 500
-_NEVER_SENT_GROUPS = (1, 2)
-_ANSWER_DECODER = msgspec.msgpack.Decoder(SearchAnswer)
 
 
 class FrontServices(NamedTuple):
@@ -67,6 +69,10 @@
     section: Section
     priority: Priority
 
+    def deadline_s(self) -> float:
+        """Return the time from arrival in which the answer is due, in seconds."""
+        return (self.request.deadline_ms or self.section.deadline_ms) / _MS_PER_S
+
 
 class Front(CallerInterface):
     """Checks, admits and runs requests; each runs on its caller's green thread."""
@@ -139,13 +145,12 @@
 
     def _admit(self, arrival: _Arrival) -> SearchAnswer:
         request = arrival.request
-        deadline_ms = request.deadline_ms or arrival.section.deadline_ms
         scope = "one" if request.shard or request.services else "all"
         decision = self._services.admission.enter(
             AdmissionRequest(
                 request.request_id,
                 arrival.priority,
-                deadline_ms / _MS_PER_S,
+                arrival.deadline_s(),
                 f"{request.team}/{scope}",
             )
         )
@@ -161,15 +166,17 @@
     def _run_once(self, arrival: _Arrival) -> SearchAnswer:
         """Run a non-idempotent request under its claim, or tell what became of it."""
         claims = self._services.claims()
-        claim = claims.claim(arrival.request)
+        elapsed_s = self._services.run.timers.now() - arrival.at
+        remaining_s = max(0.0, arrival.deadline_s() - elapsed_s)
+        claim = claims.claim(arrival.request, min(CLAIM_TIMEOUT_S, remaining_s))
         if not claim.is_claimed:
             return self._answer_unclaimed(arrival, claim)
         state, answer = ClaimState.UNKNOWN, None
         try:
             answer = self._run(arrival, claim.send_before)
-            state = _closing_state(answer)
+            state = closing_state(answer.code)
         finally:
-            recorded = b"" if answer is None else msgspec.msgpack.encode(answer)
+            recorded = b"" if answer is None else pack_answer(answer)
             claims.record(arrival.request.request_id, state, recorded)
         return answer
 
@@ -177,7 +184,7 @@
         self, arrival: _Arrival, claim: ClaimDecision
     ) -> SearchAnswer:
         if claim.answer:
-            return _ANSWER_DECODER.decode(claim.answer)
+            return unpack_answer(claim.answer)
         request = arrival.request
         answer = _refusal(request, arrival.generation, claim.code, claim.detail)
         if claim.code is ResultCode.NOT_RUN_PLATFORM_DOWN:
@@ -246,11 +253,3 @@
         arrival.request, arrival.generation, decision.code, decision.detail
     )
     return answer._replace(retry_after_ms=decision.retry_after_ms)
-
-
-def _closing_state(answer: SearchAnswer) -> ClaimState:
-    if answer.code is ResultCode.OUTCOME_UNKNOWN:
-        return ClaimState.UNKNOWN
-    if int(answer.code) // 100 in _NEVER_SENT_GROUPS:
-        return ClaimState.UNSENT
-    return ClaimState.DONE
--- a/almondspool/coordination/instance_operator.py
+++ b/almondspool/coordination/instance_operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
@@ -25,8 +26,9 @@
 from almondspool.state.members import MemberStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
+    from almondspool.coordination.backlog import BacklogRow as QueueRow
     from almondspool.coordination.configuration_task import ConfigurationTask
     from almondspool.coordination.replicas import ReplicaChooser
     from almondspool.state.document import Section, Shard
@@ -133,6 +135,31 @@
         return sections_by_team[team]
 
 
+def backlog_rows(queues: Iterable[QueueRow]) -> list[BacklogRow]:
+    """Return the rows of the operators' status; times that never come are -1.
+
+    Args:
+        queues: The backlog monitor's rows.
+    """
+    return [
+        BacklogRow(
+            team=queue.team,
+            service=queue.service,
+            queued=queue.length,
+            oldest_ms=queue.oldest_age_s * _MS_PER_S,
+            arrivals_per_s=queue.arrivals_per_s,
+            served_per_s=queue.served_per_s,
+            drain_s=_finite(queue.time_to_drain_s),
+            is_warning=queue.warning,
+        )
+        for queue in queues
+    ]
+
+
+def _finite(duration_s: float) -> float:
+    return duration_s if math.isfinite(duration_s) else -1.0
+
+
 def _member_row(member: Member) -> MemberRow:
     return MemberRow(
         instance=member.instance,
--- a/almondspool/coordination/load_poll_task.py
+++ b/almondspool/coordination/load_poll_task.py
@@ -9,8 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from almondspool.coordination.replicas import ReplicaChooser
-    from almondspool.protocol.upstream import UpstreamInterface
+    from almondspool.protocol.upstream import LoadReport, UpstreamInterface
     from almondspool.state.document import Upstream
     from almondspool.transport.timers import TimerService
 
@@ -29,20 +28,20 @@
         upstream: UpstreamInterface,
         timers: TimerService,
         held_upstreams: Callable[[], Mapping[str, Upstream]],
-        chooser: Callable[[], ReplicaChooser],
+        on_report: Callable[[str, LoadReport], None],
     ) -> None:
-        """Poll for a chooser.
+        """Poll for a taker of reports.
 
         Args:
             upstream: Makes the calls.
             timers: The time.
             held_upstreams: Returns the upstreams to poll, by id.
-            chooser: Returns who takes the reports.
+            on_report: Takes an upstream's id and its report.
         """
         self._upstream = upstream
         self._timers = timers
         self._held_upstreams = held_upstreams
-        self._chooser = chooser
+        self._on_report = on_report
         self._pool = eventlet.GreenPool(POLLS_AT_A_TIME)
         self._is_polling = False
 
@@ -64,5 +63,4 @@
     def _poll(self, upstream: Upstream) -> None:
         report = self._upstream.load(upstream, POLL_TIMEOUT_S)
         if report is not None:
-            now = self._timers.now()
-            self._chooser().note_report(now, upstream.upstream_id, report)
+            self._on_report(upstream.upstream_id, report)
