--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/gatherer_task.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from almondspool.codes import ResultCode
 from almondspool.coordination.gatherer import Gatherer
 from almondspool.coordination.gatherer_actions import (
     Action,
@@ -48,7 +49,7 @@
         Args:
             upstream: Runs the exchanges.
             timers: The time and the hub's turns.
-            log: Takes one event for each exchange and cancellation.
+            log: Takes one event for each exchange, failed leg and cancellation.
             log_decisions: Whether to write these events.
         """
         self._upstream = upstream
@@ -148,6 +149,8 @@
             self._upstream.cancel(upstream, action.leg_ids)
 
     def _collect(self, action: SendResult) -> None:
+        if action.result.code is not ResultCode.OK:
+            self._log_failure(action.result)
         self._results_by_reply.setdefault(action.sender, []).append(action.result)
         if not self._flush_armed:
             self._flush_armed = True
@@ -183,6 +186,17 @@
                 timeout_ms=int(action.timeout_s * 1000),
             )
 
+    def _log_failure(self, result: LegResult) -> None:
+        if self._log_decisions:
+            self._log.write(
+                "leg.fail",
+                leg=result.leg_id,
+                upstream=result.upstream_id,
+                code=int(result.code),
+                was_run=result.was_run,
+                reason=result.detail,
+            )
+
     def _log_cancel(self, action: CancelRunning) -> None:
         if self._log_decisions:
             self._log.write(
--- /dev/null
+++ b/almondspool/coordination/request_metrics.py
@@ -0,0 +1,81 @@
+"""Prometheus metrics of the gatherer and of admission, read when scraped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import REGISTRY
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client import CollectorRegistry
+    from prometheus_client.metrics_core import Metric
+
+    from almondspool.coordination.admission_task import AdmissionTask
+    from almondspool.coordination.gatherer_task import GathererTask
+
+_LANE_GAUGES = {
+    "waiting": ("almondspool_upstream_waiting", "Legs that wait."),
+    "in_flight": ("almondspool_upstream_exchanges", "Exchanges that run."),
+    "limit": ("almondspool_upstream_limit", "Adaptive limit of exchanges."),
+    "granted": ("almondspool_upstream_granted", "Connections granted."),
+    "latency_s": ("almondspool_upstream_latency_seconds", "Time to first result."),
+}
+_GATHERER_COUNTERS = {
+    "legs": ("almondspool_legs", "Legs submitted."),
+    "runs_sent": ("almondspool_runs_sent", "Runs sent to upstreams."),
+    "exchanges": ("almondspool_exchanges", "Exchanges that carried runs."),
+    "shared": ("almondspool_legs_shared", "Legs that joined an equal run."),
+    "shed": ("almondspool_legs_shed", "Legs refused for lack of room."),
+    "expired": ("almondspool_legs_expired", "Legs too late to be sent."),
+    "cancelled": ("almondspool_legs_cancelled", "Legs cancelled."),
+}
+_ADMISSION_GAUGES = {
+    "running": ("almondspool_requests_running", "Requests that run."),
+    "limit": ("almondspool_requests_limit", "Requests that may run at a time."),
+    "waiting": ("almondspool_requests_waiting", "Requests that wait."),
+    "oldest_wait_s": ("almondspool_requests_oldest_wait_seconds", "Longest wait."),
+    "arrivals_per_s": ("almondspool_requests_arrivals_per_second", "Arrival rate."),
+    "service_s": ("almondspool_requests_service_seconds", "Smoothed time to run."),
+}
+
+
+class RequestCollector(Collector):
+    """Turns the rows and totals of the tasks into metrics."""
+
+    def __init__(self, gatherer: GathererTask, admission: AdmissionTask) -> None:
+        """Read from these tasks."""
+        self._gatherer = gatherer
+        self._admission = admission
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield each metric with its present value."""
+        yield from self._collect_lanes()
+        counts = self._gatherer.counts()
+        for field, (name, text) in _GATHERER_COUNTERS.items():
+            yield CounterMetricFamily(name, text, value=getattr(counts, field))
+        row = self._admission.row()
+        for field, (name, text) in _ADMISSION_GAUGES.items():
+            yield GaugeMetricFamily(name, text, value=getattr(row, field))
+
+    def _collect_lanes(self) -> Iterator[Metric]:
+        rows = self._gatherer.rows()
+        for field, (name, text) in _LANE_GAUGES.items():
+            gauge = GaugeMetricFamily(name, text, labels=["upstream"])
+            for row in rows:
+                gauge.add_metric([row.upstream_id], getattr(row, field))
+            yield gauge
+
+
+def register_request_metrics(
+    gatherer: GathererTask,
+    admission: AdmissionTask,
+    registry: CollectorRegistry = REGISTRY,
+) -> RequestCollector:
+    """Register the metrics of both tasks and return their collector."""
+    collector = RequestCollector(gatherer, admission)
+    registry.register(collector)
+    return collector
--- a/tests/coordination/test_gatherer.py
+++ b/tests/coordination/test_gatherer.py
@@ -68,15 +68,21 @@
         counts = session.gatherer.counts()
         self.assertEqual((4, 4, 0), (counts.runs_sent, counts.exchanges, counts.shared))
 
-    def test_a_short_deadline_does_not_wait_for_a_longer_one(self):
+    def short_and_long(self):
         session = GathererSession({"searcher-1": 1}, service_s=0.2)
         session.submit("searcher-1", make_leg("long"), make_leg("short", "s2", 30))
         session.timers.advance(0.060)
-        [result] = session.results_by_leg_id["short"]
-        self.assertEqual((ResultCode.LEG_TIMEOUT, True), (result.code, result.was_run))
+        in_time = [result.code for result in session.results_by_leg_id.get("short", [])]
         session.timers.advance(1.0)
-        codes = [results[0].code for results in session.results_by_leg_id.values()]
-        self.assertEqual([ResultCode.LEG_TIMEOUT, ResultCode.OK], codes)
+        self.assertEqual(ResultCode.OK, session.results_by_leg_id["long"][0].code)
+        return in_time
+
+    def test_a_short_deadline_does_not_wait_for_a_longer_one(self):
+        self.assertEqual([ResultCode.LEG_TIMEOUT], self.short_and_long())
+
+    def test_without_the_running_grace_it_waits(self):
+        self.patch(gatherer, "RUNNING_GRACE_S", 1e9)
+        self.assertEqual([], self.short_and_long())
 
     def exchanges_of_burst(self):
         session = GathererSession({"searcher-1": 3}, slots=9)
--- a/tests/coordination/test_gatherer_task.py
+++ b/tests/coordination/test_gatherer_task.py
@@ -2,9 +2,12 @@
 
 import eventlet
 import testtools
+from prometheus_client import CollectorRegistry
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.admission_task import make_admission_task
 from almondspool.coordination.gatherer_task import make_gatherer_task
+from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.logs import EventLog
 from almondspool.protocol.upstream import LegResult, UpstreamInterface
 from almondspool.state.document import Document, Priority, Section, Upstream
@@ -99,6 +102,25 @@
         self.assertEqual({"b": ResultCode.LEG_TIMEOUT}, self.settle(1))
         self.upstream.gate.send()
         self.settle(2)
+        self.assertIn(
+            'event=leg.fail leg=b upstream=u1 code=801 was_run=false reason="the'
+            ' deadline passed before a connection was free"',
+            self.lines,
+        )
+
+    def test_metrics_read_the_tasks(self):
+        registry = CollectorRegistry()
+        admission = make_admission_task(EventletTimers(), EventLog(), 64, 10, seed=1)
+        register_request_metrics(self.task, admission, registry)
+        self.submit(make_leg("a"), make_leg("b"))
+        self.settle(2)
+        self.assertEqual(2, registry.get_sample_value("almondspool_legs_total"))
+        self.assertEqual(1, registry.get_sample_value("almondspool_legs_shared_total"))
+        granted = registry.get_sample_value(
+            "almondspool_upstream_granted", {"upstream": "u1"}
+        )
+        self.assertEqual(2, granted)
+        self.assertEqual(64, registry.get_sample_value("almondspool_requests_limit"))
 
     def test_a_reply_that_raises_does_not_stop_the_others(self):
         def broken(results):
--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -7,7 +7,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.connections import ConnectionWatch
-from almondspool.protocol import leg_codec
+from almondspool.protocol import http_exchange, http_upstream, leg_codec
 from almondspool.protocol.caller import Record
 from almondspool.protocol.http_upstream import HttpUpstream
 from almondspool.protocol.upstream import LoadReport
@@ -146,6 +146,8 @@
         results = []
         thread = threading.Thread(target=lambda: results.extend(run))
         thread.start()
+        thread.join(0.4)
+        self.assertTrue(thread.is_alive(), "the timeout of a read does not end it")
         wait_until(lambda: self.http.close_overdue())
         thread.join(5)
         self.assertEqual([ResultCode.LEG_TIMEOUT], [r.code for r in results])
@@ -155,13 +157,18 @@
             return False
         connection.sendall(whole(*[line(leg["leg_id"]) for leg in body["legs"]]))
 
-    def test_an_idempotent_leg_survives_a_stale_connection(self):
+    def run_on_stale_connection(self):
         server = self.serve(self.close_second)
         self.run_legs(server, make_leg("a"))
         self.shift_s = 20.0
-        result = self.run_legs(server, make_leg("b"))["b"]
-        self.assertEqual(ResultCode.OK, result.code)
-        self.assertEqual(3, len(server.requests))
+        return self.run_legs(server, make_leg("b"))["b"].code, len(server.requests)
+
+    def test_an_idempotent_leg_survives_a_stale_connection(self):
+        self.assertEqual((ResultCode.OK, 3), self.run_on_stale_connection())
+
+    def test_without_the_rule_for_stale_connections_the_leg_is_lost(self):
+        self.patch(http_exchange, "MIN_STALE_IDLE_S", 1e9)
+        self.assertEqual((ResultCode.LEG_CUT_OFF, 2), self.run_on_stale_connection())
 
     def test_a_close_right_after_use_is_no_stale_connection(self):
         server = self.serve(self.close_second)
@@ -188,12 +195,19 @@
         self.assertEqual((ResultCode.LEG_CUT_OFF, True), (result.code, result.was_run))
         self.assertEqual(2, len(server.requests))
 
-    def test_a_non_idempotent_leg_takes_no_long_idle_connection(self):
+    def connections_of_late_booking(self):
         server = self.serve(lambda c, body, nth: c.sendall(whole(line("a"))))
         self.run_legs(server, make_leg("a"))
         self.shift_s = 20.0
         self.run_legs(server, make_leg("a", idempotent=False))
-        self.assertEqual(2, len(server.connections))
+        return len(server.connections)
+
+    def test_a_non_idempotent_leg_takes_no_long_idle_connection(self):
+        self.assertEqual(2, self.connections_of_late_booking())
+
+    def test_without_the_rule_it_takes_one(self):
+        self.patch(http_upstream, "MIN_STALE_IDLE_S", 1e9)
+        self.assertEqual(1, self.connections_of_late_booking())
 
     def test_connections_stay_within_the_grant(self):
         gate = threading.Event()
