--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -26,6 +26,7 @@
 from almondspool.coordination.peer_dispatch import PeerDispatch
 from almondspool.coordination.platform_calls import make_platform_calls
 from almondspool.coordination.rendezvous import rank
+from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
 from almondspool.coordination.shutdown import ShutdownSettings
@@ -63,6 +64,7 @@
     from almondspool.state.document import Document, Upstream
 
 _LOCAL_STATE_INTERVAL_S = 0.25
+_STALE_SWEEP_S = 5.0
 _GIVE_BACK_POLL_S = 0.05
 _MS_PER_S = 1000
 
@@ -117,6 +119,7 @@
         eventlet.spawn(self._dispatch.run)
         self._membership.start(settings.heartbeat_interval_s)
         self._timers.subscribe(_LOCAL_STATE_INTERVAL_S, self._publish_local_state)
+        self._timers.subscribe(_STALE_SWEEP_S, self._upstream.close_stale)
         self._load_polls.start(settings.upstream_poll_s)
         self._http.listen(settings.caller_address)
         self._log.write(
@@ -145,7 +148,11 @@
         settings = self._settings
         codec = PeerCodec(settings.peer_key)
         self._channels = PeerChannels(
-            settings.instance, codec, self._log, self._count_refusal
+            settings.instance,
+            codec,
+            self._log,
+            self._count_refusal,
+            self._count_channel_bytes,
         )
         self._channels.set_incarnation(self._incarnation)
         self._dispatch = PeerDispatch(self._channels, self._log)
@@ -210,6 +217,9 @@
         self._backlog = make_backlog_task(
             self._gatherer.rows, self._timers, self._log, self._metrics.registry
         )
+        register_request_metrics(
+            self._gatherer, self._admission, self._metrics.registry
+        )
         self._register_peer_messages()
 
     def _make_claims(self) -> ClaimsTask:
@@ -388,6 +398,9 @@
     def _count_refusal(self, code: ResultCode) -> None:
         self._metrics.peer_refusals.labels(code.name).inc()
 
+    def _count_channel_bytes(self, direction: str, count: int) -> None:
+        self._metrics.channel_bytes.labels(direction).inc(count)
+
 
 def _upstreams_by_id(document: Document) -> dict[str, Upstream]:
     return {
--- a/almondspool/transport/metrics.py
+++ b/almondspool/transport/metrics.py
@@ -50,6 +50,12 @@
             ["code"],
             registry=self.registry,
         )
+        self.channel_bytes = Counter(
+            "almondspool_peer_channel_bytes",
+            "Bytes of envelopes on peer channels, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
         self.generation = Gauge(
             "almondspool_generation",
             "Generation of the document in force.",
--- a/almondspool/transport/peer_channel.py
+++ b/almondspool/transport/peer_channel.py
@@ -82,13 +82,12 @@
 class _Outbox:
     """Messages of one stream, signed into envelopes by its writer."""
 
-    def __init__(self, identity: Callable[[], _Identity], codec: PeerCodec) -> None:
-        self._identity = identity
+    def __init__(self, owner: PeerChannels, codec: PeerCodec) -> None:
+        self._owner = owner
         self._codec = codec
         self._queue: asyncio.Queue[NamedTuple] = asyncio.Queue(_MAX_QUEUED_MESSAGES)
         self._head: list[NamedTuple] = []
         self._sequence = 0
-        self.bytes_sent = 0
 
     def put(self, message: NamedTuple) -> bool:
         try:
@@ -112,11 +111,11 @@
         while not self._queue.empty() and len(messages) < _MAX_MESSAGES_PER_ENVELOPE:
             messages.append(self._queue.get_nowait())
         self._sequence += 1
-        instance, incarnation = self._identity()
+        instance, incarnation = self._owner.identity()
         data = self._codec.encode(
             instance, incarnation, self._sequence, tuple(messages)
         )
-        self.bytes_sent += len(data)
+        self._owner.count_bytes("out", len(data))
         return data
 
 
@@ -124,13 +123,18 @@
     """Checks envelopes of one stream and hands their messages on."""
 
     def __init__(
-        self, codec: PeerCodec, deliver: Callable[[str, NamedTuple], None]
+        self,
+        owner: PeerChannels,
+        codec: PeerCodec,
+        deliver: Callable[[str, NamedTuple], None],
     ) -> None:
+        self._owner = owner
         self._codec = codec
         self._deliver = deliver
         self._last_sequence = 0
 
     def accept(self, data: bytes) -> None:
+        self._owner.count_bytes("in", len(data))
         envelope, messages = self._codec.decode(data)
         if envelope.sequence <= self._last_sequence:
             raise PeerError(
@@ -155,12 +159,14 @@
         codec: PeerCodec,
         log: EventLog,
         count_refusal: Callable[[ResultCode], None],
+        count_bytes: Callable[[str, int], None],
     ) -> None:
-        """Keep who we are, the codec, and where refusals are counted."""
+        """Keep who we are, the codec, and where refusals and bytes are counted."""
         self._instance = instance
         self._codec = codec
         self._log = log
         self._count_refusal = count_refusal
+        self.count_bytes = count_bytes
         self._incarnation = 0
         self._channel_by_instance: dict[str, _PeerChannel] = {}
         self._server: Server | None = None
@@ -237,8 +243,9 @@
         return {_METHOD: Handler(self._serve, Cardinality.STREAM_STREAM, bytes, bytes)}
 
     async def _serve(self, stream: Stream) -> None:
-        outbox = _Outbox(self.identity, self._codec)
+        outbox = _Outbox(self, self._codec)
         inbox = _Inbox(
+            self,
             self._codec,
             lambda sender, message: self.deliver(sender, message, outbox.put),
         )
@@ -272,7 +279,7 @@
         self._codec = codec
         self._log = log
         self._closed = False
-        self._outbox = _Outbox(owner.identity, codec)
+        self._outbox = _Outbox(owner, codec)
         self._task: asyncio.Task | None = None
         eventlet.asyncio.spawn_for_awaitable(self._run())
 
@@ -328,7 +335,7 @@
             reader.cancel()
 
     async def _read_all(self, stream: object) -> None:
-        inbox = _Inbox(self._codec, self._deliver)
+        inbox = _Inbox(self._owner, self._codec, self._deliver)
         async for data in stream:
             inbox.accept(data)
 
