--- a/almondspool/standins/launcher.py
+++ b/almondspool/standins/launcher.py
@@ -66,6 +66,7 @@
         searcher_processes: int = 1,
         settings: dict[str, object] | None = None,
         platform_flags: Sequence[str] = (),
+        daemon_module: str = "almondspool.daemon",
         **deployment_options: object,
     ) -> None:
         """Plan a cluster; nothing is started.
@@ -76,6 +77,7 @@
             searcher_processes: Processes among which the searchers are split.
             settings: Further settings of every daemon.
             platform_flags: Further flags of the platform stand-in.
+            daemon_module: The module that is run as the daemon.
             deployment_options: Passed to build_deployment.
         """
         searchers = count_searchers(PLANS_BY_NAME[deployment])
@@ -102,7 +104,7 @@
         self.section_paths_by_team = self._write_sections()
         self._plan_platform(platform_flags)
         self._plan_searchers(searcher_processes, first_control)
-        self._plan_daemons(settings or {})
+        self._plan_daemons(daemon_module, settings or {})
 
     def __enter__(self) -> Cluster:
         """Return the cluster; start() or the start_* methods run it."""
@@ -301,7 +303,7 @@
         path = self._write(f"{name}.yaml", dump_process_settings(settings))
         self._add_child(name, "almondspool.standins.searcher", f"--settings={path}")
 
-    def _plan_daemons(self, further: dict[str, object]) -> None:
+    def _plan_daemons(self, module: str, further: dict[str, object]) -> None:
         peers = [item.peer_address for item in self.instances_by_name.values()]
         for name, instance in self.instances_by_name.items():
             settings = {
@@ -317,7 +319,7 @@
             }
             text = msgspec.yaml.encode(settings).decode()
             path = self._write(f"{name}.yaml", text)
-            self._add_child(name, "almondspool.daemon", f"--settings={path}")
+            self._add_child(name, module, f"--settings={path}")
 
 
 def _plan_instances(
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs over real processes; docs/PROOFS.md lists them."""
--- /dev/null
+++ b/tests/processes/caller.py
@@ -0,0 +1,232 @@
+"""A caller as the users have them: follows entries and resends what was refused."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import threading
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import urllib3
+
+from almondspool.standins.records import _CHOICES_BY_FIELD_BY_KIND, SUMP_ALARMS
+from tests.processes.support import TEAM, caller_addresses
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from almondspool.standins.launcher import Cluster
+
+CUT_OFF = -1
+REFUSED = -2
+QUARANTINED = 205
+WITH_RECORDS = (0, 301)
+GIVE_UP_S = 20.0
+RETRY_S = 0.05
+TIMEOUT_S = 20.0
+DEADLINE_MS = 3000
+_NUMBERS = itertools.count(1)
+
+
+class Attempt(NamedTuple):
+    """One request as sent to one address, and its result code or CUT_OFF, REFUSED."""
+
+    request: dict[str, Any]
+    address: str
+    code: int
+    answer: dict[str, Any]
+
+    def is_not_run(self) -> bool:
+        """Return whether the answer says that the request was not run."""
+        return 200 <= self.code < 300
+
+
+def _make_queries() -> list[dict[str, str]]:
+    choices = _CHOICES_BY_FIELD_BY_KIND[SUMP_ALARMS]
+    return [
+        {first: one, second: two}
+        for first, second in itertools.combinations(choices, 2)
+        for one in choices[first]
+        for two in sorted(set(choices[second]))
+    ]
+
+
+QUERIES = _make_queries()
+
+
+def make_search(number: int) -> dict[str, Any]:
+    """Return the search of a running number, each with another query than the last."""
+    return make_request(QUERIES[number % len(QUERIES)])
+
+
+def make_request(query: Mapping[str, str], **fields: object) -> dict[str, Any]:
+    """Return a search with a fresh id."""
+    request = {
+        "request_id": f"search-{next(_NUMBERS)}",
+        "team": TEAM,
+        "caller": "flood-desk",
+        "query": dict(query),
+        "deadline_ms": DEADLINE_MS,
+    }
+    return {**request, **fields}
+
+
+def make_booking(shard: str, **fields: object) -> dict[str, Any]:
+    """Return a non-idempotent request with a fresh id."""
+    booking = {
+        "request_id": f"booking-{next(_NUMBERS)}-{time.time_ns()}",
+        "shard": shard,
+        "idempotent": False,
+        "issued_at_ms": int(time.time() * 1000),
+    }
+    return make_request({"status": "armed"}, **booking, **fields)
+
+
+def post(address: str, request: dict[str, Any]) -> Attempt:
+    """Send a request once to one address."""
+    pool = urllib3.PoolManager(maxsize=1)
+    try:
+        response = pool.request(
+            "POST",
+            f"http://{address}/v1/search",
+            body=json.dumps(request),
+            timeout=urllib3.Timeout(connect=2.0, read=TIMEOUT_S),
+            retries=False,
+        )
+        answer = json.loads(response.data)
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ):
+        return Attempt(request, address, REFUSED, {})
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return Attempt(request, address, CUT_OFF, {})
+    finally:
+        pool.clear()
+    return Attempt(request, address, answer["code"], answer)
+
+
+class Caller:
+    """Asks for entries, keeps them for their ttl, resends elsewhere on a refusal.
+
+    Attributes:
+        attempts: Every attempt in order.
+    """
+
+    def __init__(self, cluster: Cluster, zone: str = "") -> None:
+        """Know every address, as from the caller's own configuration."""
+        self._known = caller_addresses(cluster)
+        self._zone = zone
+        self._entries: list[str] = []
+        self._expires = 0.0
+        self.attempts: list[Attempt] = []
+
+    def search(self, query: Mapping[str, str], **fields: object) -> Attempt:
+        """Run a search until an address takes it."""
+        return self.send(make_request(query, **fields))
+
+    def send(self, request: dict[str, Any]) -> Attempt:
+        """Send a request; move on when it was refused, or was cut off and may repeat.
+
+        Raises:
+            AssertionError: When every address refuses for GIVE_UP_S seconds.
+        """
+        give_up = time.monotonic() + GIVE_UP_S
+        while time.monotonic() < give_up:
+            for address in self.entries():
+                attempt = post(address, request)
+                self.attempts.append(attempt)
+                if not self._moves_on(attempt):
+                    return attempt
+            self._expires = 0.0
+            time.sleep(RETRY_S)
+        raise AssertionError(f"no address took {request}: {self.attempts[-3:]}")
+
+    def entries(self) -> list[str]:
+        """Return the addresses to use now."""
+        if time.monotonic() >= self._expires:
+            for address in (*self._entries, *self._known):
+                if self._look_up(address):
+                    break
+        return self._entries or list(self._known)
+
+    def _look_up(self, address: str) -> bool:
+        url = f"http://{address}/v1/entries?zone={self._zone}"
+        try:
+            answer = urllib3.request("GET", url, timeout=1.0, retries=False).json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return False
+        self._entries = [entry["address"] for entry in answer["entries"]]
+        self._expires = time.monotonic() + answer["ttl_ms"] / 1000
+        return True
+
+    def _moves_on(self, attempt: Attempt) -> bool:
+        if attempt.code == QUARANTINED:
+            return False
+        if attempt.code == CUT_OFF:
+            return attempt.request.get("idempotent", True)
+        return attempt.code == REFUSED or attempt.is_not_run()
+
+
+class Load:
+    """Callers on threads of their own that search until they are stopped.
+
+    Attributes:
+        attempts: The last attempt of each request.
+        callers: The callers.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        make: Callable[[int], dict[str, Any]] = make_search,
+        callers: int = 4,
+    ) -> None:
+        """Send what make returns for each running number."""
+        self.attempts: list[Attempt] = []
+        self.callers = [Caller(cluster) for _ in range(callers)]
+        self._make = make
+        self._numbers = itertools.count()
+        self._is_stopped = threading.Event()
+        self._errors: list[BaseException] = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(caller,), daemon=True)
+            for caller in self.callers
+        ]
+
+    def __enter__(self) -> Load:
+        """Start the callers."""
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, kind: object, error: object, traceback: object) -> None:
+        """Stop the callers, and raise what one of them met."""
+        self._is_stopped.set()
+        for thread in self._threads:
+            thread.join()
+        if self._errors and kind is None:
+            raise self._errors[0]
+
+    def count(self) -> int:
+        """Return how many requests were answered with records.
+
+        Raises:
+            AssertionError: What one of the callers met.
+        """
+        if self._errors:
+            raise self._errors[0]
+        return sum(attempt.code in WITH_RECORDS for attempt in self.attempts)
+
+    def all_attempts(self) -> list[Attempt]:
+        """Return every attempt of every caller."""
+        return [attempt for caller in self.callers for attempt in caller.attempts]
+
+    def _run(self, caller: Caller) -> None:
+        try:
+            while not self._is_stopped.is_set():
+                request = self._make(next(self._numbers))
+                self.attempts.append(caller.send(request))
+        except BaseException as error:
+            self._errors.append(error)
--- /dev/null
+++ b/tests/processes/test_not_run.py
@@ -0,0 +1,72 @@
+"""A refusal that says "not run" means that no searcher ran the request."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+from typing import ClassVar
+
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import REFUSED, make_booking, make_search, post
+from tests.processes.checks import run_though_refused
+from tests.processes.support import TEAM, ClusterTestCase, caller_addresses
+
+OVERLOADED = 201
+LEAVING = 202
+REQUESTS = 120
+CALLERS = 24
+
+
+class NotRunTests(ClusterTestCase):
+    settings: ClassVar = {"concurrent_requests": 2, "queue_limit": 3}
+
+    def send_at_once(self, requests):
+        addresses = caller_addresses(self.cluster)
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            sent = [
+                pool.submit(post, addresses[number % len(addresses)], request)
+                for number, request in enumerate(requests)
+            ]
+            return [future.result() for future in sent]
+
+    def assert_sound(self, attempts, code):
+        self.assertEqual([], run_though_refused(self.cluster, attempts))
+        self.assertIn(code, {attempt.code for attempt in attempts})
+
+    def test_overload(self):
+        slow = Fault(FaultKind.SLOW, delay_ms=60.0)
+        self.cluster.searcher_controls()[0].set_faults([slow])
+        searches = [make_search(number) for number in range(REQUESTS)]
+        bookings = [make_booking(f"{TEAM}-01/{n % 3}") for n in range(REQUESTS)]
+        attempts = self.send_at_once(searches + bookings)
+        self.assert_sound(attempts, OVERLOADED)
+        self.assertIn(0, {attempt.code for attempt in attempts})
+
+    def test_every_searcher_draining(self):
+        self.set_draining(True)
+        self.addCleanup(self.set_draining, False)
+        attempts = self.send_at_once([make_search(number) for number in range(20)])
+        self.assertEqual([], run_though_refused(self.cluster, attempts))
+        self.assertNotIn(0, {attempt.code for attempt in attempts})
+
+    def set_draining(self, is_draining):
+        for upstream_id in self.cluster.deployment.searchers_by_id:
+            control = self.cluster.searcher_control(upstream_id)
+            control.change_searcher(upstream_id, draining=is_draining)
+
+    def test_leaving_instance(self):
+        name = list(self.cluster.instances_by_name)[-1]
+        address = self.cluster.instances_by_name[name].caller_address
+        slow = Fault(FaultKind.SLOW, delay_ms=1000.0)
+        self.cluster.searcher_controls()[0].set_faults([slow])
+        self.cluster.child(name).send(signal.SIGTERM)
+        attempts = []
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            while REFUSED not in {attempt.code for attempt in attempts}:
+                searches = [make_search(len(attempts) + n) for n in range(4)]
+                bookings = [make_booking(f"{TEAM}-02/{n}") for n in range(3)]
+                requests = searches + bookings
+                attempts += pool.map(post, [address] * len(requests), requests)
+        self.assert_sound(attempts, LEAVING)
+        self.assertEqual(0, self.cluster.child(name).wait())
+        self.cluster.restart(name)
--- /dev/null
+++ b/tests/processes/test_own_answers.py
@@ -0,0 +1,38 @@
+"""Each caller gets the whole answer to its own request."""
+
+from __future__ import annotations
+
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import Load
+from tests.processes.checks import wrong_answers
+from tests.processes.support import ClusterTestCase, wait_until
+
+CALLERS = 8
+ANSWERS = 150
+
+
+def many_callers(cluster):
+    """Return the answers of callers with different queries, by doubling searchers."""
+    faults = [
+        Fault(FaultKind.DOUBLED, share=0.5),
+        Fault(FaultKind.WRONG_REQUEST, share=0.05, seed=3),
+        Fault(FaultKind.STRAGGLE, share=0.3, delay_ms=30.0, seed=2),
+    ]
+    cluster.searcher_controls()[0].set_faults(faults)
+    with Load(cluster, callers=CALLERS) as load:
+        wait_until(lambda: load.count() >= ANSWERS, f"{ANSWERS} answers are there")
+    return load.attempts
+
+
+class OwnAnswerTests(ClusterTestCase):
+    def test_each_caller_gets_its_own_answer(self):
+        attempts = many_callers(self.cluster)
+        self.assertEqual([], wrong_answers(self.cluster, attempts))
+
+
+class MisroutedTests(ClusterTestCase):
+    variant = "misrouted_results"
+
+    def test_answers_of_others_are_found(self):
+        attempts = many_callers(self.cluster)
+        self.assertNotEqual([], wrong_answers(self.cluster, attempts))
--- /dev/null
+++ b/tests/processes/variants/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons with one mechanism switched off; the proofs must fail against them."""
--- /dev/null
+++ b/tests/processes/variants/claims_ignored.py
@@ -0,0 +1,11 @@
+"""Claims a request anew whatever claim it finds."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.claims import ClaimRules
+
+ClaimRules._judge = lambda rules, op, present: None
+
+if __name__ == "__main__":
+    daemon.run()
