Split each upstream's connections over few holders

Instances must never open more connections to an upstream than it takes, whatever they believe of each other.

Ruled out: leases of connections by clock (a frozen holder keeps its sockets), and trusting a read after a lost reply: the write may still take effect. The own share counts as the lowest of what is known and what was asked for until a later version is known. Ranking all members for all upstreams on each change was ruled out too; the best few are kept per upstream.

--- a/almondspool/coordination/liveness.py
+++ b/almondspool/coordination/liveness.py
@@ -146,7 +146,9 @@
             suspect = member._replace(status=MemberStatus.SUSPECT)
             actions += self.learn(suspect, now)
         actions.append(self._gossip.heartbeat_to(member))
-        return actions + self._ask_relays(member, probe)
+        if member.status == MemberStatus.ALIVE:
+            actions += self._ask_relays(member, probe)
+        return actions
 
     def _ask_relays(self, member: Member, probe: Probe) -> list[Action]:
         request = ProbeRequest(
--- a/almondspool/coordination/member_table.py
+++ b/almondspool/coordination/member_table.py
@@ -71,6 +71,7 @@
         merged = merge(former, member) if former else member
         self.members_by_instance[member.instance] = merged
         if former is not None and not _is_news(former, merged):
+            self._count_heard(former, member)
             return False
         self.changed_at_by_instance[member.instance] = now
         self._order += 1
@@ -144,6 +145,12 @@
             page.append(member)
         return tuple(page), True
 
+    def _count_heard(self, known: Member, heard: Member) -> None:
+        # What others tell as well has spread: it is sent less often from here.
+        delta = self._delta_by_instance.get(heard.instance)
+        if delta is not None and not _is_news(known, heard):
+            self._count_sent(delta)
+
     def _count_sent(self, delta: _Delta) -> None:
         sent = delta.sent + 1
         if sent >= self.retransmissions():
--- a/almondspool/coordination/rendezvous.py
+++ b/almondspool/coordination/rendezvous.py
@@ -23,7 +23,7 @@
         candidates: Names of instances or upstreams.
     """
     return tuple(
-        sorted(candidates, key=lambda name: (-_weight(key, name), name)),
+        sorted(candidates, key=lambda name: (-weight(key, name), name)),
     )
 
 
@@ -45,5 +45,6 @@
     return tuple(firsts + others)
 
 
-def _weight(key: str, name: str) -> int:
+def weight(key: str, name: str) -> int:
+    """Return the weight of a candidate for a key; the highest holds the duty."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/almondspool/coordination/shares_task.py
@@ -0,0 +1,310 @@
+"""Green threads that run the connection shares: ticks, platform calls and peers."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+import eventlet
+import prometheus_client
+from eventlet import event, queue
+from returns.pipeline import is_successful
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.share_actions import (
+    Action,
+    CloseAll,
+    OpenUpTo,
+    ReadBucket,
+    WriteBucket,
+)
+from almondspool.coordination.shares import Shares
+from almondspool.errors import PlatformError
+from almondspool.protocol.peer import FetchObjects, ObjectsReply, SpreadObject
+from almondspool.protocol.shares import BUCKET_NAMES, SHARES_KIND
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from almondspool.coordination.membership_task import MembershipTask
+    from almondspool.coordination.share_policy import ShareSettings
+    from almondspool.logs import EventLog
+    from almondspool.protocol.platform import PlatformInterface
+    from almondspool.state.document import Upstream
+    from almondspool.transport.timers import TimerHandle, TimerService
+
+TICK_S = 0.5
+SPREAD_FANOUT = 2
+FETCH_AFTER_TICKS = 6
+
+
+class ShareServices(NamedTuple):
+    """What the task uses of its instance.
+
+    Attributes:
+        membership: The running membership.
+        platform: Calls to the platform.
+        timers: The timer service.
+        log: The event log.
+        set_grants: Takes the allowed connections by upstream id; others have none.
+        open_connections: Returns how many connections to an upstream are open.
+        send_peer: Sends a message to an instance; False if it cannot be reached.
+    """
+
+    membership: MembershipTask
+    platform: PlatformInterface
+    timers: TimerService
+    log: EventLog
+    set_grants: Callable[[Mapping[str, int]], None]
+    open_connections: Callable[[str], int]
+    send_peer: Callable[[str, NamedTuple], bool]
+
+
+class SharesTask:
+    """Owns the shares; everything passes through one inbox."""
+
+    def __init__(
+        self,
+        shares: Shares,
+        services: ShareServices,
+        rng: random.Random,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        """Keep the parts; start() begins to run them."""
+        self._shares = shares
+        self._services = services
+        self._rng = rng
+        self._behind_ticks = 0
+        self._granted = prometheus_client.Gauge(
+            "almondspool_share_connections",
+            "Connections that this instance may open, all upstreams together.",
+            registry=registry,
+        )
+        self._refused = prometheus_client.Counter(
+            "almondspool_share_buckets_refused",
+            "Buckets of connection shares that cannot be decoded.",
+            registry=registry,
+        )
+        self._inbox: queue.LightQueue = queue.LightQueue()
+        self._platform_inbox: queue.LightQueue = queue.LightQueue()
+        self._threads: list[eventlet.greenthread.GreenThread] = []
+        self._ticks: TimerHandle | None = None
+        self._given_back: event.Event | None = None
+
+    def start(self) -> None:
+        """Begin to take shares as soon as the membership may act."""
+        self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._run_platform)]
+        self._ticks = self._services.timers.subscribe(
+            TICK_S, lambda: self._inbox.put(self._tick)
+        )
+
+    def stop(self) -> None:
+        """End the green threads."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+        for thread in self._threads:
+            thread.kill()
+
+    def holders(self, upstream_id: str) -> tuple[str, ...]:
+        """Return the instances with connections to an upstream, best first."""
+        return self._shares.holders(upstream_id)
+
+    def allowed_by_upstream_id(self) -> dict[str, int]:
+        """Return how many connections this instance may open to each upstream."""
+        return self._shares.allowed_by_upstream_id()
+
+    def set_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
+        """Take the upstreams of the document in force."""
+        self._inbox.put(lambda: self._take_upstreams(upstreams_by_id))
+
+    def rejoin(self, session: int) -> None:
+        """Give up every share at once; call it while REJOINED is handled."""
+        self._execute(self._shares.rejoin(session))
+
+    def give_back(self) -> None:
+        """End all shares for a planned stop; returns once the platform has it."""
+        done = event.Event()
+        self._given_back = done
+        self._inbox.put(lambda: self._execute(self._shares.give_back()))
+        done.wait()
+
+    def post_fetch(self, sender: str, fetch: FetchObjects) -> None:
+        """Take a peer's request for buckets."""
+        if fetch.kind == SHARES_KIND:
+            self._inbox.put(lambda: self._send_buckets(sender, fetch.names))
+
+    def post_objects(self, sender: str, reply: ObjectsReply) -> None:
+        """Take buckets from a peer; objects of other kinds are left alone."""
+        buckets = [item for item in reply.objects if item.kind == SHARES_KIND]
+        if buckets:
+            self._inbox.put(lambda: self._take_buckets(sender, buckets))
+
+    def _run(self) -> None:
+        while True:
+            self._inbox.get()()
+
+    def _tick(self) -> None:
+        services = self._services
+        membership = services.membership
+        shares = self._shares
+        shares.set_view(membership.view(), membership.listed(), membership.may_act())
+        for upstream_id in shares.closing():
+            shares.connections_open(upstream_id, services.open_connections(upstream_id))
+        wall_ms = int(services.timers.wall_time() * 1000)
+        self._execute(shares.tick(services.timers.now(), wall_ms))
+        self._catch_up()
+        if self._given_back is not None and shares.is_given_back():
+            done, self._given_back = self._given_back, None
+            done.send(None)
+
+    def _take_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
+        self._shares.set_upstreams(upstreams_by_id)
+
+    def _execute(self, actions: Sequence[Action]) -> None:
+        changed = False
+        for action in actions:
+            if isinstance(action, (ReadBucket, WriteBucket)):
+                self._platform_inbox.put(action)
+                continue
+            changed = True
+            self._log_allowance(action)
+        if changed:
+            grants = self._shares.allowed_by_upstream_id()
+            self._granted.set(sum(grants.values()))
+            self._services.set_grants(grants)
+
+    def _log_allowance(self, action: OpenUpTo | CloseAll) -> None:
+        connections = action.connections if isinstance(action, OpenUpTo) else 0
+        self._services.log.write(
+            "shares.allowed", upstream=action.upstream_id, connections=connections
+        )
+
+    def _run_platform(self) -> None:
+        while True:
+            action = self._platform_inbox.get()
+            if isinstance(action, ReadBucket):
+                self._read(action)
+            else:
+                self._write(action)
+
+    def _read(self, action: ReadBucket) -> None:
+        result = self._services.platform.get(SHARES_KIND, action.name)
+        if is_successful(result):
+            found = result.unwrap()
+            self._post_bucket(action.name, found.version, found.value)
+        elif result.failure().code == ResultCode.PLATFORM_NOT_FOUND:
+            self._post_bucket(action.name, 0, b"")
+        else:
+            self._post_failure(action.name, result.failure())
+
+    def _write(self, action: WriteBucket) -> None:
+        result = self._services.platform.put(
+            SHARES_KIND, action.name, action.value, action.expected_version
+        )
+        if not is_successful(result):
+            self._post_failure(action.name, result.failure())
+            return
+        version = result.unwrap().version
+        self._services.log.write("shares.written", bucket=action.name, version=version)
+        self._inbox.put(
+            lambda: self._execute(
+                self._shares.write_done(action.name, version, action.value)
+            )
+        )
+        self._inbox.put(lambda: self._spread((action.name,), ""))
+
+    def _post_bucket(self, name: str, version: int, value: bytes) -> None:
+        self._inbox.put(lambda: self._take_read(name, version, value))
+
+    def _post_failure(self, name: str, error: PlatformError) -> None:
+        self._inbox.put(lambda: self._take_failure(name, error))
+
+    def _take_read(self, name: str, version: int, value: bytes) -> None:
+        try:
+            self._execute(self._shares.bucket_read(name, version, value))
+        except PlatformError as error:
+            self._refused.inc()
+            self._take_failure(name, error)
+
+    def _take_failure(self, name: str, error: PlatformError) -> None:
+        self._services.log.write(
+            "shares.call_failed", bucket=name, code=error.code.name, reason=error
+        )
+        now = self._services.timers.now()
+        self._execute(self._shares.call_failed(name, error.code, now))
+
+    def _take_buckets(self, sender: str, buckets: Sequence[SpreadObject]) -> None:
+        newer = []
+        for item in buckets:
+            known = self._shares.versions_by_name().get(item.name, 0)
+            if item.name not in BUCKET_NAMES or item.version <= known:
+                continue
+            try:
+                actions = self._shares.bucket_heard(item.name, item.version, item.value)
+            except PlatformError as error:
+                self._refused.inc()
+                self._services.log.write(
+                    "shares.refused", sender=sender, code=error.code.name, reason=error
+                )
+                continue
+            self._execute(actions)
+            newer.append(item.name)
+        if newer:
+            self._spread(newer, sender)
+
+    def _spread(self, names: Sequence[str], skip: str) -> None:
+        """Push buckets to a few members, which do the same: all learn of them."""
+        own = self._services.membership.own().instance
+        present = self._services.membership.view().present()
+        others = [
+            member.instance for member in present if member.instance not in (own, skip)
+        ]
+        for instance in self._rng.sample(others, min(SPREAD_FANOUT, len(others))):
+            self._send_buckets(instance, names)
+
+    def _send_buckets(self, instance: str, names: Sequence[str]) -> None:
+        objects = []
+        for name in names:
+            if name in self._shares.versions_by_name():
+                version, value = self._shares.bucket_value(name)
+                objects.append(SpreadObject(SHARES_KIND, name, version, value))
+        if objects:
+            self._services.send_peer(instance, ObjectsReply(tuple(objects)))
+
+    def _catch_up(self) -> None:
+        """Fetch all buckets from a member that has had newer ones for some time."""
+        members = self._services.membership.view().present()
+        newest = max(members, key=lambda member: member.shares_version, default=None)
+        if newest is None or newest.shares_version <= self._shares.version():
+            self._behind_ticks = 0
+            return
+        self._behind_ticks += 1
+        if self._behind_ticks >= FETCH_AFTER_TICKS:
+            self._behind_ticks = 0
+            fetch = FetchObjects(SHARES_KIND, BUCKET_NAMES)
+            self._services.send_peer(newest.instance, fetch)
+
+    def version(self) -> int:
+        """Return the highest known version of any bucket."""
+        return self._shares.version()
+
+
+def make_shares_task(
+    instance: str,
+    session: int,
+    settings: ShareSettings,
+    services: ShareServices,
+    registry: prometheus_client.CollectorRegistry,
+) -> SharesTask:
+    """Return the task of one instance, not started.
+
+    Args:
+        instance: The own instance.
+        session: The own session, which is the incarnation at the start.
+        settings: Times and counts.
+        services: What the task uses.
+        registry: Takes the metrics.
+    """
+    rng = random.Random(f"{instance}/{session}/shares")
+    shares = Shares(instance, session, settings, rng)
+    return SharesTask(shares, services, rng, registry)
