--- a/tests/coordination/test_shares.py
+++ b/tests/coordination/test_shares.py
@@ -243,12 +243,46 @@
         with mock.patch("almondspool.coordination.shares.tidy", forget):
             self.assertTrue(self.breaks())
 
-    def test_without_regard_for_lost_replies_limit_breaks(self):
+    def test_late_release_is_not_taken_back(self):
+        self.release_late_and_want_again()
+
+    def test_without_regard_for_late_writes_limit_breaks(self):
         def trusting(self, upstream_id, session):
             return self._held(self.shares_by_upstream_id, upstream_id, session)
 
         with mock.patch.object(ShareBucket, "own_connections", trusting):
-            self.assertTrue(self.breaks())
+            self.assertRaises(LimitExceededError, self.release_late_and_want_again)
+
+    def release_late_and_want_again(self):
+        """A replaced holder's release takes effect after it wants in again."""
+        fleet = Fleet(4, (1,))
+        fleet.settle(20)
+        (name,) = fleet.processes[0].shares.holders("desk-0")
+        successor = next(p for p in fleet.processes if p.name == name)
+        (holder,) = (p for p in fleet.processes[::3] if p is not successor)
+        fleet = Fleet(4, (1,))
+        successor, holder = (
+            next(p for p in fleet.processes if p.name == other.name)
+            for other in (successor, holder)
+        )
+        holder.beliefs[successor.name] = MemberStatus.DEAD
+        for _ in range(8):
+            fleet.tick(holder)
+        self.assertEqual(1, holder.shares.allowed("desk-0"))
+        fleet.hear(holder)
+        for _ in range(4):
+            fleet.tick(holder)
+        fleet.close(holder)
+        fleet.late(holder)
+        self.assertEqual(1, len(fleet.delayed))
+        holder.beliefs[successor.name] = MemberStatus.DEAD
+        fleet.now += 10.0
+        fleet.fail(holder)
+        fleet.spread(successor)
+        for _ in range(8):
+            fleet.hear(successor)
+            fleet.tick(successor)
+            fleet.check()
 
     def breaks(self) -> bool:
         for seed in range(400):
