--- a/almondspool/coordination/joining.py
+++ b/almondspool/coordination/joining.py
@@ -7,8 +7,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from almondspool.state.members import Member
-
 PAGE_TIMEOUT_S = 1.0
 
 
@@ -112,19 +110,21 @@
         """Return whether the platform was not read since the join began."""
         return not self.confirmed_by and self._platform_read_at is None
 
-    def confirm_without_peer(self, known: Iterable[Member], now: float) -> None:
+    def confirm_without_peer(self, living: int, known: int, now: float) -> None:
         """Confirm the view when no peer can.
 
         Args:
-            known: Records of the other instances that are not dead.
+            living: How many other instances are not known to be dead.
+            known: How many other instances are known, the dead included; with any,
+                only the platform can tell that this one is alone.
             now: Monotonic seconds.
         """
-        if self.confirmed_by or tuple(known):
+        if self.confirmed_by or living:
             return
         if self._platform_read_at is not None:
             waited_s = now - self._platform_read_at
             if not self._candidates_by_address or waited_s >= self._alone_after_s:
                 self.confirmed_by = "platform"
-        elif not self._candidates_by_address:
+        elif not known and not self._candidates_by_address:
             if now - self._started_at >= self._alone_after_s:
                 self.confirmed_by = "alone"
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -264,10 +264,11 @@
         ]
 
     def _check_ready(self, now: float) -> list[Action]:
-        self._joining.confirm_without_peer(self._table.living(), now)
+        others = self._table.members_by_instance.values()
+        living = sum(member.status != MemberStatus.DEAD for member in others)
+        self._joining.confirm_without_peer(living, len(others), now)
         if self.own.ready or not self._joining.confirmed_by:
             return []
-        others = self._table.members_by_instance.values()
         newest = max((member.generation for member in others), default=0)
         if self.own.generation < newest:
             return []
--- /dev/null
+++ b/tests/coordination/test_membership.py
@@ -0,0 +1,285 @@
+from __future__ import annotations
+
+import contextlib
+from unittest import mock
+
+import testtools
+from hypothesis import given, settings, strategies as st
+
+from almondspool.coordination.joining import Joining
+from almondspool.coordination.liveness import Liveness
+from almondspool.coordination.member_table import MAX_DATAGRAM_BYTES, merge
+from almondspool.coordination.membership import Membership
+from almondspool.protocol.platform import InstanceListing
+from almondspool.state.members import Member, MemberStatus
+from tests.coordination.network import Network, make_member
+from tests.golden_session import verify_session
+
+SETTLE_S = 15.0
+
+
+def settled(count: int, **options) -> Network:
+    network = Network(count, **options)
+    network.start_all()
+    network.advance(SETTLE_S)
+    network.lines.clear()
+    return network
+
+
+class MembershipSessionTests(testtools.TestCase):
+    """Sessions told line by line: time, instance, what it decided."""
+
+    def test_kill_is_noticed(self):
+        network = settled(3)
+        network.say("perth-3 is killed")
+        network.kill("perth-3")
+        network.advance(20)
+        verify_session("membership_kill", network.lines)
+        self.assertEqual({"DEAD"}, set(network.statuses("perth-3").values()))
+
+    def test_start_through_seeds_without_platform(self):
+        network = Network(3, seeds=1)
+        network.platform_up = False
+        network.start_all()
+        network.advance(SETTLE_S)
+        verify_session("membership_seeds", network.lines)
+        self.assertTrue(all(node.own.ready for node in network.nodes.values()))
+
+    def test_freeze_past_lease_re_joins(self):
+        network = self.frozen_session()
+        verify_session("membership_freeze", network.lines)
+        own = network.nodes["perth-3"].own
+        self.assertEqual((own.incarnation, True), (own.session, own.ready))
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-3").values()))
+
+    def test_without_gap_check_frozen_instance_acts_at_once(self):
+        with mock.patch.object(Membership, "_check_gap", lambda self, now: []):
+            network = self.frozen_session()
+        self.assertFalse(any("re-joins" in line for line in network.lines))
+        self.assertEqual(1, network.nodes["perth-3"].own.session)
+
+    def frozen_session(self) -> Network:
+        network = settled(3)
+        network.say("perth-3 is frozen; a new document is in force")
+        network.freeze("perth-3")
+        for name in ("perth-1", "perth-2"):
+            network.act(name, network.nodes[name].set_local(2, 0.0, 0, network.now))
+        network.advance(20)
+        self.assertFalse(network.nodes["perth-3"].may_act(network.now))
+        network.say("perth-3 resumes with the old document")
+        network.resume("perth-3")
+        network.advance(5)
+        network.say("perth-3 has the new document")
+        node = network.nodes["perth-3"]
+        network.act("perth-3", node.set_local(2, 0.0, 0, network.now))
+        network.advance(5)
+        return network
+
+    def test_suspected_instance_refutes(self):
+        network = self.refuted_session()
+        verify_session("membership_refutation", network.lines)
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-3").values()))
+        self.assertEqual(2, network.nodes["perth-3"].own.incarnation)
+        self.assertEqual(1, network.nodes["perth-3"].own.session)
+
+    def test_without_refutation_live_instance_stays_suspect(self):
+        with mock.patch.object(Membership, "_hear_of_self", lambda self, *args: []):
+            network = self.refuted_session()
+        self.assertEqual({"SUSPECT"}, set(network.statuses("perth-3").values()))
+
+    def refuted_session(self) -> Network:
+        network = settled(3)
+        network.say("perth-3 is cut off both ways for 5 s")
+        others = ("perth-1", "perth-2")
+        network.cut(others, ("perth-3",))
+        network.cut(("perth-3",), others)
+        network.advance(5)
+        network.say("the cut ends")
+        network.cuts.clear()
+        network.advance(10)
+        return network
+
+    def test_one_way_cut_removes_nobody(self):
+        network = self.one_way_session()
+        verify_session("membership_one_way_cut", network.lines)
+        self.assertEqual([], self.deaths(network))
+
+    def test_without_relays_one_way_cut_raises_suspicion(self):
+        with mock.patch.object(Liveness, "_ask_relays", lambda self, *args: []):
+            network = self.one_way_session()
+        self.assertTrue(any("SUSPECT" in line for line in network.lines))
+
+    def one_way_session(self) -> Network:
+        network = settled(4)
+        network.say("perth-1 and perth-2 no longer reach perth-3, which reaches them")
+        network.cut(("perth-1", "perth-2"), ("perth-3",))
+        network.advance(60)
+        return network
+
+    def test_instance_that_hears_nobody_removes_only_itself(self):
+        network = settled(5)
+        names = [member.instance for member in network.members]
+        network.cut(names, ("perth-3",))
+        network.advance(60)
+        self.assertEqual({"DEAD"}, set(network.statuses("perth-3").values()))
+        for name in set(names) - {"perth-3"}:
+            statuses = network.statuses(name)
+            del statuses["perth-3"]
+            self.assertEqual({"ALIVE"}, set(statuses.values()))
+        network.cuts.clear()
+        network.advance(30)
+        for name in names:
+            self.assertEqual({"ALIVE"}, set(network.statuses(name).values()))
+
+    def test_zone_loss_together_with_platform_outage(self):
+        network = settled(6, seeds=2)
+        network.say("the platform is down and zone perth-hills is lost")
+        network.platform_up = False
+        lost = ("perth-3", "perth-6")
+        for name in lost:
+            network.kill(name)
+        network.advance(20)
+        network.say("perth-3 is replaced while the platform is still down")
+        network.start(make_member("perth-3", 2, incarnation=9))
+        network.advance(10)
+        verify_session("membership_zone_loss", network.lines)
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-3").values()))
+        statuses = network.statuses("perth-6")
+        self.assertEqual("UNKNOWN", statuses.pop("perth-3"))
+        self.assertEqual({"DEAD"}, set(statuses.values()))
+
+    def test_leave_is_known_at_once(self):
+        network = settled(4)
+        network.say("perth-2 announces that it leaves")
+        node = network.nodes["perth-2"]
+        network.act("perth-2", node.leave(network.now))
+        network.advance(0.1)
+        verify_session("membership_leave", network.lines)
+        self.assertEqual({"LEAVING"}, set(network.statuses("perth-2").values()))
+
+    def test_partition_heals(self):
+        network = settled(4)
+        halves = ("perth-1", "perth-2"), ("perth-3", "perth-4")
+        network.cut(*halves)
+        network.cut(*reversed(halves))
+        network.advance(120)
+        self.assertEqual("DEAD", network.statuses("perth-1")["perth-4"])
+        network.cuts.clear()
+        network.advance(30)
+        for member in network.members:
+            statuses = network.statuses(member.instance)
+            self.assertEqual({"ALIVE"}, set(statuses.values()))
+
+    def deaths(self, network) -> list[str]:
+        return [line for line in network.lines if "-> DEAD" in line]
+
+
+class MembershipTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=15, deadline=None)
+    @given(st.integers(0, 10_000))
+    def test_lossy_links_remove_nobody_for_long(self, seed):
+        network = settled(5, seed=seed, loss=0.2)
+        network.advance(120)
+        network.loss = 0.0
+        network.advance(20)
+        for member in network.members:
+            statuses = network.statuses(member.instance)
+            self.assertEqual({"ALIVE"}, set(statuses.values()))
+
+    def test_datagrams_stay_small_and_control_cost_constant(self):
+        costs = []
+        for count in (9, 60):
+            network = settled(count)
+            network.advance(60)
+            before = dict(network.bytes_by_instance)
+            network.advance(10)
+            spent = network.bytes_by_instance
+            costs.append(sum(spent[key] - before[key] for key in spent) / count / 10)
+            self.assertLessEqual(network.largest_datagram, MAX_DATAGRAM_BYTES)
+        self.assertLess(max(costs), 3000)
+        self.assertLess(costs[1], 1.5 * costs[0])
+
+    def test_single_instance_acts_alone(self):
+        for platform_up in (True, False):
+            network = Network(1)
+            network.platform_up = platform_up
+            network.start_all()
+            network.advance(10)
+            self.assertTrue(network.nodes["perth-1"].may_act(network.now))
+
+    def test_instance_cut_from_peers_and_platform_does_not_act(self):
+        network = settled(3)
+        network.kill("perth-1")
+        network.kill("perth-2")
+        network.platform_up = False
+        network.freeze("perth-3")
+        network.advance(10)
+        network.resume("perth-3")
+        network.advance(60)
+        self.assertFalse(network.nodes["perth-3"].may_act(network.now))
+        network.platform_up = True
+        network.advance(30)
+        self.assertTrue(network.nodes["perth-3"].may_act(network.now))
+
+    def test_unconfirmed_view_keeps_instance_from_acting(self):
+        always = mock.patch.object(Joining, "confirm_without_peer")
+        with always, contextlib.suppress(KeyError):
+            network = Network(1)
+            network.start_all()
+            network.advance(30)
+        self.assertFalse(network.nodes["perth-1"].may_act(network.now))
+
+    def test_listed_as_leaving_gets_no_work_until_the_list_says_otherwise(self):
+        network = settled(3)
+        for member in network.members:
+            leaving = member.instance == "perth-2"
+            listing = InstanceListing(member.instance, "", member.zone, leaving)
+            network.listings[member.instance] = listing
+        network.advance(40)
+        self.assertEqual({"LEAVING"}, set(network.statuses("perth-2").values()))
+        listing = network.listings["perth-2"]._replace(leaving=False)
+        network.listings["perth-2"] = listing
+        network.advance(40)
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-2").values()))
+
+    def test_list_never_removes_an_instance_that_answers(self):
+        network = settled(3)
+        network.listings["perth-1"] = InstanceListing("perth-1", "", "", False)
+        network.advance(60)
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-2").values()))
+
+    def test_dead_are_forgotten_and_their_records_deleted(self):
+        network = settled(3)
+        network.kill("perth-3")
+        network.advance(2000)
+        self.assertEqual({"UNKNOWN"}, set(network.statuses("perth-3").values()))
+        self.assertNotIn("perth-3", network.records)
+
+    def test_restart_with_a_clock_behind_takes_a_higher_incarnation(self):
+        network = settled(3)
+        network.kill("perth-3")
+        network.advance(20)
+        network.start(make_member("perth-3", 2, incarnation=0))
+        network.advance(10)
+        own = network.nodes["perth-3"].own
+        self.assertGreater(own.incarnation, 1)
+        self.assertGreater(own.session, 1)
+        self.assertEqual({"ALIVE"}, set(network.statuses("perth-3").values()))
+
+    def test_merge_is_commutative(self):
+        records = [
+            make_member("a", 0)._replace(
+                incarnation=incarnation, status=status, revision=revision
+            )
+            for incarnation in (1, 2)
+            for status in MemberStatus
+            for revision in (0, 1)
+        ]
+
+        def essence(member: Member):
+            return member.incarnation, member.status, member.revision
+
+        for one in records:
+            for other in records:
+                merged = essence(merge(one, other))
+                self.assertEqual(merged, essence(merge(other, one)))
