--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -8,6 +8,7 @@
 from almondspool.coordination.cut_offs import CutOffs
 from almondspool.coordination.quarantine import Quarantine, Verdict
 from almondspool.coordination.replicas import ReplicaChooser
+from almondspool.coordination.search_context import renew_context
 from almondspool.coordination.shard_run import CheckedResult
 from almondspool.protocol.caller import NO_COVERAGE, Record
 from almondspool.protocol.upstream import LegResult, LoadReport
@@ -177,8 +178,17 @@
         self.assertEqual(ResultCode.PARTIAL, bench.answers[0].code)
         for answer in bench.answers[1:]:
             self.assertEqual(ResultCode.NOT_RUN_QUARANTINED, answer.code)
+            self.assertThat(answer.retry_after_ms, testtools.matchers.GreaterThan(5e5))
         verify_session("search_crashing_request", bench.lines)
 
+    def test_suspect_that_crashes_another_upstream_is_quarantined(self):
+        bench = SearchBench(make_section(replicas=1))
+        _crash_all(bench)
+        codes = [bench.run(make_request(request_id=f"r-{n}")).code for n in range(3)]
+        refused = ResultCode.NOT_RUN_QUARANTINED
+        self.assertEqual([ResultCode.PARTIAL, ResultCode.PARTIAL, refused], codes)
+        verify_session("search_suspect_request", bench.lines)
+
     def test_without_quarantine_a_crashing_request_takes_all_replicas(self):
         self.patch(Quarantine, "verdict", lambda *args: Verdict.CLEAR)
         self.patch(CutOffs, "needs_probe", lambda self, run: False)
@@ -266,6 +276,15 @@
         counted = {"unknown_leg": 1, "wrong_shard": 1, "duplicate": 1}
         self.assertEqual(counted, dict(session.discarded_by_reason))
 
+    def test_rejoined_instance_keeps_what_it_learnt_but_not_its_leg_ids(self):
+        bench = SearchBench()
+        bench.run()
+        first = bench.sent[0].leg.leg_id
+        bench.context = renew_context(bench.context, "i-1", 4)
+        bench.run()
+        self.assertNotEqual(first, bench.sent[2].leg.leg_id)
+        self.assertEqual(4, bench.context.budget.counts.first)
+
     def test_every_begun_leg_is_ended_at_the_chooser(self):
         bench = SearchBench()
         bench.reply_by_number = {1: SILENT, 2: REFUSED, 3: Reply(copies=2)}
