--- a/almondspool/coordination/member_records.py
+++ b/almondspool/coordination/member_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -72,16 +73,19 @@
             error = result.failure()
             if error.code != ResultCode.PLATFORM_CONFLICT:
                 break
-            self._read_version(own.instance)
+            stored = self._read_own(own.instance)
+            if stored is not None and stored.session > own.session:
+                take = self._membership.receive_own_record
+                return [functools.partial(take, stored)]
         self._log.write("member.record_failed", code=error.code.name, reason=error)
         return [self._membership.record_failed]
 
-    def _read_version(self, instance: str) -> None:
+    def _read_own(self, instance: str) -> Member | None:
         result = self._platform.get(KIND, instance)
-        if is_successful(result):
-            self._version_by_instance[instance] = result.unwrap().version
-        else:
+        if not is_successful(result):
             self._version_by_instance.pop(instance, None)
+            return None
+        return next(iter(self._decode((result.unwrap(),))), None)
 
     def _delete(self, instance: str) -> list[Decide]:
         version = self._version_by_instance.pop(instance, 0)
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -193,6 +193,10 @@
             actions += self._contact_peers()
         return actions + self._check_ready(now)
 
+    def receive_own_record(self, record: Member, now: float) -> list[Action]:
+        """Take the own record as the platform has it, maybe of an earlier process."""
+        return self._hear_of_self(record, now)
+
     def record_failed(self, now: float) -> list[Action]:
         """Write the own record again soon: the platform did not take it."""
         self._listings.write_soon(now)
