--- a/almondspool/coordination/gossip.py
+++ b/almondspool/coordination/gossip.py
@@ -8,6 +8,7 @@
 from almondspool.coordination.member_table import (
     FRAME_BYTES,
     MAX_DATAGRAM_BYTES,
+    shortened,
 )
 from almondspool.protocol.peer import Heartbeat, ViewReply
 from almondspool.state.members import Member, MemberStatus
@@ -82,4 +83,4 @@
         known = self._table.get(target)
         if known is None or known.status == MemberStatus.ALIVE:
             return []
-        return [known]
+        return [shortened(known)]
--- a/almondspool/coordination/liveness.py
+++ b/almondspool/coordination/liveness.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.coordination.member_actions import Action, MemberChanged
+from almondspool.coordination.member_table import completed
 from almondspool.coordination.probes import Probe, Probes, Relay
 from almondspool.protocol.peer import Heartbeat, ProbeReply, ProbeRequest
 from almondspool.state.members import Member, MemberStatus
@@ -102,6 +103,9 @@
         """Take a record of another instance."""
         instance = record.instance
         known = self._table.get(instance)
+        record = completed(record, known)
+        if record is None:
+            return []
         if record.status == MemberStatus.DEAD:
             if known is None:
                 return []
--- a/almondspool/coordination/member_table.py
+++ b/almondspool/coordination/member_table.py
@@ -23,6 +23,26 @@
     return len(msgspec.msgpack.encode(member))
 
 
+def shortened(member: Member) -> Member:
+    """Return a record that is not alive without what its receivers know of it."""
+    if member.status == MemberStatus.ALIVE:
+        return member
+    return member._replace(zone="", caller_address="", peer_address="")
+
+
+def completed(heard: Member, known: Member | None) -> Member | None:
+    """Return a shortened record with the known fields; None if there are none."""
+    if heard.peer_address:
+        return heard
+    if known is None:
+        return None
+    return heard._replace(
+        zone=known.zone,
+        caller_address=known.caller_address,
+        peer_address=known.peer_address,
+    )
+
+
 def merge(known: Member, heard: Member) -> Member:
     """Return what is known of an instance after hearing another record of it.
 
@@ -71,7 +91,6 @@
         merged = merge(former, member) if former else member
         self.members_by_instance[member.instance] = merged
         if former is not None and not _is_news(former, merged):
-            self._count_heard(former, member)
             return False
         self.changed_at_by_instance[member.instance] = now
         self._order += 1
@@ -112,7 +131,7 @@
         for delta in sorted(self._delta_by_instance.values()):
             if delta.instance == target:
                 continue
-            member = self.members_by_instance[delta.instance]
+            member = shortened(self.members_by_instance[delta.instance])
             size = record_bytes(member)
             if size > room_bytes:
                 break
@@ -145,12 +164,6 @@
             page.append(member)
         return tuple(page), True
 
-    def _count_heard(self, known: Member, heard: Member) -> None:
-        # What others tell as well has spread: it is sent less often from here.
-        delta = self._delta_by_instance.get(heard.instance)
-        if delta is not None and not _is_news(known, heard):
-            self._count_sent(delta)
-
     def _count_sent(self, delta: _Delta) -> None:
         sent = delta.sent + 1
         if sent >= self.retransmissions():
