Write one bucket of shares at a time and rank again only when needed

Cause: with all buckets planned at once, most writes of a start conflicted, and the back-off after conflicts delayed the shares by more than a minute.

Ruled out: waiting longer after conflicts.

Conclusion: one write a tick, buckets in an own order for each instance, and one list call in place of many reads.

--- a/almondspool/coordination/holder_ranking.py
+++ b/almondspool/coordination/holder_ranking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import collections
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.coordination.rendezvous import weight
@@ -12,9 +13,8 @@
 
     from almondspool.state.document import Upstream
 
-# Candidates kept for an upstream in its zone and as many elsewhere; when those
-# that go leave fewer, all candidates are ranked again.
-KEPT = 6
+# Candidates kept beyond those needed: so many may go before all are ranked again.
+SPARE = 5
 
 
 class _Ranked(NamedTuple):
@@ -23,10 +23,20 @@
 
 
 class HolderRanking:
-    """The best candidates of each upstream, kept up to date as candidates change."""
+    """The best candidates of each upstream, kept up to date as candidates change.
 
-    def __init__(self) -> None:
-        """Start without upstreams and candidates."""
+    For each upstream it keeps the beginning of two rankings: of the instances in the
+    upstream's availability zone and of all others.
+    """
+
+    def __init__(self, needed: int) -> None:
+        """Start without upstreams and candidates.
+
+        Args:
+            needed: How many holders pick() is asked for at most.
+        """
+        self._needed = needed
+        self._kept = needed + SPARE
         self._upstreams_by_id: dict[str, Upstream] = {}
         self._zone_by_instance: dict[str, str] = {}
         self._near_by_id: dict[str, list[_Ranked]] = {}
@@ -56,11 +66,13 @@
         new = zone_by_instance.items() - former.items()
         if not gone and not new:
             return False
+        staying = collections.Counter(zone for _, zone in former.items() - gone)
         for upstream in self._upstreams_by_id.values():
-            if self._remove(upstream, gone):
+            self._remove(upstream, {instance for instance, _ in gone})
+            if self._is_short(upstream, staying):
                 self._rank(upstream)
             else:
-                self._add(upstream, new)
+                self._add(upstream, new, staying)
         return True
 
     def pick(self, upstream_id: str, count: int) -> tuple[str, ...]:
@@ -78,30 +90,49 @@
         for instance, zone in self._zone_by_instance.items():
             ranked = _ranked(upstream, instance)
             (near if zone == upstream.zone else far).append(ranked)
-        self._near_by_id[upstream.upstream_id] = sorted(near)[:KEPT]
-        self._far_by_id[upstream.upstream_id] = sorted(far)[:KEPT]
+        self._near_by_id[upstream.upstream_id] = sorted(near)[: self._kept]
+        self._far_by_id[upstream.upstream_id] = sorted(far)[: self._kept]
 
     def _lists(self, upstream: Upstream) -> tuple[list[_Ranked], list[_Ranked]]:
         upstream_id = upstream.upstream_id
         return self._near_by_id[upstream_id], self._far_by_id[upstream_id]
 
-    def _remove(self, upstream: Upstream, gone: Iterable[tuple[str, str]]) -> bool:
-        """Take candidates out; return whether too few are left."""
-        names = {instance for instance, _ in gone}
-        shortened = False
+    def _remove(self, upstream: Upstream, names: set[str]) -> None:
         for kept in self._lists(upstream):
-            was_full = len(kept) >= KEPT
-            left = [ranked for ranked in kept if ranked.instance not in names]
-            shortened |= was_full and len(left) < len(kept)
-            kept[:] = left
-        return shortened
-
-    def _add(self, upstream: Upstream, new: Iterable[tuple[str, str]]) -> None:
+            kept[:] = [ranked for ranked in kept if ranked.instance not in names]
+
+    def _is_short(self, upstream: Upstream, staying: Mapping[str, int]) -> bool:
+        sizes = _group_sizes(upstream, staying)
+        return any(
+            len(kept) < min(self._needed, size)
+            for kept, size in zip(self._lists(upstream), sizes, strict=True)
+        )
+
+    def _add(
+        self,
+        upstream: Upstream,
+        new: Iterable[tuple[str, str]],
+        staying: Mapping[str, int],
+    ) -> None:
         near, far = self._lists(upstream)
+        near_size, far_size = _group_sizes(upstream, staying)
+        near_whole, far_whole = len(near) == near_size, len(far) == far_size
         for instance, zone in new:
-            kept = near if zone == upstream.zone else far
-            bisect.insort(kept, _ranked(upstream, instance))
-            del kept[KEPT:]
+            is_near = zone == upstream.zone
+            kept, is_whole = (near, near_whole) if is_near else (far, far_whole)
+            ranked = _ranked(upstream, instance)
+            # Behind the last kept one there may be others that are not kept.
+            if is_whole or (kept and ranked < kept[-1]):
+                bisect.insort(kept, ranked)
+        for kept in (near, far):
+            del kept[self._kept :]
+
+
+def _group_sizes(
+    upstream: Upstream, count_by_zone: Mapping[str, int]
+) -> tuple[int, int]:
+    near = count_by_zone.get(upstream.zone, 0)
+    return near, sum(count_by_zone.values()) - near
 
 
 def _ranked(upstream: Upstream, instance: str) -> _Ranked:
--- a/almondspool/coordination/share_policy.py
+++ b/almondspool/coordination/share_policy.py
@@ -50,7 +50,7 @@
         """Start without upstreams and candidates."""
         self._instance = instance
         self._settings = settings
-        self._ranking = HolderRanking()
+        self._ranking = HolderRanking(settings.holders)
         self._upstreams_by_id: dict[str, Upstream] = {}
         self._settled_at_by_upstream_id: dict[str, tuple[bool, float]] = {}
         self._in_place_at_by_upstream_id: dict[str, float] = {}
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -35,9 +35,11 @@
 
     from almondspool.state.document import Upstream
 
-RETRY_S = 1.0
+CONFLICT_RETRY_S = 0.1
+MAX_CONFLICT_RETRY_S = 5.0
 OUTAGE_RETRY_S = 5.0
-MAX_RETRY_S = 30.0
+MAX_OUTAGE_RETRY_S = 30.0
+RATE_RETRY_S = 1.0
 MAX_FAILURES = 8
 
 
@@ -56,6 +58,7 @@
         self._session = session
         self._settings = settings
         self._rng = rng
+        self._order = rng.sample(BUCKET_NAMES, len(BUCKET_NAMES))
         self._policy = SharePolicy(instance, settings)
         self._buckets_by_name = {
             name: ShareBucket(name, instance) for name in BUCKET_NAMES
@@ -221,12 +224,10 @@
         """Take the failure of a read or write, whose effect may be unknown."""
         bucket = self._buckets_by_name[name]
         bucket.is_busy = False
-        conflict = code == ResultCode.PLATFORM_CONFLICT
-        base_s = RETRY_S if conflict else OUTAGE_RETRY_S
-        backoff_s = min(MAX_RETRY_S, base_s * 2**bucket.failures)
+        backoff_s = _backoff_s(code, bucket.failures)
         bucket.failures = min(bucket.failures + 1, MAX_FAILURES)
         bucket.retry_at = now + backoff_s * self._rng.uniform(0.5, 1.5)
-        if not conflict:
+        if code != ResultCode.PLATFORM_CONFLICT:
             return []
         bucket.is_busy = True
         return [ReadBucket(name)]
@@ -235,33 +236,35 @@
         return self._buckets_by_name[bucket_of(upstream_id)]
 
     def _plan_writes(self, context: ShareContext, now: float) -> list[Action]:
-        changes_by_bucket: dict[str, dict[str, UpstreamShares]] = {}
+        """Plan the write of one bucket: by the next one, more may be known."""
+        ids_by_bucket: dict[str, list[str]] = {}
         for upstream_id in sorted(self._relevant_ids()):
-            bucket = self._bucket_of(upstream_id)
+            ids_by_bucket.setdefault(bucket_of(upstream_id), []).append(upstream_id)
+        # Instances begin with different buckets, lest all write the same at once.
+        self._order.append(self._order.pop(0))
+        for name in self._order:
+            bucket = self._buckets_by_name[name]
             if bucket.is_busy or now < bucket.retry_at or bucket.must_read:
                 continue
-            shares = tidy(bucket.shares_of(upstream_id), context)
-            planned = self._plan(upstream_id, shares, context, now)
-            if planned is not None:
-                changes_by_bucket.setdefault(bucket.name, {})[upstream_id] = planned
-        return [
-            self._write(self._buckets_by_name[name], changes)
-            for name, changes in sorted(changes_by_bucket.items())
-        ]
+            changes: dict[str, UpstreamShares] = {}
+            for upstream_id in ids_by_bucket.get(name, ()):
+                planned = self._plan(upstream_id, context, now)
+                if planned is not None:
+                    changes[upstream_id] = planned
+            if changes:
+                return [self._write(bucket, changes)]
+        return []
 
     def _relevant_ids(self) -> set[str]:
         held = (bucket.own_ids for bucket in self._buckets_by_name.values())
         return self._policy.wanted_ids.union(*held)
 
     def _plan(
-        self,
-        upstream_id: str,
-        shares: UpstreamShares,
-        context: ShareContext,
-        now: float,
+        self, upstream_id: str, context: ShareContext, now: float
     ) -> UpstreamShares | None:
         """Return the upstream's new shares, or None if nothing is to be written."""
         bucket = self._bucket_of(upstream_id)
+        shares = tidy(bucket.shares_of(upstream_id), context)
         own = own_connections(shares, context)
         desired = 0
         if not self._giving_back:
@@ -313,6 +316,14 @@
         return actions
 
 
+def _backoff_s(code: ResultCode, failures: int) -> float:
+    if code == ResultCode.PLATFORM_CONFLICT:
+        return min(MAX_CONFLICT_RETRY_S, CONFLICT_RETRY_S * 2**failures)
+    if code == ResultCode.PLATFORM_RATE_LIMITED:
+        return RATE_RETRY_S
+    return min(MAX_OUTAGE_RETRY_S, OUTAGE_RETRY_S * 2**failures)
+
+
 def _own_differs(
     planned: UpstreamShares, known: UpstreamShares, context: ShareContext
 ) -> bool:
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -33,9 +33,11 @@
     from almondspool.state.document import Upstream
     from almondspool.transport.timers import TimerHandle, TimerService
 
-TICK_S = 0.5
+TICK_S = 0.3
 SPREAD_FANOUT = 2
-FETCH_AFTER_TICKS = 6
+FETCH_AFTER_TICKS = 10
+# From so many waiting reads on, one list call takes their place.
+READS_FOR_LIST = 3
 
 
 class ShareServices(NamedTuple):
@@ -182,20 +184,48 @@
     def _run_platform(self) -> None:
         while True:
             action = self._platform_inbox.get()
-            if isinstance(action, ReadBucket):
-                self._read(action)
-            else:
+            if isinstance(action, WriteBucket):
                 self._write(action)
+                continue
+            names = [action.name, *self._waiting_reads()]
+            if len(names) >= READS_FOR_LIST:
+                self._list(names)
+            else:
+                for name in names:
+                    self._read(name)
+
+    def _waiting_reads(self) -> list[str]:
+        waiting = [
+            self._platform_inbox.get() for _ in range(self._platform_inbox.qsize())
+        ]
+        for action in waiting:
+            if isinstance(action, WriteBucket):
+                self._platform_inbox.put(action)
+        return [action.name for action in waiting if isinstance(action, ReadBucket)]
 
-    def _read(self, action: ReadBucket) -> None:
-        result = self._services.platform.get(SHARES_KIND, action.name)
+    def _list(self, names: Sequence[str]) -> None:
+        result = self._services.platform.list(SHARES_KIND)
+        if not is_successful(result):
+            for name in names:
+                self._post_failure(name, result.failure())
+            return
+        objects_by_name = result.unwrap().objects_by_name
+        for name in names:
+            found = objects_by_name.get(name)
+            if found is None:
+                self._post_bucket(name, 0, b"")
+            else:
+                self._post_bucket(name, found.version, found.value)
+
+    def _read(self, name: str) -> None:
+        result = self._services.platform.get(SHARES_KIND, name)
         if is_successful(result):
             found = result.unwrap()
-            self._post_bucket(action.name, found.version, found.value)
+            self._post_bucket(name, found.version, found.value)
         elif result.failure().code == ResultCode.PLATFORM_NOT_FOUND:
-            self._post_bucket(action.name, 0, b"")
+            self._post_bucket(name, 0, b"")
         else:
-            self._post_failure(action.name, result.failure())
+            self._post_failure(name, result.failure())
 
     def _write(self, action: WriteBucket) -> None:
         result = self._services.platform.put(
--- a/almondspool/coordination/shutdown.py
+++ b/almondspool/coordination/shutdown.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-GIVE_BACK_S = 5.0
+GIVE_BACK_S = 15.0
 
 
 class ShutdownPhase(enum.StrEnum):
