--- a/almondspool/coordination/share_policy.py
+++ b/almondspool/coordination/share_policy.py
@@ -91,7 +91,9 @@
             return 0
         own = own_connections(shares, context)
         wanted = self._wanted(upstream)
-        if not self._is_settled(upstream_id, self._instance in wanted, now):
+        settled = self._is_settled(upstream_id, self._instance in wanted, now)
+        # Without any holder there is nothing to move, and no reason to wait.
+        if not settled and shares.active:
             return own
         target = target_connections(
             upstream, self._settings.holders, self._ranking.candidates()
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -63,6 +63,7 @@
         self._buckets_by_name = {
             name: ShareBucket(name, instance) for name in BUCKET_NAMES
         }
+        self._upstream_ids: frozenset[str] = frozenset()
         self._view = View({})
         self._listed: frozenset[str] = frozenset()
         self._may_act = False
@@ -113,8 +114,13 @@
             ranked = [item for item in ranked if item[1] != self._instance]
         return tuple(instance for _, instance in sorted(ranked))
 
+    def unheld(self) -> list[str]:
+        """Return the upstreams of the document without a live holder known here."""
+        return sorted(key for key in self._upstream_ids if not self.holders(key))
+
     def set_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
         """Take the upstreams of the document in force."""
+        self._upstream_ids = frozenset(upstreams_by_id)
         self._policy.set_upstreams(upstreams_by_id)
 
     def set_view(self, view: View, listed: frozenset[str], may_act: bool) -> None:
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -111,6 +111,10 @@
         """Return the instances with connections to an upstream, best first."""
         return self._shares.holders(upstream_id)
 
+    def unheld(self) -> list[str]:
+        """Return the upstreams of the document without a live holder known here."""
+        return self._shares.unheld()
+
     def allowed_by_upstream_id(self) -> dict[str, int]:
         """Return how many connections this instance may open to each upstream."""
         return self._shares.allowed_by_upstream_id()
@@ -161,6 +165,7 @@
 
     def _take_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
         self._shares.set_upstreams(upstreams_by_id)
+        self._tick()
 
     def _execute(self, actions: Sequence[Action]) -> None:
         changed = False
