Measure the cost of checking a section and of spreading a change

Ruled out: running a fleet of processes for this; the decisions run in one process under virtual time, with messages encoded and signed as on the wire.

--- /dev/null
+++ b/bench/configuration_cost.py
@@ -0,0 +1,242 @@
+"""Cost of the configuration: checking a section, and spreading a change to a fleet.
+
+The fleet's instances run in one process under virtual time, with links of a fixed
+delay; messages are encoded and signed as on the wire, and their bytes counted.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration_actions import SendMessage
+from almondspool.coordination.section_store import make_stored_section
+from almondspool.protocol.document import parse_section, section_digest
+from almondspool.protocol.manifest import encode_manifest, replace_section
+from almondspool.protocol.peer import FetchObjects, PeerCodec
+from almondspool.state.members import Member, View
+from almondspool.transport.timers import VirtualTimers
+
+if TYPE_CHECKING:
+    from almondspool.protocol.manifest import Manifest
+    from almondspool.protocol.peer import ObjectsReply
+
+TEAM = "alert-desk"
+LINK_DELAY_S = 0.004
+SETTLE_S = 10.0
+CHECK_REPEATS = 5
+SERVICE_UPSTREAMS = 3
+UPSTREAM_COUNTS = (30, 90, 210, 630)
+FLEET_SIZES_BY_UPSTREAMS = {30: (3, 9, 27, 81, 220, 440), 630: (3, 9, 27)}
+EARLIER_CHANGES = 40
+ZONES = ("perth-north", "perth-south", "perth-hills")
+
+
+class CheckCost(NamedTuple):
+    """Cost of one section of a size.
+
+    Attributes:
+        upstreams: Its upstreams; it has two snapshots with as many shards each.
+        text_bytes: Its text.
+        packed_bytes: Its form between peers.
+        check_ms: Processor time of one check, in milliseconds.
+        memory_bytes: Memory that it holds once checked.
+    """
+
+    upstreams: int
+    text_bytes: int
+    packed_bytes: int
+    check_ms: float
+    memory_bytes: int
+
+
+class SpreadCost(NamedTuple):
+    """Cost of one change in a fleet of a size.
+
+    Attributes:
+        instances: The fleet.
+        in_force_ms: Virtual time until the last instance runs it.
+        messages: Messages sent, by instance on average.
+        sent_bytes: Bytes sent, by instance on average.
+        most_sent_bytes: Bytes sent by the busiest instance.
+        cpu_ms: Processor time by instance on average, codec included.
+    """
+
+    instances: int
+    in_force_ms: float
+    messages: float
+    sent_bytes: float
+    most_sent_bytes: int
+    cpu_ms: float
+
+
+def make_section_text(upstreams: int, deadline_ms: int) -> str:
+    """Return a section of three upstreams a service and a shard for each upstream."""
+    services = range(upstreams // SERVICE_UPSTREAMS)
+    lines = [f"team: {TEAM}", "priority: urgent", f"deadline_ms: {deadline_ms}"]
+    lines.append("services:")
+    for number in services:
+        lines += [f"  {TEAM}-{number:03}:", "    upstreams:"]
+        for index, letter in enumerate("abc"):
+            port = 2000 + number * SERVICE_UPSTREAMS + index
+            lines.append(
+                f"      {TEAM}-{number:03}-{letter}: {{address: '127.0.0.1:{port}',"
+                f" zone: {ZONES[index]}, slots: 2, connections: 25}}"
+            )
+    lines.append("snapshots:")
+    for snapshot in (1, 2):
+        lines += [f"  - id: {snapshot}", "    shards:"]
+        for number in services:
+            service = f"{TEAM}-{number:03}"
+            lines += [
+                f"      - {{id: {service}/{shard}, service: {service},"
+                f" replicas: [{service}-a, {service}-b]}}"
+                for shard in range(SERVICE_UPSTREAMS)
+            ]
+    return "\n".join(lines) + "\n"
+
+
+def measure_check(upstreams: int) -> CheckCost:
+    """Measure the check of one section."""
+    text = make_section_text(upstreams, 160)
+    started = time.process_time()
+    for _ in range(CHECK_REPEATS):
+        parse_section(text, "bench")
+    check_s = (time.process_time() - started) / CHECK_REPEATS
+    tracemalloc.start()
+    stored = make_stored_section(TEAM, text.encode())
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return CheckCost(
+        upstreams, len(text), len(stored.packed), check_s * 1000, memory_bytes
+    )
+
+
+class _Fleet:
+    """Instances that pass a change on under virtual time."""
+
+    def __init__(self, size: int) -> None:
+        self.timers = VirtualTimers()
+        self.sent_bytes_by_instance: dict[str, int] = {}
+        self.messages = 0
+        self.in_force_at = 0.0
+        self._codec = PeerCodec("a-key-for-benchmarks")
+        names = [f"perth-{number}" for number in range(size)]
+        self.by_name = {
+            name: Configuration(name, random.Random(name), 0.0) for name in names
+        }
+        members = {
+            name: Member(name, 1, ZONES[index % len(ZONES)], "", "")
+            for index, name in enumerate(names)
+        }
+        for name in names:
+            self.run(name, self.by_name[name].on_view(View(members), 0.0))
+
+    def accept(self, manifest: Manifest, text: bytes) -> None:
+        """Accept a section through the first instance and let it spread."""
+        stored = make_stored_section(TEAM, text)
+        first = next(iter(self.by_name))
+        value = encode_manifest(manifest)
+        actions = self.by_name[first].on_accepted(value, stored, self.timers.now())
+        self.run(first, actions)
+        self.timers.advance(SETTLE_S)
+
+    def check_in_force(self, generation: int) -> None:
+        """Raise RuntimeError unless every instance runs a generation."""
+        behind = [
+            name
+            for name, configuration in self.by_name.items()
+            if configuration.document.generation != generation
+        ]
+        if behind:
+            raise RuntimeError(f"generation {generation} is not in force on {behind}")
+
+    def run(self, name: str, actions: list[object]) -> None:
+        """Carry out the actions of an instance."""
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self._send(name, action)
+
+    def _send(self, sender: str, action: SendMessage) -> None:
+        data = self._codec.encode(sender, 1, 1, (action.message,))
+        sent_bytes = self.sent_bytes_by_instance.get(sender, 0) + len(data)
+        self.sent_bytes_by_instance[sender] = sent_bytes
+        self.messages += 1
+        self.timers.call_later(
+            LINK_DELAY_S, lambda: self._receive(sender, action.instance, data)
+        )
+
+    def _receive(self, sender: str, receiver: str, data: bytes) -> None:
+        _, (message,) = self._codec.decode(data)
+        configuration = self.by_name[receiver]
+        generation = configuration.document.generation
+        self.run(receiver, self._decide(configuration, sender, message))
+        if configuration.document.generation > generation:
+            self.in_force_at = self.timers.now()
+
+    def _decide(
+        self,
+        configuration: Configuration,
+        sender: str,
+        message: FetchObjects | ObjectsReply,
+    ) -> list[object]:
+        if isinstance(message, FetchObjects):
+            return configuration.on_peer_fetch(sender, message)
+        return configuration.on_peer_objects(sender, message, self.timers.now())
+
+
+def measure_spread(size: int, upstreams: int) -> SpreadCost:
+    """Measure one change, after enough earlier ones to fill the manifest's lists."""
+    fleet = _Fleet(size)
+    manifest = None
+    for change in range(EARLIER_CHANGES):
+        text = make_section_text(upstreams, 100 + change).encode()
+        token = f"{change:032}"
+        manifest = replace_section(manifest, TEAM, section_digest(text), token)
+    fleet.accept(manifest, text)
+    text = make_section_text(upstreams, 1000).encode()
+    manifest = replace_section(manifest, TEAM, section_digest(text), "1" * 32)
+    fleet.messages = 0
+    fleet.sent_bytes_by_instance.clear()
+    accepted_at = fleet.timers.now()
+    started = time.process_time()
+    fleet.accept(manifest, text)
+    cpu_s = time.process_time() - started
+    sent_bytes = fleet.sent_bytes_by_instance.values()
+    fleet.check_in_force(manifest.generation)
+    return SpreadCost(
+        size,
+        (fleet.in_force_at - accepted_at) * 1000,
+        fleet.messages / size,
+        sum(sent_bytes) / size,
+        max(sent_bytes),
+        cpu_s * 1000 / size,
+    )
+
+
+def main() -> None:
+    """Print both tables."""
+    print("upstreams  text bytes  packed bytes  check ms  memory bytes")
+    for upstreams in UPSTREAM_COUNTS:
+        cost = measure_check(upstreams)
+        print(
+            f"{cost.upstreams:9}  {cost.text_bytes:10}  {cost.packed_bytes:12}"
+            f"  {cost.check_ms:8.1f}  {cost.memory_bytes:12}"
+        )
+    for upstreams, sizes in FLEET_SIZES_BY_UPSTREAMS.items():
+        print(f"\none change of a section of {upstreams} upstreams, by instance:")
+        print("instances  in force ms  messages  sent bytes  most sent  cpu ms")
+        for size in sizes:
+            spread = measure_spread(size, upstreams)
+            print(
+                f"{spread.instances:9}  {spread.in_force_ms:11.1f}"
+                f"  {spread.messages:8.2f}  {spread.sent_bytes:10.0f}"
+                f"  {spread.most_sent_bytes:9}  {spread.cpu_ms:6.2f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
