Let a write of an operator wait for our own rate cap

Cause: after an outage the cap starts at a tenth, and other parts take the calls: in a process test an acceptance, which needs three, began anew at each refusal and was refused after eight attempts. The tool also gave up after 3 s, while an acceptance goes on longer. Ruled out: a higher cap after outages, which would be the burst that it prevents. Figures: with a cap of 0.5 calls a second a write is accepted at its first attempt; without the waiting it is refused. Conclusion: calls that never started are repeated within an attempt; started ones never are.

--- a/almondspool/cli/client.py
+++ b/almondspool/cli/client.py
@@ -29,6 +29,10 @@
 _Answer = TypeVar("_Answer")
 
 
+# An acceptance is tried again for a while when the platform fails.
+APPLY_TIMEOUT_S = 30.0
+
+
 class InstanceClient:
     """Calls to any of a few instances."""
 
@@ -55,7 +59,8 @@
         """Offer a section; its token makes it safe to ask the next instance too."""
         query = urlencode({"base": base, "token": token})
         path = f"{SECTION_PREFIX}{quote(team, safe='')}?{query}"
-        body = self._call("PUT", path, text)
+        timeout_s = max(self._timeout_s, APPLY_TIMEOUT_S)
+        body = self._call("PUT", path, text, timeout_s=timeout_s)
         return self._decode(path, body, ApplyAnswer)
 
     def status(self) -> StatusAnswer:
@@ -86,6 +91,7 @@
         path: str,
         body: bytes | None = None,
         addresses: Sequence[str] | None = None,
+        timeout_s: float | None = None,
     ) -> bytes:
         failures = []
         for address in addresses or self._addresses:
@@ -94,7 +100,7 @@
                     method,
                     f"http://{address}{path}",
                     body=body,
-                    timeout=self._timeout_s,
+                    timeout=timeout_s or self._timeout_s,
                 )
             except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
                 failures.append(f"{address}: {error}")
--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/acceptance.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.patient_platform import PatientPlatform
 from almondspool.coordination.section_retention import (
     delete_versions,
     look_up_versions,
@@ -129,7 +130,7 @@
             pause: Sleeps for a number of seconds.
             on_accepted: Gets what was accepted, for the instance to run at once.
         """
-        self._platform = platform
+        self._platform = PatientPlatform(platform, rng, pause)
         self._configuration = configuration
         self._rng = rng
         self._pause = pause
--- a/tests/coordination/test_acceptance.py
+++ b/tests/coordination/test_acceptance.py
@@ -1,10 +1,17 @@
 from __future__ import annotations
 
+import random
+
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import acceptance as acceptance_module
-from almondspool.coordination.acceptance import MAX_ATTEMPTS, _Write
+from almondspool.coordination import (
+    acceptance as acceptance_module,
+    patient_platform as patient_platform_module,
+)
+from almondspool.coordination.acceptance import MAX_ATTEMPTS, Acceptor, _Write
+from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.logs import EventLog
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.manifest import (
     MANIFEST_KIND,
@@ -185,6 +192,29 @@
         self.assertEqual(DESK.encode(), stored.value)
 
 
+class RateCapTests(testtools.TestCase):
+    def accept_over_a_low_cap(self):
+        session = ConfigurationSession()
+        first = session.instances[0]
+        rng = random.Random(1)
+        capped = make_platform_calls(
+            session.platform, session.timers, EventLog(session.note), 0.5, rng
+        )
+        first.acceptor = Acceptor(
+            capped, first.configuration, rng, session.pause, lambda accepted: None
+        )
+        return first.accept(DESK, token="t1")
+
+    def test_low_cap_delays_a_write_but_does_not_refuse_it(self):
+        accepted = self.accept_over_a_low_cap()
+        self.assertEqual((ResultCode.OK, 1), (accepted.code, accepted.attempts))
+
+    def test_fails_first_without_patience(self):
+        self.patch(patient_platform_module, "MAX_WAITS", 0)
+        refused = self.accept_over_a_low_cap()
+        self.assertEqual(ResultCode.PLATFORM_RATE_LIMITED, refused.code)
+
+
 class SectionRetentionTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -236,7 +266,7 @@
             acceptance_module,
             "delete_versions",
             lambda platform, versions: [
-                platform.objects.pop(("section", name)) for name in versions
+                self.platform.objects.pop(("section", name)) for name in versions
             ],
         )
         self.accept_up_to(MAX_RETIRED + 1)
