Wire the connection shares

Cause: holders and grants were split by the view alone, so two views could together exceed an upstream's limit. Grants now come from the share tables in the platform. Ruled out: grants by a lease between peers only, which a partition breaks.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -25,10 +25,11 @@
 from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
 from almondspool.coordination.platform_calls import make_platform_calls
-from almondspool.coordination.rendezvous import rank
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
+from almondspool.coordination.share_policy import ShareSettings
+from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.coordination.shutdown import ShutdownSettings
 from almondspool.coordination.stop_task import StopServices, StopTask
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
@@ -118,6 +119,7 @@
             settings.platform_poll_s,
         )
         eventlet.spawn(self._dispatch.run)
+        self._shares.start()
         self._membership.start(settings.heartbeat_interval_s)
         self._timers.subscribe(_LOCAL_STATE_INTERVAL_S, self._publish_local_state)
         self._timers.subscribe(_STALE_SWEEP_S, self._upstream.close_stale)
@@ -182,13 +184,28 @@
         self._gatherer = make_gatherer_task(
             self._upstream, self._timers, self._log, settings.log_decisions
         )
+        self._shares = make_shares_task(
+            settings.instance,
+            self._incarnation,
+            ShareSettings(holders=settings.holders_per_upstream),
+            ShareServices(
+                membership=self._membership,
+                platform=self._platform,
+                timers=self._timers,
+                log=self._log,
+                set_grants=self._gatherer.set_grants,
+                open_connections=self._upstream.open_connections,
+                send_peer=self._send_peer,
+            ),
+            self._metrics.registry,
+        )
         transport = LegTransport(
             self._gatherer.submit, self._gatherer.cancel, self._send_peer
         )
         self._router = LegRouter(
             settings.instance,
             transport,
-            self._holders_of,
+            lambda upstream: self._shares.holders(upstream.upstream_id),
             self._membership.view,
             self._log,
         )
@@ -262,15 +279,23 @@
         register(CancelLegs, lambda item: self._gatherer.cancel(item.message.leg_ids))
         register(
             FetchObjects,
-            lambda item: self._configuration.post_fetch(item.sender, item.message),
+            lambda item: self._on_fetch(item.sender, item.message),
         )
         register(
             ObjectsReply,
-            lambda item: self._configuration.post_objects(item.sender, item.message),
+            lambda item: self._on_objects(item.sender, item.message),
         )
         register(Suspicion, lambda item: self._merge_suspicion(item.message))
         self._dispatch.register_down(self._router.on_channel_down)
 
+    def _on_fetch(self, sender: str, fetch: FetchObjects) -> None:
+        self._configuration.post_fetch(sender, fetch)
+        self._shares.post_fetch(sender, fetch)
+
+    def _on_objects(self, sender: str, reply: ObjectsReply) -> None:
+        self._configuration.post_objects(sender, reply)
+        self._shares.post_objects(sender, reply)
+
     def _build_stop(self) -> None:
         self._stop = StopTask(
             StopServices(
@@ -315,17 +340,12 @@
             self._rng,
         )
 
-    def _holders_of(self, upstream: Upstream) -> tuple[str, ...]:
-        names = (member.instance for member in self._membership.view().present())
-        return rank(upstream.upstream_id, names)[: self._settings.holders_per_upstream]
-
     def _held_upstreams(self) -> dict[str, Upstream]:
+        upstreams_by_id = _upstreams_by_id(self._configuration.document)
         return {
-            upstream_id: upstream
-            for upstream_id, upstream in _upstreams_by_id(
-                self._configuration.document
-            ).items()
-            if self._settings.instance in self._holders_of(upstream)
+            upstream_id: upstreams_by_id[upstream_id]
+            for upstream_id in self._shares.allowed_by_upstream_id()
+            if upstream_id in upstreams_by_id
         }
 
     def _on_load_report(self, upstream_id: str, report: LoadReport) -> None:
@@ -336,30 +356,21 @@
         self._metrics.generation.set(document.generation)
         self._gatherer.set_document(document)
         self._backlog.set_document(document)
-        self._context.chooser.forget_absent(_upstreams_by_id(document))
-        self._set_grants()
+        upstreams_by_id = _upstreams_by_id(document)
+        self._context.chooser.forget_absent(upstreams_by_id)
+        self._shares.set_upstreams(upstreams_by_id)
         self._publish_local_state()
 
-    def _set_grants(self) -> None:
-        share = 2 * self._settings.holders_per_upstream
-        grants = {
-            upstream_id: max(1, upstream.max_connections // share)
-            for upstream_id, upstream in self._held_upstreams().items()
-        }
-        self._gatherer.set_grants(grants)
-
     def _on_view_changed(self) -> None:
-        view = self._membership.view()
         self._configuration.post_view()
-        self._set_grants()
-        for member in view.members_by_instance.values():
+        for member in self._membership.view().members_by_instance.values():
             if member.status == MemberStatus.DEAD:
                 self._channels.drop(member.instance)
 
     def _on_rejoined(self, rejoin: Rejoin) -> None:
         self._incarnation = rejoin.incarnation
         self._channels.set_incarnation(rejoin.incarnation)
-        self._gatherer.set_grants({})
+        self._shares.rejoin(rejoin.incarnation)
         self._context = renew_context(
             self._context, self._settings.instance, rejoin.incarnation
         )
@@ -368,7 +379,7 @@
     def _publish_local_state(self) -> None:
         load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
         generation = self._configuration.document.generation
-        self._membership.set_local(LocalState(generation, load, 0))
+        self._membership.set_local(LocalState(generation, load, self._shares.version()))
 
     def _send_peer(self, instance: str, message: NamedTuple) -> bool:
         member = self._membership.view().members_by_instance.get(instance)
@@ -394,7 +405,7 @@
     def _give_back(self) -> None:
         while not self._claims.is_idle():
             eventlet.sleep(_GIVE_BACK_POLL_S)
-        self._gatherer.set_grants({})
+        self._shares.give_back()
 
     def _count_refusal(self, code: ResultCode) -> None:
         self._metrics.peer_refusals.labels(code.name).inc()
