Refuse nonsense in membership records and repair lost share pushes

Cause: a record edited by hand could carry a host name, which would have been resolved on the heartbeat thread, or an incarnation too large to raise. A push of a bucket that was lost on one bucket alone was never noticed, as only the highest version was compared.

Ruled out: fetching all buckets from time to time (160 KB at the target size); peers compare versions instead.

Conclusion: member_checks.py names instance, field and value; an error in one step is logged and does not end a task; an old incarnation is corrected at the address it came from.

--- a/almondspool/coordination/member_records.py
+++ b/almondspool/coordination/member_records.py
@@ -15,6 +15,8 @@
     ReadPlatform,
     WriteRecord,
 )
+from almondspool.errors import PeerError
+from almondspool.protocol.member_checks import check_member
 from almondspool.state.members import Member
 
 if TYPE_CHECKING:
@@ -114,14 +116,9 @@
         for item in objects:
             self._version_by_instance[item.name] = item.version
             try:
-                member = msgspec.msgpack.decode(item.value, type=Member)
-            except msgspec.MsgspecError as error:
+                yield _decode_record(item)
+            except (msgspec.MsgspecError, UnicodeDecodeError, PeerError) as error:
                 self._refuse(item, str(error))
-                continue
-            if member.instance != item.name:
-                self._refuse(item, f"it names instance {member.instance}")
-                continue
-            yield member
 
     def _refuse(self, item: PlatformObject, reason: str) -> None:
         self._refused.inc()
@@ -132,3 +129,11 @@
             version=item.version,
             reason=reason,
         )
+
+
+def _decode_record(item: PlatformObject) -> Member:
+    member = msgspec.msgpack.decode(item.value, type=Member)
+    check_member(member)
+    if member.instance != item.name or not member.peer_address:
+        raise PeerError(f"it names instance {member.instance} {member.peer_address}")
+    return member
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -154,13 +154,13 @@
             actions += self._view_reply(address, message, now)
         return actions + self._check_ready(now)
 
-    def refused_incarnation(self, sender: str) -> list[Action]:
-        """Tell a peer that its incarnation is older than the one known here."""
+    def refused_incarnation(self, sender: str, address: str) -> list[Action]:
+        """Tell a peer, by its address, that a higher incarnation of it is known."""
         member = self._table.get(sender)
         if member is None:
             return []
         correction = Heartbeat(self.own, (member,), False, 0)
-        return [self._gossip.send(member.peer_address, correction)]
+        return [self._gossip.send(address, correction)]
 
     def set_local(
         self, generation: int, load: float, shares_version: int, now: float
--- a/almondspool/coordination/membership_task.py
+++ b/almondspool/coordination/membership_task.py
@@ -9,6 +9,7 @@
 import prometheus_client
 from eventlet import event, queue
 
+from almondspool.codes import ResultCode
 from almondspool.coordination.member_actions import (
     BecameReady,
     MemberChanged,
@@ -158,7 +159,15 @@
     def _run(self) -> None:
         while True:
             decide = self._inbox.get()
-            self._execute(decide(self._timers.now()))
+            try:
+                self._execute(decide(self._timers.now()))
+            except Exception as error:
+                # One bad message must not end the task; the next tick goes on.
+                self._log.write(
+                    "member.internal_error",
+                    code=ResultCode.INTERNAL.name,
+                    reason=repr(error),
+                )
 
     def _execute(self, actions: Sequence[Action]) -> None:
         for action in actions:
@@ -212,8 +221,8 @@
             )
         )
 
-    def _on_old_incarnation(self, sender: str) -> None:
-        self._post(lambda now: self._membership.refused_incarnation(sender))
+    def _on_old_incarnation(self, sender: str, address: str) -> None:
+        self._post(lambda now: self._membership.refused_incarnation(sender, address))
 
     def _run_platform(self) -> None:
         while True:
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -20,7 +20,12 @@
 )
 from almondspool.coordination.shares import Shares
 from almondspool.errors import PlatformError
-from almondspool.protocol.peer import FetchObjects, ObjectsReply, SpreadObject
+from almondspool.protocol.peer import (
+    CompareObjects,
+    FetchObjects,
+    ObjectsReply,
+    SpreadObject,
+)
 from almondspool.protocol.shares import BUCKET_NAMES, SHARES_KIND
 
 if TYPE_CHECKING:
@@ -35,7 +40,8 @@
 
 TICK_S = 0.3
 SPREAD_FANOUT = 2
-FETCH_AFTER_TICKS = 10
+# A push that was lost is made good after this, in seconds.
+COMPARE_INTERVAL_S = 10.0
 # From so many waiting reads on, one list call takes their place.
 READS_FOR_LIST = 3
 
@@ -76,7 +82,7 @@
         self._shares = shares
         self._services = services
         self._rng = rng
-        self._behind_ticks = 0
+        self._next_compare_at = 0.0
         self._granted = prometheus_client.Gauge(
             "almondspool_share_connections",
             "Connections that this instance may open, all upstreams together.",
@@ -139,6 +145,11 @@
         if fetch.kind == SHARES_KIND:
             self._inbox.put(lambda: self._send_buckets(sender, fetch.names))
 
+    def post_compare(self, sender: str, compare: CompareObjects) -> None:
+        """Take a peer's request for the buckets it has in an older version."""
+        if compare.kind == SHARES_KIND:
+            self._inbox.put(lambda: self._send_newer(sender, compare.versions_by_name))
+
     def post_objects(self, sender: str, reply: ObjectsReply) -> None:
         """Take buckets from a peer; objects of other kinds are left alone."""
         buckets = [item for item in reply.objects if item.kind == SHARES_KIND]
@@ -147,7 +158,16 @@
 
     def _run(self) -> None:
         while True:
-            self._inbox.get()()
+            step = self._inbox.get()
+            try:
+                step()
+            except Exception as error:
+                # One bad message must not end the task; the next tick goes on.
+                self._services.log.write(
+                    "shares.internal_error",
+                    code=ResultCode.INTERNAL.name,
+                    reason=repr(error),
+                )
 
     def _tick(self) -> None:
         services = self._services
@@ -158,7 +178,7 @@
             shares.connections_open(upstream_id, services.open_connections(upstream_id))
         wall_ms = int(services.timers.wall_time() * 1000)
         self._execute(shares.tick(services.timers.now(), wall_ms))
-        self._catch_up()
+        self._compare(services.timers.now())
         if self._given_back is not None and shares.is_given_back():
             done, self._given_back = self._given_back, None
             done.send(None)
@@ -289,12 +309,7 @@
 
     def _spread(self, names: Sequence[str], skip: str) -> None:
         """Push buckets to a few members, which do the same: all learn of them."""
-        own = self._services.membership.own().instance
-        present = self._services.membership.view().present()
-        others = [
-            member.instance for member in present if member.instance not in (own, skip)
-        ]
-        for instance in self._rng.sample(others, min(SPREAD_FANOUT, len(others))):
+        for instance in self._pick_members(SPREAD_FANOUT, skip):
             self._send_buckets(instance, names)
 
     def _send_buckets(self, instance: str, names: Sequence[str]) -> None:
@@ -306,18 +321,31 @@
         if objects:
             self._services.send_peer(instance, ObjectsReply(tuple(objects)))
 
-    def _catch_up(self) -> None:
-        """Fetch all buckets from a member that has had newer ones for some time."""
-        members = self._services.membership.view().present()
-        newest = max(members, key=lambda member: member.shares_version, default=None)
-        if newest is None or newest.shares_version <= self._shares.version():
-            self._behind_ticks = 0
+    def _send_newer(self, instance: str, versions_by_name: Mapping[str, int]) -> None:
+        newer = [
+            name
+            for name, version in self._shares.versions_by_name().items()
+            if version > versions_by_name.get(name, 0)
+        ]
+        self._send_buckets(instance, newer)
+
+    def _compare(self, now: float) -> None:
+        """Ask one member from time to time for what was missed."""
+        if now < self._next_compare_at:
             return
-        self._behind_ticks += 1
-        if self._behind_ticks >= FETCH_AFTER_TICKS:
-            self._behind_ticks = 0
-            fetch = FetchObjects(SHARES_KIND, BUCKET_NAMES)
-            self._services.send_peer(newest.instance, fetch)
+        self._next_compare_at = now + COMPARE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+        versions_by_name = self._shares.versions_by_name()
+        for instance in self._pick_members(1, ""):
+            self._services.send_peer(
+                instance, CompareObjects(SHARES_KIND, versions_by_name)
+            )
+
+    def _pick_members(self, count: int, skip: str) -> list[str]:
+        own = self._services.membership.own().instance
+        present = self._services.membership.view().present()
+        names = [member.instance for member in present]
+        others = [name for name in names if name not in (own, skip)]
+        return self._rng.sample(others, min(count, len(others)))
 
     def version(self) -> int:
         """Return the highest known version of any bucket."""
--- /dev/null
+++ b/almondspool/protocol/member_checks.py
@@ -0,0 +1,63 @@
+"""Checks of membership records from peers and from the platform."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from almondspool.codes import ResultCode
+from almondspool.errors import PeerError
+from almondspool.state.members import Member
+
+MAX_NAME_LENGTH = 63
+# Leaves room to raise an incarnation, which is often milliseconds, for ever.
+MAX_NUMBER = 2**53
+MAX_PORT = 65_535
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of an ``ip:port``.
+
+    Raises:
+        PeerError: With PEER_MALFORMED, naming the address.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        number = int(port)
+    except ValueError as error:
+        raise PeerError(f"{address!r} is not an ip:port: {error}") from error
+    if not 0 < number <= MAX_PORT:
+        raise PeerError(f"{address!r} has no valid port")
+    return host, number
+
+
+def check_member(member: Member) -> None:
+    """Check that a record makes sense.
+
+    A shortened record, without zone and addresses, is allowed.
+
+    Raises:
+        PeerError: With PEER_MALFORMED, naming instance, field and value.
+    """
+    if not 0 < len(member.instance) <= MAX_NAME_LENGTH:
+        raise PeerError(f"record has the instance name {member.instance[:80]!r}")
+    for field in ("incarnation", "generation", "shares_version", "revision", "session"):
+        value = getattr(member, field)
+        if not 0 <= value <= MAX_NUMBER:
+            raise _nonsense(member, field, value)
+    if not 0.0 <= member.load <= 1.0:
+        raise _nonsense(member, "load", member.load)
+    if member.session > member.incarnation:
+        raise _nonsense(member, "session", member.session)
+    if len(member.zone) > MAX_NAME_LENGTH:
+        raise _nonsense(member, "zone", member.zone)
+    for address in (member.peer_address, member.caller_address):
+        if address:
+            parse_address(address)
+
+
+def _nonsense(member: Member, field: str, value: object) -> PeerError:
+    return PeerError(
+        f"record of instance {member.instance} has {field} {value!r}",
+        ResultCode.PEER_MALFORMED,
+    )
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -57,6 +57,18 @@
     names: tuple[str, ...]
 
 
+class CompareObjects(NamedTuple):
+    """Asks a peer for the objects of a kind that it has in a newer version.
+
+    Attributes:
+        kind: The kind of the objects.
+        versions_by_name: The versions known here; objects not named are unknown.
+    """
+
+    kind: str
+    versions_by_name: dict[str, int]
+
+
 class SpreadObject(NamedTuple):
     """One object that instances copy from each other.
 
@@ -192,6 +204,7 @@
     ProbeReply,
     ViewRequest,
     ViewReply,
+    CompareObjects,
 )
 _INDEX_BY_TYPE = {kind: index for index, kind in enumerate(MESSAGE_TYPES)}
 _DECODER_BY_INDEX = [msgspec.msgpack.Decoder(kind) for kind in MESSAGE_TYPES]
--- a/almondspool/transport/heartbeats.py
+++ b/almondspool/transport/heartbeats.py
@@ -9,6 +9,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import AlmondspoolError, PeerError
+from almondspool.protocol.member_checks import MAX_NUMBER, check_member, parse_address
 from almondspool.protocol.peer import (
     Heartbeat,
     PeerCodec,
@@ -177,7 +178,7 @@
         self._logged_at_by_code: dict[ResultCode, float] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            self._socket.bind(_split(address))
+            self._socket.bind(_bind_address(address))
         except OSError as error:
             self._socket.close()
             raise AlmondspoolError(
@@ -190,22 +191,27 @@
             sender, action.incarnation, action.sequence, (action.message,)
         )
         try:
-            self._socket.sendto(data, _split(action.address))
+            self._socket.sendto(data, parse_address(action.address))
+        except PeerError as error:
+            self._refuse(error, action.address)
+            return
         except OSError as error:
-            self._refuse(PeerError(str(error), ResultCode.PEER_UNREACHABLE), action[0])
+            unreachable = PeerError(str(error), ResultCode.PEER_UNREACHABLE)
+            self._refuse(unreachable, action.address)
             return
         self._count("out", data)
 
     def receive_forever(
         self,
         on_datagram: Callable[[Datagram], None],
-        on_old_incarnation: Callable[[str], None],
+        on_old_incarnation: Callable[[str, str], None],
     ) -> None:
         """Pass each accepted datagram on until the socket is closed.
 
         Args:
             on_datagram: Takes checked datagrams.
-            on_old_incarnation: Takes the name of a sender whose clock went back.
+            on_old_incarnation: Takes name and address of a sender whose clock went
+                back.
         """
         while True:
             try:
@@ -221,7 +227,7 @@
             except PeerError as error:
                 self._refuse(error, address)
                 if isinstance(error, OldIncarnationError):
-                    on_old_incarnation(error.sender)
+                    on_old_incarnation(error.sender, address)
                 continue
             on_datagram(datagram)
 
@@ -235,14 +241,11 @@
         if len(messages) != 1 or not isinstance(messages[0], DATAGRAM_TYPES):
             names = ", ".join(type(message).__name__ for message in messages)
             raise PeerError(f"instance {envelope.sender} sent a datagram of [{names}]")
+        for number in (envelope.incarnation, envelope.sequence):
+            if not 0 <= number <= MAX_NUMBER:
+                raise PeerError(f"instance {envelope.sender} sent the number {number}")
         message = messages[0]
-        if isinstance(message, Heartbeat) and message.member.instance != (
-            envelope.sender
-        ):
-            raise PeerError(
-                f"instance {envelope.sender} sent the heartbeat of"
-                f" {message.member.instance}"
-            )
+        _check_members(envelope.sender, message)
         self._guard.check(envelope.sender, envelope.incarnation, envelope.sequence)
         return Datagram(
             envelope.sender, address, envelope.incarnation, envelope.sequence, message
@@ -275,6 +278,24 @@
         )
 
 
-def _split(address: str) -> tuple[str, int]:
+def _bind_address(address: str) -> tuple[str, int]:
+    # Port 0 lets the system choose, which no peer's address may.
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def _check_members(sender: str, message: Message) -> None:
+    if isinstance(message, Heartbeat):
+        if message.member.instance != sender:
+            raise PeerError(
+                f"instance {sender} sent the heartbeat of {message.member.instance}"
+            )
+        members = (message.member, *message.deltas)
+    elif isinstance(message, ProbeReply):
+        members = (message.member,)
+    elif isinstance(message, ViewReply):
+        members = message.members
+    else:
+        return
+    for member in members:
+        check_member(member)
--- a/tests/coordination/test_membership_task.py
+++ b/tests/coordination/test_membership_task.py
@@ -128,12 +128,14 @@
 
     def test_nonsense_in_the_platform_is_refused_by_name(self):
         self.platform.put(KIND, "perth-8", b"\xc1 nonsense", 0)
-        self.platform.put(KIND, "perth-9", msgspec.msgpack.encode({"a": 1}), 0)
+        stray = Member("perth-9", 2**60, "zone", "127.0.0.1:1", "host.example:1")
+        self.platform.put(KIND, "perth-9", msgspec.msgpack.encode(stray), 0)
         task = self.make("perth-1")
         self.wait_for(task.may_act)
         refused = [line for line in self.lines if "member.record_refused" in line]
         self.assertIn("name=perth-8", refused[0])
         self.assertIn("name=perth-9", refused[1])
+        self.assertIn("has incarnation 1152921504606846976", refused[1])
         self.assertEqual(["perth-1"], list(task.view().members_by_instance))
 
     def test_record_of_an_earlier_process_is_overtaken(self):
@@ -143,3 +145,19 @@
         self.platform.put(KIND, "perth-1", msgspec.msgpack.encode(earlier), 0)
         task = self.make("perth-1", incarnation=5)
         self.wait_for(lambda: task.own().session > 90 and task.may_act())
+
+    def test_restart_with_a_clock_behind_while_the_platform_is_down(self):
+        one, other = self.make_pair()
+        other.stop()
+        self.platform.faults = [DOWN] * 1000
+        self.platform.list = lambda kind: self.platform.get(kind, "")
+        again = self.make("perth-2", seeds=[one.own().peer_address], incarnation=1)
+        self.wait_for(lambda: again.own().session > 5 and again.may_act())
+        self.wait_for(lambda: self.status(one, "perth-2") == MemberStatus.ALIVE)
+
+    def test_error_in_one_step_does_not_end_the_task(self):
+        task = self.make("perth-1")
+        self.wait_for(task.may_act)
+        task.set_local(LocalState(None, 0.5, 0))
+        task.set_local(LocalState(3, 0.5, 0))
+        self.wait_for(lambda: task.own().generation == 3)
--- a/tests/coordination/test_shares_task.py
+++ b/tests/coordination/test_shares_task.py
@@ -7,7 +7,7 @@
 from almondspool.coordination.share_policy import ShareSettings
 from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.logs import EventLog
-from almondspool.protocol.peer import FetchObjects, ObjectsReply
+from almondspool.protocol.peer import CompareObjects, ObjectsReply
 from almondspool.protocol.shares import SHARES_KIND, bucket_of
 from almondspool.state.document import Upstream
 from almondspool.state.members import View
@@ -47,6 +47,12 @@
         self.grants_by_instance = {}
         self.open_by_instance = {}
         self.tasks_by_instance = {}
+        self.is_push_lost = False
+        self.pushes = 0
+
+    def drop_push(self) -> bool:
+        self.pushes += 1
+        return self.is_push_lost and self.pushes <= 6
 
     def start(self, count: int):
         members = [
@@ -63,9 +69,9 @@
 
         def send_peer(instance, message):
             task = self.tasks_by_instance[instance]
-            if isinstance(message, FetchObjects):
-                task.post_fetch(name, message)
-            elif isinstance(message, ObjectsReply):
+            if isinstance(message, CompareObjects):
+                task.post_compare(name, message)
+            elif isinstance(message, ObjectsReply) and not self.drop_push():
                 task.post_objects(name, message)
             return True
 
@@ -120,6 +126,14 @@
         self.run_for(5)
         self.assertEqual(1, len(done))
 
+    def test_bucket_whose_push_was_lost_is_heard_later(self):
+        self.is_push_lost = True
+        self.start(3)
+        self.run_for(60)
+        granted = set(self.granted())
+        for task in self.tasks_by_instance.values():
+            self.assertEqual(granted, set(task.holders("desk-1")))
+
     def test_nonsense_in_the_platform_keeps_the_running_state(self):
         self.start(2)
         self.run_for(15)
--- a/tests/transport/test_heartbeats.py
+++ b/tests/transport/test_heartbeats.py
@@ -87,6 +87,25 @@
         error = self.refusal(self.encode(message=message))
         self.assertEqual(ResultCode.PEER_MALFORMED, error.code)
 
+    def test_nonsense_in_records_is_named(self):
+        good = make_member("perth-3", 2)
+        for change, text in (
+            ({"incarnation": 2**60}, "perth-3 has incarnation 1152921504606846976"),
+            ({"load": float("nan")}, "perth-3 has load nan"),
+            ({"session": 9}, "perth-3 has session 9"),
+            (
+                {"peer_address": "host.example:80"},
+                "'host.example:80' is not an ip:port",
+            ),
+            ({"peer_address": "10.0.0.1:0"}, "'10.0.0.1:0' has no valid port"),
+            ({"instance": ""}, "record has the instance name ''"),
+        ):
+            deltas = (good._replace(**change),)
+            message = Heartbeat(make_member("perth-2", 1), deltas, False, 0)
+            error = self.refusal(self.encode(message=message))
+            self.assertEqual(ResultCode.PEER_MALFORMED, error.code)
+            self.assertIn(text, str(error))
+
     def test_refused_datagram_does_not_use_up_its_sequence(self):
         foreign = PeerCodec("another key of the tests")
         self.refusal(self.encode(sequence=9, codec=foreign))
