Close every connection before a new session is announced

Cause: shares of the former session end when others see the new one, so none of its connections may be open by then.

Conclusion: SharesTask.rejoin returns once all are closed; platform calls moved to share_calls.py.

--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -8,7 +8,6 @@
 import eventlet
 import prometheus_client
 from eventlet import event, queue
-from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.share_actions import (
@@ -18,6 +17,7 @@
     ReadBucket,
     WriteBucket,
 )
+from almondspool.coordination.share_calls import ShareCallResults, ShareCalls
 from almondspool.coordination.shares import Shares
 from almondspool.errors import PlatformError
 from almondspool.protocol.peer import (
@@ -29,7 +29,7 @@
 from almondspool.protocol.shares import BUCKET_NAMES, SHARES_KIND
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from almondspool.coordination.membership_task import MembershipTask
     from almondspool.coordination.share_policy import ShareSettings
@@ -42,8 +42,9 @@
 SPREAD_FANOUT = 2
 # A push that was lost is made good after this, in seconds.
 COMPARE_INTERVAL_S = 10.0
-# From so many waiting reads on, one list call takes their place.
-READS_FOR_LIST = 3
+CLOSE_POLL_S = 0.02
+# Longer than any request may run.
+CLOSE_TIMEOUT_S = 65.0
 
 
 class ShareServices(NamedTuple):
@@ -68,7 +69,7 @@
     send_peer: Callable[[str, NamedTuple], bool]
 
 
-class SharesTask:
+class SharesTask(ShareCallResults):
     """Owns the shares; everything passes through one inbox."""
 
     def __init__(
@@ -94,14 +95,14 @@
             registry=registry,
         )
         self._inbox: queue.LightQueue = queue.LightQueue()
-        self._platform_inbox: queue.LightQueue = queue.LightQueue()
+        self._calls = ShareCalls(services.platform, self)
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._ticks: TimerHandle | None = None
         self._given_back: event.Event | None = None
 
     def start(self) -> None:
         """Begin to take shares as soon as the membership may act."""
-        self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._run_platform)]
+        self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._calls.run)]
         self._ticks = self._services.timers.subscribe(
             TICK_S, lambda: self._inbox.put(self._tick)
         )
@@ -130,8 +131,28 @@
         self._inbox.put(lambda: self._take_upstreams(upstreams_by_id))
 
     def rejoin(self, session: int) -> None:
-        """Give up every share at once; call it while REJOINED is handled."""
+        """Give up every share; returns once all connections are closed.
+
+        Call it while REJOINED is handled: the new session, which ends the shares of
+        the former one, is announced after that.
+        """
+        held = self._shares.allowed_by_upstream_id()
         self._execute(self._shares.rejoin(session))
+        deadline = self._services.timers.now() + CLOSE_TIMEOUT_S
+        while still_open := self._open_by_upstream_id(held):
+            if self._services.timers.now() >= deadline:
+                self._services.log.write(
+                    "shares.still_open",
+                    code=ResultCode.INTERNAL.name,
+                    upstreams=sorted(still_open),
+                    connections=sum(still_open.values()),
+                )
+                return
+            eventlet.sleep(CLOSE_POLL_S)
+
+    def _open_by_upstream_id(self, upstream_ids: Iterable[str]) -> dict[str, int]:
+        counts = {key: self._services.open_connections(key) for key in upstream_ids}
+        return {key: count for key, count in counts.items() if count}
 
     def give_back(self) -> None:
         """End all shares for a planned stop; returns once the platform has it."""
@@ -191,7 +212,7 @@
         changed = False
         for action in actions:
             if isinstance(action, (ReadBucket, WriteBucket)):
-                self._platform_inbox.put(action)
+                self._calls.post(action)
                 continue
             changed = True
             self._log_allowance(action)
@@ -206,74 +227,23 @@
             "shares.allowed", upstream=action.upstream_id, connections=connections
         )
 
-    def _run_platform(self) -> None:
-        while True:
-            action = self._platform_inbox.get()
-            if isinstance(action, WriteBucket):
-                self._write(action)
-                continue
-            names = [action.name, *self._waiting_reads()]
-            if len(names) >= READS_FOR_LIST:
-                self._list(names)
-            else:
-                for name in names:
-                    self._read(name)
-
-    def _waiting_reads(self) -> list[str]:
-        waiting = [
-            self._platform_inbox.get() for _ in range(self._platform_inbox.qsize())
-        ]
-        for action in waiting:
-            if isinstance(action, WriteBucket):
-                self._platform_inbox.put(action)
-        return [action.name for action in waiting if isinstance(action, ReadBucket)]
-
-    def _list(self, names: Sequence[str]) -> None:
-        result = self._services.platform.list(SHARES_KIND)
-        if not is_successful(result):
-            for name in names:
-                self._post_failure(name, result.failure())
-            return
-        objects_by_name = result.unwrap().objects_by_name
-        for name in names:
-            found = objects_by_name.get(name)
-            if found is None:
-                self._post_bucket(name, 0, b"")
-            else:
-                self._post_bucket(name, found.version, found.value)
-
-    def _read(self, name: str) -> None:
-        result = self._services.platform.get(SHARES_KIND, name)
-        if is_successful(result):
-            found = result.unwrap()
-            self._post_bucket(name, found.version, found.value)
-        elif result.failure().code == ResultCode.PLATFORM_NOT_FOUND:
-            self._post_bucket(name, 0, b"")
-        else:
-            self._post_failure(name, result.failure())
-
-    def _write(self, action: WriteBucket) -> None:
-        result = self._services.platform.put(
-            SHARES_KIND, action.name, action.value, action.expected_version
-        )
-        if not is_successful(result):
-            self._post_failure(action.name, result.failure())
-            return
-        version = result.unwrap().version
-        self._services.log.write("shares.written", bucket=action.name, version=version)
-        self._inbox.put(
-            lambda: self._execute(
-                self._shares.write_done(action.name, version, action.value)
-            )
-        )
-        self._inbox.put(lambda: self._spread((action.name,), ""))
-
-    def _post_bucket(self, name: str, version: int, value: bytes) -> None:
+    def on_read(self, name: str, version: int, value: bytes) -> None:
+        """Take a bucket as the platform has it."""
         self._inbox.put(lambda: self._take_read(name, version, value))
 
-    def _post_failure(self, name: str, error: PlatformError) -> None:
+    def on_written(self, name: str, version: int, value: bytes) -> None:
+        """Take the success of a write."""
+        self._inbox.put(lambda: self._take_written(name, version, value))
+
+    def on_failed(self, name: str, error: PlatformError) -> None:
+        """Take the failure of a call."""
         self._inbox.put(lambda: self._take_failure(name, error))
 
+    def _take_written(self, name: str, version: int, value: bytes) -> None:
+        self._services.log.write("shares.written", bucket=name, version=version)
+        self._execute(self._shares.write_done(name, version, value))
+        self._spread((name,), "")
+
     def _take_read(self, name: str, version: int, value: bytes) -> None:
         try:
             self._execute(self._shares.bucket_read(name, version, value))
--- a/tests/coordination/test_shares_task.py
+++ b/tests/coordination/test_shares_task.py
@@ -126,6 +126,19 @@
         self.run_for(5)
         self.assertEqual(1, len(done))
 
+    def test_re_join_waits_until_every_connection_is_closed(self):
+        self.start(1)
+        self.run_for(10)
+        self.open_by_instance["perth-1"] = 2
+        done = []
+        task = self.tasks_by_instance["perth-1"]
+        eventlet.spawn(lambda: done.append(task.rejoin(2)))
+        eventlet.sleep(0.1)
+        self.assertEqual(({}, []), (self.granted(), done))
+        self.open_by_instance["perth-1"] = 0
+        eventlet.sleep(0.1)
+        self.assertEqual(1, len(done))
+
     def test_bucket_whose_push_was_lost_is_heard_later(self):
         self.is_push_lost = True
         self.start(3)
