--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -8,7 +8,6 @@
 import eventlet
 import prometheus_client
 from eventlet import event, queue
-from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.share_actions import (
@@ -18,13 +17,19 @@
     ReadBucket,
     WriteBucket,
 )
+from almondspool.coordination.share_calls import ShareCallResults, ShareCalls
 from almondspool.coordination.shares import Shares
 from almondspool.errors import PlatformError
-from almondspool.protocol.peer import FetchObjects, ObjectsReply, SpreadObject
+from almondspool.protocol.peer import (
+    CompareObjects,
+    FetchObjects,
+    ObjectsReply,
+    SpreadObject,
+)
 from almondspool.protocol.shares import BUCKET_NAMES, SHARES_KIND
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from almondspool.coordination.membership_task import MembershipTask
     from almondspool.coordination.share_policy import ShareSettings
@@ -35,9 +40,11 @@
 
 TICK_S = 0.3
 SPREAD_FANOUT = 2
-FETCH_AFTER_TICKS = 10
-# From so many waiting reads on, one list call takes their place.
-READS_FOR_LIST = 3
+# A push that was lost is made good after this, in seconds.
+COMPARE_INTERVAL_S = 10.0
+CLOSE_POLL_S = 0.02
+# Longer than any request may run.
+CLOSE_TIMEOUT_S = 65.0
 
 
 class ShareServices(NamedTuple):
@@ -62,7 +69,7 @@
     send_peer: Callable[[str, NamedTuple], bool]
 
 
-class SharesTask:
+class SharesTask(ShareCallResults):
     """Owns the shares; everything passes through one inbox."""
 
     def __init__(
@@ -76,7 +83,7 @@
         self._shares = shares
         self._services = services
         self._rng = rng
-        self._behind_ticks = 0
+        self._next_compare_at = 0.0
         self._granted = prometheus_client.Gauge(
             "almondspool_share_connections",
             "Connections that this instance may open, all upstreams together.",
@@ -88,14 +95,14 @@
             registry=registry,
         )
         self._inbox: queue.LightQueue = queue.LightQueue()
-        self._platform_inbox: queue.LightQueue = queue.LightQueue()
+        self._calls = ShareCalls(services.platform, self)
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._ticks: TimerHandle | None = None
         self._given_back: event.Event | None = None
 
     def start(self) -> None:
         """Begin to take shares as soon as the membership may act."""
-        self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._run_platform)]
+        self._threads = [eventlet.spawn(self._run), eventlet.spawn(self._calls.run)]
         self._ticks = self._services.timers.subscribe(
             TICK_S, lambda: self._inbox.put(self._tick)
         )
@@ -124,8 +131,28 @@
         self._inbox.put(lambda: self._take_upstreams(upstreams_by_id))
 
     def rejoin(self, session: int) -> None:
-        """Give up every share at once; call it while REJOINED is handled."""
+        """Give up every share; returns once all connections are closed.
+
+        Call it while REJOINED is handled: the new session, which ends the shares of
+        the former one, is announced after that.
+        """
+        held = self._shares.allowed_by_upstream_id()
         self._execute(self._shares.rejoin(session))
+        deadline = self._services.timers.now() + CLOSE_TIMEOUT_S
+        while still_open := self._open_by_upstream_id(held):
+            if self._services.timers.now() >= deadline:
+                self._services.log.write(
+                    "shares.still_open",
+                    code=ResultCode.INTERNAL.name,
+                    upstreams=sorted(still_open),
+                    connections=sum(still_open.values()),
+                )
+                return
+            eventlet.sleep(CLOSE_POLL_S)
+
+    def _open_by_upstream_id(self, upstream_ids: Iterable[str]) -> dict[str, int]:
+        counts = {key: self._services.open_connections(key) for key in upstream_ids}
+        return {key: count for key, count in counts.items() if count}
 
     def give_back(self) -> None:
         """End all shares for a planned stop; returns once the platform has it."""
@@ -139,6 +166,11 @@
         if fetch.kind == SHARES_KIND:
             self._inbox.put(lambda: self._send_buckets(sender, fetch.names))
 
+    def post_compare(self, sender: str, compare: CompareObjects) -> None:
+        """Take a peer's request for the buckets it has in an older version."""
+        if compare.kind == SHARES_KIND:
+            self._inbox.put(lambda: self._send_newer(sender, compare.versions_by_name))
+
     def post_objects(self, sender: str, reply: ObjectsReply) -> None:
         """Take buckets from a peer; objects of other kinds are left alone."""
         buckets = [item for item in reply.objects if item.kind == SHARES_KIND]
@@ -147,7 +179,16 @@
 
     def _run(self) -> None:
         while True:
-            self._inbox.get()()
+            step = self._inbox.get()
+            try:
+                step()
+            except Exception as error:
+                # One bad message must not end the task; the next tick goes on.
+                self._services.log.write(
+                    "shares.internal_error",
+                    code=ResultCode.INTERNAL.name,
+                    reason=repr(error),
+                )
 
     def _tick(self) -> None:
         services = self._services
@@ -158,7 +199,7 @@
             shares.connections_open(upstream_id, services.open_connections(upstream_id))
         wall_ms = int(services.timers.wall_time() * 1000)
         self._execute(shares.tick(services.timers.now(), wall_ms))
-        self._catch_up()
+        self._compare(services.timers.now())
         if self._given_back is not None and shares.is_given_back():
             done, self._given_back = self._given_back, None
             done.send(None)
@@ -171,7 +212,7 @@
         changed = False
         for action in actions:
             if isinstance(action, (ReadBucket, WriteBucket)):
-                self._platform_inbox.put(action)
+                self._calls.post(action)
                 continue
             changed = True
             self._log_allowance(action)
@@ -186,74 +227,23 @@
             "shares.allowed", upstream=action.upstream_id, connections=connections
         )
 
-    def _run_platform(self) -> None:
-        while True:
-            action = self._platform_inbox.get()
-            if isinstance(action, WriteBucket):
-                self._write(action)
-                continue
-            names = [action.name, *self._waiting_reads()]
-            if len(names) >= READS_FOR_LIST:
-                self._list(names)
-            else:
-                for name in names:
-                    self._read(name)
-
-    def _waiting_reads(self) -> list[str]:
-        waiting = [
-            self._platform_inbox.get() for _ in range(self._platform_inbox.qsize())
-        ]
-        for action in waiting:
-            if isinstance(action, WriteBucket):
-                self._platform_inbox.put(action)
-        return [action.name for action in waiting if isinstance(action, ReadBucket)]
-
-    def _list(self, names: Sequence[str]) -> None:
-        result = self._services.platform.list(SHARES_KIND)
-        if not is_successful(result):
-            for name in names:
-                self._post_failure(name, result.failure())
-            return
-        objects_by_name = result.unwrap().objects_by_name
-        for name in names:
-            found = objects_by_name.get(name)
-            if found is None:
-                self._post_bucket(name, 0, b"")
-            else:
-                self._post_bucket(name, found.version, found.value)
-
-    def _read(self, name: str) -> None:
-        result = self._services.platform.get(SHARES_KIND, name)
-        if is_successful(result):
-            found = result.unwrap()
-            self._post_bucket(name, found.version, found.value)
-        elif result.failure().code == ResultCode.PLATFORM_NOT_FOUND:
-            self._post_bucket(name, 0, b"")
-        else:
-            self._post_failure(name, result.failure())
-
-    def _write(self, action: WriteBucket) -> None:
-        result = self._services.platform.put(
-            SHARES_KIND, action.name, action.value, action.expected_version
-        )
-        if not is_successful(result):
-            self._post_failure(action.name, result.failure())
-            return
-        version = result.unwrap().version
-        self._services.log.write("shares.written", bucket=action.name, version=version)
-        self._inbox.put(
-            lambda: self._execute(
-                self._shares.write_done(action.name, version, action.value)
-            )
-        )
-        self._inbox.put(lambda: self._spread((action.name,), ""))
-
-    def _post_bucket(self, name: str, version: int, value: bytes) -> None:
+    def on_read(self, name: str, version: int, value: bytes) -> None:
+        """Take a bucket as the platform has it."""
         self._inbox.put(lambda: self._take_read(name, version, value))
 
-    def _post_failure(self, name: str, error: PlatformError) -> None:
+    def on_written(self, name: str, version: int, value: bytes) -> None:
+        """Take the success of a write."""
+        self._inbox.put(lambda: self._take_written(name, version, value))
+
+    def on_failed(self, name: str, error: PlatformError) -> None:
+        """Take the failure of a call."""
         self._inbox.put(lambda: self._take_failure(name, error))
 
+    def _take_written(self, name: str, version: int, value: bytes) -> None:
+        self._services.log.write("shares.written", bucket=name, version=version)
+        self._execute(self._shares.write_done(name, version, value))
+        self._spread((name,), "")
+
     def _take_read(self, name: str, version: int, value: bytes) -> None:
         try:
             self._execute(self._shares.bucket_read(name, version, value))
@@ -289,12 +279,7 @@
 
     def _spread(self, names: Sequence[str], skip: str) -> None:
         """Push buckets to a few members, which do the same: all learn of them."""
-        own = self._services.membership.own().instance
-        present = self._services.membership.view().present()
-        others = [
-            member.instance for member in present if member.instance not in (own, skip)
-        ]
-        for instance in self._rng.sample(others, min(SPREAD_FANOUT, len(others))):
+        for instance in self._pick_members(SPREAD_FANOUT, skip):
             self._send_buckets(instance, names)
 
     def _send_buckets(self, instance: str, names: Sequence[str]) -> None:
@@ -306,18 +291,31 @@
         if objects:
             self._services.send_peer(instance, ObjectsReply(tuple(objects)))
 
-    def _catch_up(self) -> None:
-        """Fetch all buckets from a member that has had newer ones for some time."""
-        members = self._services.membership.view().present()
-        newest = max(members, key=lambda member: member.shares_version, default=None)
-        if newest is None or newest.shares_version <= self._shares.version():
-            self._behind_ticks = 0
+    def _send_newer(self, instance: str, versions_by_name: Mapping[str, int]) -> None:
+        newer = [
+            name
+            for name, version in self._shares.versions_by_name().items()
+            if version > versions_by_name.get(name, 0)
+        ]
+        self._send_buckets(instance, newer)
+
+    def _compare(self, now: float) -> None:
+        """Ask one member from time to time for what was missed."""
+        if now < self._next_compare_at:
             return
-        self._behind_ticks += 1
-        if self._behind_ticks >= FETCH_AFTER_TICKS:
-            self._behind_ticks = 0
-            fetch = FetchObjects(SHARES_KIND, BUCKET_NAMES)
-            self._services.send_peer(newest.instance, fetch)
+        self._next_compare_at = now + COMPARE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+        versions_by_name = self._shares.versions_by_name()
+        for instance in self._pick_members(1, ""):
+            self._services.send_peer(
+                instance, CompareObjects(SHARES_KIND, versions_by_name)
+            )
+
+    def _pick_members(self, count: int, skip: str) -> list[str]:
+        own = self._services.membership.own().instance
+        present = self._services.membership.view().present()
+        names = [member.instance for member in present]
+        others = [name for name in names if name not in (own, skip)]
+        return self._rng.sample(others, min(count, len(others)))
 
     def version(self) -> int:
         """Return the highest known version of any bucket."""
