Retire the platform's connections together when one fails

Cause: open connections can go silent for good; the others of a pool then cost one timeout each, and three of those open the circuit. Ruled out: shorter timeouts, which a slow platform would not meet. Figures: against the platform process with its connections silenced, one call of four fails; without the retiring more do. A watch waits 10 s instead of 25 s, so that a silent one is noticed within 12 s at the default timeout. Conclusion: the HTTP client has a module of its own, as the upstreams' has.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -34,6 +34,7 @@
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
 from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
 from almondspool.protocol.document import MAX_SECTION_BYTES
+from almondspool.protocol.http_platform import make_platform
 from almondspool.protocol.http_upstream import make_upstream
 from almondspool.protocol.operator import OperatorRoutes
 from almondspool.protocol.peer import (
@@ -45,7 +46,6 @@
     PeerCodec,
     Suspicion,
 )
-from almondspool.protocol.platform import make_platform
 from almondspool.state.members import MemberStatus
 from almondspool.transport.http_server import HttpServer
 from almondspool.transport.metrics import Metrics
--- a/almondspool/coordination/manifest_watch.py
+++ b/almondspool/coordination/manifest_watch.py
@@ -19,7 +19,7 @@
     from almondspool.protocol.platform import PlatformInterface
     from almondspool.state.members import View
 
-WATCH_WAIT_S = 25.0
+WATCH_WAIT_S = 10.0
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 10.0
 DUTY_CHECK_S = 1.0
--- a/tests/coordination/test_acceptance_process.py
+++ b/tests/coordination/test_acceptance_process.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import random
+import threading
 
 import testtools
+from returns.result import Success
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.acceptance import Acceptor
 from almondspool.coordination.configuration import Configuration
 from almondspool.protocol.document import section_digest
+from almondspool.protocol.http_platform import HttpPlatform, make_platform
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME, decode_manifest
-from almondspool.protocol.platform import make_platform
 from almondspool.standins.faults import Fault, FaultKind
 from almondspool.standins.launcher import Cluster
 from tests.configuration_session import section_text
 
 TIMEOUT_S = 10.0
+SHORT_TIMEOUT_S = 1.0
+KIND = "status"
+FAR_VERSION = 1_000_000
 
 
 class AcceptanceProcessTests(testtools.TestCase):
@@ -98,3 +103,33 @@
         generations = [decode_manifest(e.value).generation for e in watched.events]
         last = self.manifest().generation
         self.assertEqual([last - 1, last], generations)
+
+    def watch_at_once(self, platform):
+        """Hold three watches at once; return whether each succeeded."""
+        results = []
+        threads = [
+            threading.Thread(
+                target=lambda: results.append(platform.watch(KIND, FAR_VERSION, 0.1))
+            )
+            for _ in range(3)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return [isinstance(result, Success) for result in results]
+
+    def call_on_silent_connections(self):
+        platform = make_platform(self.cluster.platform_address, SHORT_TIMEOUT_S)
+        self.assertEqual([True] * 3, self.watch_at_once(platform))
+        self.cluster.platform.set_faults([Fault(FaultKind.SILENT_CONNECTION)])
+        first = platform.watch(KIND, FAR_VERSION, 0.1)
+        self.assertNotIsInstance(first, Success)
+        return self.watch_at_once(platform)
+
+    def test_silent_connections_cost_one_call(self):
+        self.assertEqual([True] * 3, self.call_on_silent_connections())
+
+    def test_fails_first_without_retiring_connections(self):
+        self.patch(HttpPlatform, "_retire", lambda self, pool: None)
+        self.assertIn(False, self.call_on_silent_connections())
