--- a/almondspool/standins/deployments.py
+++ b/almondspool/standins/deployments.py
@@ -102,6 +102,11 @@
             TeamPlan("donor-ledger", "background", 1000, 1, 3, 3, 40, 1),
         ),
     ),
+    "wide": Plan(
+        PERTH_ZONES,
+        SUMP_ALARMS,
+        (TeamPlan("alert-desk", "urgent", 1000, 210, 3, 2, 25, 6, FLOOD_CALLERS),),
+    ),
 }
 
 
--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,231 @@
+"""Figures of one measured window, made from what generators and sites counted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bench.traffic import (
+    US_PER_MS,
+    ClassResult,
+    LoadResult,
+    decode_histogram,
+    new_histogram,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hdrh.histogram import HdrHistogram
+
+    from bench.sites import Connections, Counts
+
+WHOLE = "OK"
+PARTIAL = "PARTIAL"
+
+
+class ClassFigures(msgspec.Struct, frozen=True):
+    """Figures of the requests of one class, or of all.
+
+    Attributes:
+        offered: Requests that arrived.
+        whole: Answers with every shard.
+        partial: Answers that name missing shards.
+        refused: Answers with any other code.
+        failures: Requests without an answer.
+        late_refusals: Refusals that came after the deadline.
+        coverage: Answered shards over all shards of whole and partial answers.
+        p50_ms: Median latency of whole and partial answers.
+        p99_ms: 99th percentile of it.
+        p999_ms: 99.9th percentile of it.
+        refused_by_code: Refusals by name of the result code.
+    """
+
+    offered: int
+    whole: int
+    partial: int
+    refused: int
+    failures: int
+    late_refusals: int
+    coverage: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    refused_by_code: dict[str, int]
+
+
+class WindowFigures(msgspec.Struct, frozen=True):
+    """Figures of one window.
+
+    Attributes:
+        case: The case.
+        variant: PRESENT or BASELINE.
+        rate_per_s: Offered rate.
+        total: All classes together.
+        by_class: Figures by name of the class.
+        legs_per_needed: Legs sent over shards that the answers needed.
+        extra_share: Hedges, retries and probes over first legs.
+        legs_per_exchange: Legs sent over exchanges with searchers.
+        connections_peak: Sum of the searchers' peaks.
+        connections_share: Highest share of its limit that one searcher saw.
+        violations: Connections beyond a limit.
+        goodput_per_s: Whole answers a second of the arrivals' time.
+        within_share: Whole answers within the wide query's bound, over offered.
+        wrong: Compared answers that differ from a plain scan.
+        compared: Answers compared.
+        processor_ms: Processor time of the instances per request, in milliseconds.
+        processor_share: Processor time of the instances over wall time, per instance.
+        generator_lag_ms: Most time by which the generator was late.
+        crash_runs: Legs of the crashing request that searchers began.
+    """
+
+    case: str
+    variant: str
+    rate_per_s: float
+    total: ClassFigures
+    by_class: dict[str, ClassFigures]
+    legs_per_needed: float
+    extra_share: float
+    legs_per_exchange: float
+    connections_peak: int
+    connections_share: float
+    violations: int
+    goodput_per_s: float
+    within_share: float
+    wrong: int
+    compared: int
+    processor_ms: float
+    processor_share: float
+    generator_lag_ms: float
+    crash_runs: int = 0
+
+
+def class_figures(result: ClassResult, histogram: HdrHistogram) -> ClassFigures:
+    """Return the figures of a class from its counts and its histogram."""
+    whole = result.count_by_code.get(WHOLE, 0)
+    partial = result.count_by_code.get(PARTIAL, 0)
+    refused_by_code = {
+        name: count
+        for name, count in result.count_by_code.items()
+        if name not in (WHOLE, PARTIAL)
+    }
+    return ClassFigures(
+        offered=result.offered,
+        whole=whole,
+        partial=partial,
+        refused=sum(refused_by_code.values()),
+        failures=result.failures,
+        late_refusals=result.late_refusals,
+        coverage=result.shards_answered / max(1, result.shards_total),
+        p50_ms=_percentile_ms(histogram, 50),
+        p99_ms=_percentile_ms(histogram, 99),
+        p999_ms=_percentile_ms(histogram, 99.9),
+        refused_by_code=refused_by_code,
+    )
+
+
+def merge_results(results: Iterable[ClassResult]) -> tuple[ClassResult, HdrHistogram]:
+    """Return the sum of results and the histogram of all their latencies."""
+    total = ClassResult()
+    histogram = new_histogram()
+    for result in results:
+        total.offered += result.offered
+        total.failures += result.failures
+        total.shards_total += result.shards_total
+        total.shards_answered += result.shards_answered
+        total.late_refusals += result.late_refusals
+        for name, count in result.count_by_code.items():
+            total.count_by_code[name] = total.count_by_code.get(name, 0) + count
+        histogram.add(decode_histogram(result.latencies))
+    return total, histogram
+
+
+class Window(msgspec.Struct):
+    """What was counted during one window.
+
+    Attributes:
+        case: The case.
+        variant: PRESENT or BASELINE.
+        rate_per_s: Offered rate.
+        duration_s: Time during which requests arrived.
+        instances: Number of instances.
+        loads: Results of the generators.
+        before: Counts before it.
+        after: Counts after it.
+        connections: Connections during it.
+        wrong: Compared answers that differ.
+        within_ms: Bound of the wide query.
+        crash_runs: Legs of the crashing request.
+    """
+
+    case: str
+    variant: str
+    rate_per_s: float
+    duration_s: float
+    instances: int
+    loads: list[LoadResult]
+    before: Counts
+    after: Counts
+    connections: Connections
+    wrong: int
+    within_ms: float
+    crash_runs: int = 0
+
+
+def window_figures(window: Window) -> WindowFigures:
+    """Return the figures of a window."""
+    by_class = {
+        name: result
+        for load in window.loads
+        for name, result in load.results_by_class.items()
+    }
+    total, histogram = merge_results(by_class.values())
+    figures = class_figures(total, histogram)
+    before, after = window.before, window.after
+    legs_by_reason = {
+        reason: legs - before.legs_by_reason.get(reason, 0.0)
+        for reason, legs in after.legs_by_reason.items()
+    }
+    legs = sum(legs_by_reason.values())
+    first = legs_by_reason.get("first", 0.0)
+    spent_s = after.processor_s - before.processor_s
+    elapsed_s = after.at - before.at
+    return WindowFigures(
+        case=window.case,
+        variant=window.variant,
+        rate_per_s=window.rate_per_s,
+        total=figures,
+        by_class={
+            name: class_figures(result, decode_histogram(result.latencies))
+            for name, result in by_class.items()
+        },
+        legs_per_needed=legs / max(1, total.shards_total),
+        extra_share=(legs - first) / max(1.0, first),
+        legs_per_exchange=legs / max(1, after.exchanges - before.exchanges),
+        connections_peak=window.connections.peak,
+        connections_share=window.connections.peak_share,
+        violations=window.connections.violations,
+        goodput_per_s=figures.whole / window.duration_s,
+        within_share=_share_within(histogram, window.within_ms, total.offered),
+        wrong=window.wrong,
+        compared=sum(len(load.kept) for load in window.loads),
+        processor_ms=spent_s / max(1, total.offered) * 1000,
+        processor_share=spent_s / max(0.001, elapsed_s) / window.instances,
+        generator_lag_ms=max(load.worst_lag_ms for load in window.loads),
+        crash_runs=window.crash_runs,
+    )
+
+
+def _percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    return histogram.get_value_at_percentile(percentile) / US_PER_MS
+
+
+def _share_within(histogram: HdrHistogram, bound_ms: float, offered: int) -> float:
+    bound_us = int(bound_ms * US_PER_MS)
+    within = sum(
+        item.count_added_in_this_iter_step
+        for item in histogram.get_recorded_iterator()
+        if item.value_iterated_to <= bound_us
+    )
+    return within / max(1, offered)
--- a/bench/load.py
+++ b/bench/load.py
@@ -57,7 +57,9 @@
         )
         self._entries = EntryBook(plan.addresses, self._http)
         self._results_by_class = {kind.name: ClassResult() for kind in plan.classes}
-        self._histograms_by_class = {kind.name: new_histogram() for kind in plan.classes}
+        self._histograms_by_class = {
+            kind.name: new_histogram() for kind in plan.classes
+        }
         self._kept: list[KeptAnswer] = []
         self._worst_lag_s = 0.0
         self._start = 0.0
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -12,19 +12,27 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from almondspool.cli.client import InstanceClient
+from almondspool.codes import ResultCode
 from almondspool.standins.launcher import Cluster
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
     from types import TracebackType
 
+    from almondspool.protocol.operator import ApplyAnswer
     from almondspool.standins.faults import Fault
 
 CLIENT_TIMEOUT_S = 10.0
 IN_FORCE_TIMEOUT_S = 20.0
 POLL_S = 0.05
+OFFER_ATTEMPTS = 40
+OFFER_INTERVAL_S = 0.25
 LEGS_METRIC = "almondspool_legs_total"
-FIRST_REASON = "first"
+_ASK_AGAIN_CODES = (
+    ResultCode.PLATFORM_UNAVAILABLE,
+    ResultCode.PLATFORM_RATE_LIMITED,
+    ResultCode.OUTCOME_UNKNOWN,
+)
 
 
 class SiteError(Exception):
@@ -227,12 +235,22 @@
             item for item in section["snapshots"] if item["id"] <= self.snapshot
         ]
         offered = yaml.safe_dump(section, sort_keys=False).encode()
-        base = self._digests_by_team.get(team, "")
-        answer = self._client.apply(team, offered, base, uuid.uuid4().hex)
+        answer = self._offer(team, offered)
         if answer["code"]:
             raise SiteError(f"section {team} was not accepted: {answer['message']}")
         self._digests_by_team[team] = answer["digest"]
 
+    def _offer(self, team: str, text: bytes) -> ApplyAnswer:
+        """Offer a section again while the platform can't be asked."""
+        base = self._digests_by_team.get(team, "")
+        token = uuid.uuid4().hex
+        for _ in range(OFFER_ATTEMPTS):
+            answer = self._client.apply(team, text, base, token)
+            if answer["code"] not in _ASK_AGAIN_CODES:
+                break
+            time.sleep(OFFER_INTERVAL_S)
+        return answer
+
     def _wait_in_force(self) -> None:
         """Wait until every instance runs the newest generation.
 
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_FIGURES = 3
