--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -7,10 +7,11 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.connections import ConnectionWatch
-from almondspool.protocol import leg_codec
+from almondspool.protocol import http_exchange, http_upstream, leg_codec
 from almondspool.protocol.caller import Record
 from almondspool.protocol.http_upstream import HttpUpstream
 from almondspool.protocol.upstream import LoadReport
+from almondspool.transport import http_pool
 from tests.protocol.raw_server import (
     END,
     HEAD,
@@ -145,6 +146,8 @@
         results = []
         thread = threading.Thread(target=lambda: results.extend(run))
         thread.start()
+        thread.join(0.4)
+        self.assertTrue(thread.is_alive(), "the timeout of a read does not end it")
         wait_until(lambda: self.http.close_overdue())
         thread.join(5)
         self.assertEqual([ResultCode.LEG_TIMEOUT], [r.code for r in results])
@@ -154,13 +157,18 @@
             return False
         connection.sendall(whole(*[line(leg["leg_id"]) for leg in body["legs"]]))
 
-    def test_an_idempotent_leg_survives_a_stale_connection(self):
+    def run_on_stale_connection(self):
         server = self.serve(self.close_second)
         self.run_legs(server, make_leg("a"))
         self.shift_s = 20.0
-        result = self.run_legs(server, make_leg("b"))["b"]
-        self.assertEqual(ResultCode.OK, result.code)
-        self.assertEqual(3, len(server.requests))
+        return self.run_legs(server, make_leg("b"))["b"].code, len(server.requests)
+
+    def test_an_idempotent_leg_survives_a_stale_connection(self):
+        self.assertEqual((ResultCode.OK, 3), self.run_on_stale_connection())
+
+    def test_without_the_rule_for_stale_connections_the_leg_is_lost(self):
+        self.patch(http_exchange, "MIN_STALE_IDLE_S", 1e9)
+        self.assertEqual((ResultCode.LEG_CUT_OFF, 2), self.run_on_stale_connection())
 
     def test_a_close_right_after_use_is_no_stale_connection(self):
         server = self.serve(self.close_second)
@@ -187,12 +195,19 @@
         self.assertEqual((ResultCode.LEG_CUT_OFF, True), (result.code, result.was_run))
         self.assertEqual(2, len(server.requests))
 
-    def test_a_non_idempotent_leg_takes_no_long_idle_connection(self):
+    def connections_of_late_booking(self):
         server = self.serve(lambda c, body, nth: c.sendall(whole(line("a"))))
         self.run_legs(server, make_leg("a"))
         self.shift_s = 20.0
         self.run_legs(server, make_leg("a", idempotent=False))
-        self.assertEqual(2, len(server.connections))
+        return len(server.connections)
+
+    def test_a_non_idempotent_leg_takes_no_long_idle_connection(self):
+        self.assertEqual(2, self.connections_of_late_booking())
+
+    def test_without_the_rule_it_takes_one(self):
+        self.patch(http_upstream, "MIN_STALE_IDLE_S", 1e9)
+        self.assertEqual(1, self.connections_of_late_booking())
 
     def test_connections_stay_within_the_grant(self):
         gate = threading.Event()
@@ -214,6 +229,35 @@
         result = self.run_legs(server, make_leg("b"))["b"]
         self.assertEqual(ResultCode.LEG_NO_HOLDER, result.code)
 
+    def most_at_the_server(self):
+        """Run legs that hang past their deadline, and count what the server holds."""
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        held = []
+
+        def script(connection, body, nth):
+            held.append(connection)
+            gate.wait(5)
+
+        server = self.serve(script, grant=2)
+        codes = [
+            self.run_legs(server, make_leg(name), timeout_s=0.1)[name].code
+            for name in "abcd"
+        ]
+        return len(set(held)), codes
+
+    def test_a_connection_given_up_while_its_leg_runs_still_counts(self):
+        self.patch(http_pool, "LINGER_S", 60.0)
+        most, codes = self.most_at_the_server()
+        self.assertEqual(2, most)
+        timeouts, shed = [ResultCode.LEG_TIMEOUT] * 2, [ResultCode.LEG_SHED] * 2
+        self.assertEqual(timeouts + shed, codes)
+
+    def test_without_lingering_the_server_holds_more_than_the_grant(self):
+        self.patch(http_pool, "LINGER_S", 0.0)
+        most, _ = self.most_at_the_server()
+        self.assertEqual(4, most)
+
     def test_load_and_cancel(self):
         body = b'{"running":1,"queued":2,"draining":true,"warmth":0.5}'
         reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
