Give the gatherer's count of legs a metric name of its own

Conclusion: the collector's is almondspool_gatherer_legs; a test counts the families of one instance's registry by name and failed before.

--- a/almondspool/coordination/request_metrics.py
+++ b/almondspool/coordination/request_metrics.py
@@ -25,7 +25,7 @@
     "latency_s": ("almondspool_upstream_latency_seconds", "Time to first result."),
 }
 _GATHERER_COUNTERS = {
-    "legs": ("almondspool_legs", "Legs submitted."),
+    "legs": ("almondspool_gatherer_legs", "Legs that instances submitted."),
     "runs_sent": ("almondspool_runs_sent", "Runs sent to upstreams."),
     "exchanges": ("almondspool_exchanges", "Exchanges that carried runs."),
     "shared": ("almondspool_legs_shared", "Legs that joined an equal run."),
--- a/tests/coordination/test_gatherer_task.py
+++ b/tests/coordination/test_gatherer_task.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import collections
+
 import eventlet
 import testtools
 from prometheus_client import CollectorRegistry
@@ -11,6 +13,7 @@
 from almondspool.logs import EventLog
 from almondspool.protocol.upstream import LegResult, UpstreamInterface
 from almondspool.state.document import Document, Priority, Section, Upstream
+from almondspool.transport.metrics import Metrics
 from almondspool.transport.timers import EventletTimers
 from tests.coordination.gatherer_session import make_batch, make_leg
 
@@ -114,7 +117,8 @@
         register_request_metrics(self.task, admission, registry)
         self.submit(make_leg("a"), make_leg("b"))
         self.settle(2)
-        self.assertEqual(2, registry.get_sample_value("almondspool_legs_total"))
+        legs = registry.get_sample_value("almondspool_gatherer_legs_total")
+        self.assertEqual(2, legs)
         self.assertEqual(1, registry.get_sample_value("almondspool_legs_shared_total"))
         granted = registry.get_sample_value(
             "almondspool_upstream_granted", {"upstream": "u1"}
@@ -122,6 +126,13 @@
         self.assertEqual(2, granted)
         self.assertEqual(64, registry.get_sample_value("almondspool_requests_limit"))
 
+    def test_metrics_of_an_instance_have_names_of_their_own(self):
+        registry = Metrics().registry
+        admission = make_admission_task(EventletTimers(), EventLog(), 64, 10, seed=1)
+        register_request_metrics(self.task, admission, registry)
+        counts = collections.Counter(family.name for family in registry.collect())
+        self.assertEqual({1}, set(counts.values()), counts)
+
     def test_a_reply_that_raises_does_not_stop_the_others(self):
         def broken(results):
             raise ValueError("no such front")
