--- a/almondspool/coordination/member_records.py
+++ b/almondspool/coordination/member_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +15,8 @@
     ReadPlatform,
     WriteRecord,
 )
+from almondspool.errors import PeerError
+from almondspool.protocol.member_checks import check_member
 from almondspool.state.members import Member
 
 if TYPE_CHECKING:
@@ -72,16 +75,19 @@
             error = result.failure()
             if error.code != ResultCode.PLATFORM_CONFLICT:
                 break
-            self._read_version(own.instance)
+            stored = self._read_own(own.instance)
+            if stored is not None and stored.session > own.session:
+                take = self._membership.receive_own_record
+                return [functools.partial(take, stored)]
         self._log.write("member.record_failed", code=error.code.name, reason=error)
         return [self._membership.record_failed]
 
-    def _read_version(self, instance: str) -> None:
+    def _read_own(self, instance: str) -> Member | None:
         result = self._platform.get(KIND, instance)
-        if is_successful(result):
-            self._version_by_instance[instance] = result.unwrap().version
-        else:
+        if not is_successful(result):
             self._version_by_instance.pop(instance, None)
+            return None
+        return next(iter(self._decode((result.unwrap(),))), None)
 
     def _delete(self, instance: str) -> list[Decide]:
         version = self._version_by_instance.pop(instance, 0)
@@ -110,14 +116,9 @@
         for item in objects:
             self._version_by_instance[item.name] = item.version
             try:
-                member = msgspec.msgpack.decode(item.value, type=Member)
-            except msgspec.MsgspecError as error:
+                yield _decode_record(item)
+            except (msgspec.MsgspecError, UnicodeDecodeError, PeerError) as error:
                 self._refuse(item, str(error))
-                continue
-            if member.instance != item.name:
-                self._refuse(item, f"it names instance {member.instance}")
-                continue
-            yield member
 
     def _refuse(self, item: PlatformObject, reason: str) -> None:
         self._refused.inc()
@@ -128,3 +129,11 @@
             version=item.version,
             reason=reason,
         )
+
+
+def _decode_record(item: PlatformObject) -> Member:
+    member = msgspec.msgpack.decode(item.value, type=Member)
+    check_member(member)
+    if member.instance != item.name or not member.peer_address:
+        raise PeerError(f"it names instance {member.instance} {member.peer_address}")
+    return member
--- a/almondspool/coordination/member_table.py
+++ b/almondspool/coordination/member_table.py
@@ -23,6 +23,26 @@
     return len(msgspec.msgpack.encode(member))
 
 
+def shortened(member: Member) -> Member:
+    """Return a record that is not alive without what its receivers know of it."""
+    if member.status == MemberStatus.ALIVE:
+        return member
+    return member._replace(zone="", caller_address="", peer_address="")
+
+
+def completed(heard: Member, known: Member | None) -> Member | None:
+    """Return a shortened record with the known fields; None if there are none."""
+    if heard.peer_address:
+        return heard
+    if known is None:
+        return None
+    return heard._replace(
+        zone=known.zone,
+        caller_address=known.caller_address,
+        peer_address=known.peer_address,
+    )
+
+
 def merge(known: Member, heard: Member) -> Member:
     """Return what is known of an instance after hearing another record of it.
 
@@ -111,7 +131,7 @@
         for delta in sorted(self._delta_by_instance.values()):
             if delta.instance == target:
                 continue
-            member = self.members_by_instance[delta.instance]
+            member = shortened(self.members_by_instance[delta.instance])
             size = record_bytes(member)
             if size > room_bytes:
                 break
