--- /dev/null
+++ b/tests/processes/test_leaving_upstreams.py
@@ -0,0 +1,95 @@
+"""An upstream that is leaving gets no new work after a few seconds."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import Load
+from tests.processes.checks import journal_entries, wrong_answers
+from tests.processes.support import TEAM, ClusterTestCase, run_cli, wait_until
+
+LEAVING = f"{TEAM}-01-c"
+PROCESS = 2
+ANSWERS = 60
+
+
+def drain_under_load(cluster):
+    """Drain an upstream; return what it ran afterwards, and all answers."""
+    with Load(cluster) as load:
+        wait_for_more(load)
+        done = run_cli(cluster, "drain", LEAVING, "--wait")
+        assert done.returncode == 0, done.stderr
+        wait_for_more(load)
+        for control in cluster.searcher_controls():
+            control.clear_journal()
+        wait_for_more(load)
+        ran = [
+            entry["leg_id"]
+            for entry in journal_entries(cluster)
+            if entry["upstream_id"] == LEAVING
+        ]
+        run_cli(cluster, "undrain", LEAVING, "--wait")
+        wait_until(lambda: runs_at(cluster, LEAVING), f"{LEAVING} gets work again")
+    return ran, load.attempts
+
+
+def runs_at(cluster, upstream_id):
+    entries = journal_entries(cluster)
+    return any(entry["upstream_id"] == upstream_id for entry in entries)
+
+
+def wait_for_more(load, answers=ANSWERS):
+    enough = load.count() + answers
+    wait_until(lambda: load.count() >= enough, f"{answers} more answers are there")
+
+
+class LeavingUpstreamTests(ClusterTestCase):
+    # Each process hosts one replica of a shard at most.
+    options: ClassVar = {"searcher_processes": 3}
+
+    def test_drained_by_the_command_line_tool(self):
+        ran, attempts = drain_under_load(self.cluster)
+        self.assertEqual([], ran)
+        self.assertEqual([], wrong_answers(self.cluster, attempts, whole=True))
+
+    def test_draining_by_its_own_report(self):
+        control = self.cluster.searcher_controls()[PROCESS]
+        hosted = control.journal()["connections"]
+        with Load(self.cluster) as load:
+            wait_for_more(load)
+            for upstream_id in hosted:
+                control.change_searcher(upstream_id, draining=True)
+            wait_until(lambda: self.is_left_alone(control, load), "no legs are sent")
+            for upstream_id in hosted:
+                control.change_searcher(upstream_id, draining=False)
+            wait_until(lambda: runs_at(self.cluster, LEAVING), "work comes back")
+        self.assertEqual([], wrong_answers(self.cluster, load.attempts, whole=True))
+
+    def test_draining_replies_under_a_lying_report(self):
+        control = self.cluster.searcher_controls()[PROCESS]
+        hosted = control.journal()["connections"]
+        control.set_faults([Fault(FaultKind.LIE_LOAD, target) for target in hosted])
+        for upstream_id in hosted:
+            control.change_searcher(upstream_id, draining=True)
+            self.addCleanup(control.change_searcher, upstream_id, draining=False)
+        with Load(self.cluster) as load:
+            wait_for_more(load)
+        self.assertEqual([], wrong_answers(self.cluster, load.attempts, whole=True))
+
+    def is_left_alone(self, control, load):
+        before = count_exchanges(control)
+        wait_for_more(load)
+        return count_exchanges(control) == before
+
+
+def count_exchanges(control):
+    return control.counters()["by_name"].get("v1/legs", 0)
+
+
+class DrainIgnoredTests(ClusterTestCase):
+    variant = "drain_ignored"
+
+    def test_new_work_is_found(self):
+        ran, _ = drain_under_load(self.cluster)
+        self.assertNotEqual([], ran)
--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,96 @@
+"""A planned stop cuts off no request, and a second signal says what it cut."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import (
+    CUT_OFF,
+    QUARANTINED,
+    Load,
+    make_booking,
+    make_search,
+    post,
+)
+from tests.processes.checks import doubled_bookings, journal_entries, wrong_answers
+from tests.processes.support import TEAM, ClusterTestCase, log_of, wait_until
+
+INTERRUPTED_EXIT = 54
+LEG_DELAY_MS = 40.0
+ANSWERS = 20
+BOOKING_ONE_IN = 4
+
+
+def make_mixed(number):
+    if number % BOOKING_ONE_IN == 0:
+        return make_booking(f"{TEAM}-01/{number % 3}")
+    return make_search(number)
+
+
+def stop_each_under_load(cluster):
+    """Stop and restart each instance in turn; return exit codes and the load."""
+    slow = Fault(FaultKind.SLOW, delay_ms=LEG_DELAY_MS)
+    cluster.searcher_controls()[0].set_faults([slow])
+    codes = []
+    with Load(cluster, make_mixed) as load:
+        for name in cluster.instances_by_name:
+            enough = load.count() + ANSWERS
+            wait_until(lambda enough=enough: load.count() >= enough, "load runs")
+            codes.append(cluster.terminate(name))
+            cluster.restart(name)
+    return codes, load
+
+
+def seen_errors(load):
+    """Return the attempts that a caller sees fail, refusals among them."""
+    return [
+        f"{attempt.request['request_id']}: {attempt.code} at {attempt.address}"
+        for attempt in load.all_attempts()
+        if attempt.code != 0
+    ]
+
+
+class PlannedStopTests(ClusterTestCase):
+    def test_rolling_restart_under_load(self):
+        codes, load = stop_each_under_load(self.cluster)
+        self.assertEqual([0, 0, 0], codes)
+        self.assertEqual([], seen_errors(load))
+        searches = [a for a in load.attempts if a.request.get("idempotent", True)]
+        self.assertEqual([], wrong_answers(self.cluster, searches, whole=True))
+        self.assertEqual([], doubled_bookings(self.cluster))
+
+    def test_second_signal_names_what_it_cut(self):
+        name, instance = list(self.cluster.instances_by_name.items())[-1]
+        self.cluster.wait_ready(name)
+        slow = Fault(FaultKind.SLOW, delay_ms=8000.0)
+        self.cluster.searcher_controls()[0].set_faults([slow])
+        search = make_search(QUARANTINED)
+        search["deadline_ms"] = 10_000
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            future = pool.submit(post, instance.caller_address, search)
+            wait_until(lambda: self.is_running(search), "the search runs")
+            child = self.cluster.child(name)
+            child.send(signal.SIGTERM)
+            wait_until(lambda: "event=stop.begin" in log_of(self.cluster, name), "stop")
+            child.send(signal.SIGTERM)
+            self.assertEqual(INTERRUPTED_EXIT, child.wait())
+            self.assertEqual(CUT_OFF, future.result().code)
+        lines = log_of(self.cluster, name).splitlines()
+        cut = [line for line in lines if "event=stop.cut_off" in line]
+        self.assertIn(search["request_id"], cut[-1])
+        self.tearDown()
+        self.cluster.restart(name)
+
+    def is_running(self, search):
+        ids = {entry["request_id"] for entry in journal_entries(self.cluster)}
+        return search["request_id"] in ids
+
+
+class HastyStopTests(ClusterTestCase):
+    variant = "hasty_stop"
+
+    def test_cut_off_requests_are_found(self):
+        _, load = stop_each_under_load(self.cluster)
+        self.assertNotEqual([], seen_errors(load))
--- /dev/null
+++ b/tests/processes/variants/drain_ignored.py
@@ -0,0 +1,16 @@
+"""Chooses drained upstreams too."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.replicas import ReplicaChooser
+
+
+def _allow_all(chooser, section, replicas, tried):
+    return [each for each in replicas if each not in tried]
+
+
+ReplicaChooser._allowed = _allow_all
+
+if __name__ == "__main__":
+    daemon.run()
