List a starting instance only once it can serve

Seen: callers that follow entries got 203 for up to 2 s, then 206 for up to 0.3 s, from an instance that had just restarted; tests.processes.test_planned_stop failed so. Cause: membership counted an instance as ready before its document counted and before it knew who holds connections. Ruled out: the stopping instance, which refused nothing. Shares are now read before the membership is confirmed, and the own record gives its generation only when the instance can serve by it.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -378,7 +378,9 @@
 
     def _publish_local_state(self) -> None:
         load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
-        generation = self._configuration.document.generation
+        # Peers give callers this address once it is confirmed at their generation.
+        is_ready = self._configuration.is_ready() and self._shares.is_informed()
+        generation = self._configuration.document.generation if is_ready else 0
         self._membership.set_local(LocalState(generation, load, self._shares.version()))
 
     def _send_peer(self, instance: str, message: NamedTuple) -> bool:
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -118,6 +118,11 @@
         """Return the upstreams of the document without a live holder known here."""
         return sorted(key for key in self._upstream_ids if not self.holders(key))
 
+    def is_informed(self) -> bool:
+        """Return whether it is known here who holds connections."""
+        all_read = len(self.versions_by_name()) == len(BUCKET_NAMES)
+        return all_read or len(self.unheld()) < len(self._upstream_ids)
+
     def set_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
         """Take the upstreams of the document in force."""
         self._upstream_ids = frozenset(upstreams_by_id)
@@ -177,16 +182,9 @@
             now: Monotonic seconds.
             wall_ms: Milliseconds since the epoch.
         """
+        reads = self._plan_reads(now)
         if not self._may_act and not self._giving_back:
-            return []
-        actions: list[Action] = []
-        for name in BUCKET_NAMES:
-            bucket = self._buckets_by_name[name]
-            if bucket.is_busy or now < bucket.retry_at:
-                continue
-            if bucket.must_read:
-                bucket.is_busy = True
-                actions.append(ReadBucket(name))
+            return reads
         context = ShareContext(
             self._instance,
             self._session,
@@ -195,8 +193,8 @@
             wall_ms,
             int(self._settings.release_after_s * 1000),
         )
-        actions += self._plan_writes(context, now)
-        return [*self._tell(), *actions]
+        writes = self._plan_writes(context, now)
+        return [*self._tell(), *reads, *writes]
 
     def bucket_read(self, name: str, version: int, value: bytes) -> list[Action]:
         """Take a bucket from the platform; version 0 if there is none.
@@ -241,6 +239,15 @@
     def _bucket_of(self, upstream_id: str) -> ShareBucket:
         return self._buckets_by_name[bucket_of(upstream_id)]
 
+    def _plan_reads(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for name in BUCKET_NAMES:
+            bucket = self._buckets_by_name[name]
+            if bucket.must_read and not bucket.is_busy and now >= bucket.retry_at:
+                bucket.is_busy = True
+                actions.append(ReadBucket(name))
+        return actions
+
     def _plan_writes(self, context: ShareContext, now: float) -> list[Action]:
         """Plan the write of one bucket: by the next one, more may be known."""
         ids_by_bucket: dict[str, list[str]] = {}
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -122,6 +122,10 @@
         """Return the upstreams of the document without a live holder known here."""
         return self._shares.unheld()
 
+    def is_informed(self) -> bool:
+        """Return whether it is known here who holds connections."""
+        return self._shares.is_informed()
+
     def allowed_by_upstream_id(self) -> dict[str, int]:
         """Return how many connections this instance may open to each upstream."""
         return self._shares.allowed_by_upstream_id()
@@ -301,14 +305,13 @@
 
     def _compare(self, now: float) -> None:
         """Ask one member from time to time for what was missed."""
-        if now < self._next_compare_at:
+        asked = self._pick_members(1, "")
+        if now < self._next_compare_at or not asked:
             return
         self._next_compare_at = now + COMPARE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
         versions_by_name = self._shares.versions_by_name()
-        for instance in self._pick_members(1, ""):
-            self._services.send_peer(
-                instance, CompareObjects(SHARES_KIND, versions_by_name)
-            )
+        compare = CompareObjects(SHARES_KIND, versions_by_name)
+        self._services.send_peer(asked[0], compare)
 
     def _pick_members(self, count: int, skip: str) -> list[str]:
         own = self._services.membership.own().instance
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -76,9 +76,12 @@
         wait_in_force(cls.cluster)
 
     def tearDown(self):
+        self.clear_faults()
+        super().tearDown()
+
+    def clear_faults(self):
         for control in (self.cluster.platform, *self.cluster.searcher_controls()):
             control.clear_faults()
-        super().tearDown()
 
 
 def section_of(cluster: Cluster, team: str, case: type[ClusterTestCase]) -> str:
