--- a/almondspool/coordination/liveness.py
+++ b/almondspool/coordination/liveness.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.coordination.member_actions import Action, MemberChanged
+from almondspool.coordination.member_table import completed
 from almondspool.coordination.probes import Probe, Probes, Relay
 from almondspool.protocol.peer import Heartbeat, ProbeReply, ProbeRequest
 from almondspool.state.members import Member, MemberStatus
@@ -102,6 +103,9 @@
         """Take a record of another instance."""
         instance = record.instance
         known = self._table.get(instance)
+        record = completed(record, known)
+        if record is None:
+            return []
         if record.status == MemberStatus.DEAD:
             if known is None:
                 return []
@@ -146,7 +150,9 @@
             suspect = member._replace(status=MemberStatus.SUSPECT)
             actions += self.learn(suspect, now)
         actions.append(self._gossip.heartbeat_to(member))
-        return actions + self._ask_relays(member, probe)
+        if member.status == MemberStatus.ALIVE:
+            actions += self._ask_relays(member, probe)
+        return actions
 
     def _ask_relays(self, member: Member, probe: Probe) -> list[Action]:
         request = ProbeRequest(
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -154,13 +154,13 @@
             actions += self._view_reply(address, message, now)
         return actions + self._check_ready(now)
 
-    def refused_incarnation(self, sender: str) -> list[Action]:
-        """Tell a peer that its incarnation is older than the one known here."""
+    def refused_incarnation(self, sender: str, address: str) -> list[Action]:
+        """Tell a peer, by its address, that a higher incarnation of it is known."""
         member = self._table.get(sender)
         if member is None:
             return []
         correction = Heartbeat(self.own, (member,), False, 0)
-        return [self._gossip.send(member.peer_address, correction)]
+        return [self._gossip.send(address, correction)]
 
     def set_local(
         self, generation: int, load: float, shares_version: int, now: float
@@ -193,6 +193,10 @@
             actions += self._contact_peers()
         return actions + self._check_ready(now)
 
+    def receive_own_record(self, record: Member, now: float) -> list[Action]:
+        """Take the own record as the platform has it, maybe of an earlier process."""
+        return self._hear_of_self(record, now)
+
     def record_failed(self, now: float) -> list[Action]:
         """Write the own record again soon: the platform did not take it."""
         self._listings.write_soon(now)
@@ -264,10 +268,11 @@
         ]
 
     def _check_ready(self, now: float) -> list[Action]:
-        self._joining.confirm_without_peer(self._table.living(), now)
+        others = self._table.members_by_instance.values()
+        living = sum(member.status != MemberStatus.DEAD for member in others)
+        self._joining.confirm_without_peer(living, len(others), now)
         if self.own.ready or not self._joining.confirmed_by:
             return []
-        others = self._table.members_by_instance.values()
         newest = max((member.generation for member in others), default=0)
         if self.own.generation < newest:
             return []
--- /dev/null
+++ b/tests/coordination/test_shares.py
@@ -0,0 +1,247 @@
+from __future__ import annotations
+
+import random
+from unittest import mock
+
+import testtools
+from hypothesis import given, settings, strategies as st
+
+from almondspool.codes import ResultCode
+from almondspool.coordination import share_plan
+from almondspool.coordination.holder_ranking import HolderRanking
+from almondspool.coordination.share_actions import CloseAll
+from almondspool.coordination.share_bucket import ShareBucket
+from almondspool.errors import PlatformError
+from almondspool.protocol.shares import bucket_of, decode_bucket, encode_bucket
+from almondspool.state.members import MemberStatus
+from almondspool.state.shares import Share, UpstreamShares
+from tests.coordination.share_fleet import (
+    STEPS,
+    ZONES,
+    Fleet,
+    LimitExceededError,
+    make_upstream,
+)
+from tests.golden_session import verify_session
+
+
+def run_steps(limits, steps):
+    fleet = Fleet(4, limits)
+    for step, index in steps:
+        fleet.run(step, index)
+
+
+STEP_LISTS = st.lists(
+    st.tuples(st.sampled_from(STEPS), st.integers(0, 3)), min_size=40, max_size=250
+)
+LIMITS = st.lists(st.sampled_from((1, 2, 3, 5, 25)), min_size=2, max_size=3)
+
+
+class SharesTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(LIMITS, STEP_LISTS)
+    def test_sum_stays_within_limit(self, limits, steps):
+        run_steps(limits, steps)
+
+    def test_without_stale_shares_limit_breaks(self):
+        def forget(shares, context):
+            alive = [
+                share
+                for share in shares.active
+                if not share_plan._is_gone(share, context)
+            ]
+            return UpstreamShares(tuple(alive), ())
+
+        with mock.patch("almondspool.coordination.shares.tidy", forget):
+            self.assertTrue(self.breaks())
+
+    def test_late_release_is_not_taken_back(self):
+        self.release_late_and_want_again()
+
+    def test_without_regard_for_late_writes_limit_breaks(self):
+        def trusting(self, upstream_id, session):
+            return self._held(self.shares_by_upstream_id, upstream_id, session)
+
+        with mock.patch.object(ShareBucket, "own_connections", trusting):
+            self.assertRaises(LimitExceededError, self.release_late_and_want_again)
+
+    def release_late_and_want_again(self):
+        """A replaced holder's release takes effect after it wants in again."""
+        fleet = Fleet(4, (1,))
+        fleet.settle(20)
+        (name,) = fleet.processes[0].shares.holders("desk-0")
+        successor = next(p for p in fleet.processes if p.name == name)
+        (holder,) = (p for p in fleet.processes[::3] if p is not successor)
+        fleet = Fleet(4, (1,))
+        successor, holder = (
+            next(p for p in fleet.processes if p.name == other.name)
+            for other in (successor, holder)
+        )
+        holder.beliefs[successor.name] = MemberStatus.DEAD
+        for _ in range(8):
+            fleet.tick(holder)
+        self.assertEqual(1, holder.shares.allowed("desk-0"))
+        fleet.hear(holder)
+        for _ in range(4):
+            fleet.tick(holder)
+        fleet.close(holder)
+        fleet.late(holder)
+        self.assertEqual(1, len(fleet.delayed))
+        holder.beliefs[successor.name] = MemberStatus.DEAD
+        fleet.now += 10.0
+        fleet.fail(holder)
+        fleet.spread(successor)
+        for _ in range(8):
+            fleet.hear(successor)
+            fleet.tick(successor)
+            fleet.check()
+
+    def breaks(self) -> bool:
+        for seed in range(400):
+            rng = random.Random(seed)
+            steps = [(rng.choice(STEPS), rng.randrange(4)) for _ in range(250)]
+            try:
+                run_steps((1, 3, 5, 25), steps)
+            except LimitExceededError:
+                return True
+        return False
+
+    def test_single_instance_holds_enough_for_all_slots(self):
+        fleet = Fleet(1, (1, 2, 3, 25))
+        fleet.settle(10)
+        allowed = fleet.processes[0].shares.allowed_by_upstream_id()
+        self.assertEqual([1, 2, 2, 12], list(allowed.values()))
+
+    def test_three_instances_split_each_limit(self):
+        fleet = Fleet(3, (1, 4, 25))
+        fleet.settle(20)
+        for upstream, each in zip(fleet.upstreams, ([1], [1, 1], [6, 6]), strict=True):
+            key = upstream.upstream_id
+            allowed = [process.shares.allowed(key) for process in fleet.processes]
+            self.assertEqual(each, [count for count in allowed if count])
+            held = [p.name for p in fleet.processes if p.shares.allowed(key)]
+            holders = fleet.processes[0].shares.holders(key)
+            self.assertEqual(sorted(held), sorted(holders))
+            if len(each) == 2:
+                zones = {p.zone for p in fleet.processes if p.name in holders}
+                self.assertIn(upstream.zone, zones)
+                self.assertEqual(2, len(zones))
+
+    def test_dead_holder_is_replaced_and_its_share_ends_by_re_join(self):
+        fleet = Fleet(3, (25,))
+        fleet.settle(20)
+        holder = fleet.processes[0].shares.holders("desk-0")[0]
+        dead = next(p for p in fleet.processes if p.name == holder)
+        fleet.kill(dead)
+        fleet.settle(20)
+        shares = self.stored(fleet, "desk-0")
+        self.assertEqual([holder], [share.instance for share in shares.stale])
+        self.assertEqual([6, 6], [share.connections for share in shares.active])
+        fleet.restart(dead)
+        fleet.settle(60)
+        self.assertEqual((), self.stored(fleet, "desk-0").stale)
+
+    def test_leave_moves_shares_without_a_dip(self):
+        fleet = Fleet(3, (25,))
+        fleet.settle(20)
+        leaving = fleet.processes[0]
+        lines = [self.story(fleet)]
+        for process in fleet.processes:
+            process.beliefs[leaving.name] = MemberStatus.LEAVING
+        lines.append(f"-- {leaving.name} leaves")
+        for _ in range(30):
+            for process in fleet.processes:
+                fleet.tick(process)
+                fleet.close(process)
+                fleet.spread(process)
+                fleet.check()
+                lines.append(self.story(fleet))
+        changes = [line for n, line in enumerate(lines) if line != lines[n - 1]]
+        verify_session("shares_leave", changes)
+
+    def story(self, fleet) -> str:
+        counts = [process.shares.allowed("desk-0") for process in fleet.processes]
+        self.assertGreaterEqual(sum(counts), 12)
+        names = [process.name for process in fleet.processes]
+        pairs = zip(names, counts, strict=True)
+        return ", ".join(f"{name} may open {count}" for name, count in pairs)
+
+    def test_stale_share_ends_once_unlisted_for_long(self):
+        fleet = Fleet(3, (1,))
+        fleet.settle(20)
+        (holder,) = fleet.processes[0].shares.holders("desk-0")
+        dead = next(p for p in fleet.processes if p.name == holder)
+        fleet.kill(dead)
+        fleet.settle(60)
+        alive = [p for p in fleet.processes if not p.dead]
+        self.assertEqual(0, sum(p.shares.allowed("desk-0") for p in alive))
+        fleet.unlist(dead)
+        fleet.settle(60)
+        self.assertEqual(1, sum(p.shares.allowed("desk-0") for p in alive))
+
+    def test_nothing_moves_while_the_platform_is_down(self):
+        fleet = Fleet(3, (25,))
+        fleet.settle(20)
+        before = [p.shares.allowed("desk-0") for p in fleet.processes]
+        fleet.kill(fleet.processes[2])
+        for _ in range(60):
+            for process in fleet.processes[:2]:
+                fleet.hear(process)
+                fleet.fail(process)
+                fleet.check()
+        after = [p.shares.allowed("desk-0") for p in fleet.processes[:2]]
+        self.assertEqual(before[:2], after)
+
+    def test_give_back_closes_before_it_writes(self):
+        fleet = Fleet(2, (25,))
+        fleet.settle(20)
+        leaving = fleet.processes[0]
+        actions = leaving.shares.give_back()
+        self.assertEqual([CloseAll("desk-0")], actions)
+        fleet.tick(leaving)
+        self.assertFalse(leaving.shares.is_given_back())
+        fleet.close(leaving)
+        fleet.tick(leaving)
+        self.assertTrue(leaving.shares.is_given_back())
+
+    def stored(self, fleet, upstream_id) -> UpstreamShares:
+        name = bucket_of(upstream_id)
+        return decode_bucket(name, fleet.objects[name][1])[upstream_id]
+
+
+class BucketFormTests(testtools.TestCase):
+    def test_round_trip(self):
+        shares = {"desk-1": UpstreamShares((Share("perth-1", 7, 6),))}
+        name = bucket_of("desk-1")
+        self.assertEqual(shares, decode_bucket(name, encode_bucket(shares)))
+
+    def test_nonsense_is_refused_by_name(self):
+        name = bucket_of("desk-1")
+        negative = {"desk-1": UpstreamShares((Share("perth-1", 7, -6),))}
+        misplaced = {"desk-2": UpstreamShares()}
+        self.assertNotEqual(name, bucket_of("desk-2"))
+        for value, reason in (
+            (b"\xc1", "shares bucket"),
+            (encode_bucket(negative), "gives instance perth-1 -6"),
+            (encode_bucket(misplaced), "desk-2 is of another bucket"),
+        ):
+            error = self.assertRaises(PlatformError, decode_bucket, name, value)
+            self.assertEqual(ResultCode.PLATFORM_REPLY_INVALID, error.code)
+            self.assertIn(reason, str(error))
+
+
+class HolderRankingTests(testtools.TestCase):
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(st.lists(st.sets(st.integers(0, 40)), min_size=1, max_size=12))
+    def test_changes_lead_to_the_same_ranking_as_a_fresh_start(self, candidate_sets):
+        upstreams = {f"desk-{n}": make_upstream(25, f"desk-{n}") for n in range(5)}
+        ranking = HolderRanking(3)
+        ranking.set_upstreams(upstreams)
+        for numbers in candidate_sets:
+            candidates = {f"perth-{n}": ZONES[n % 3] for n in numbers}
+            ranking.set_candidates(candidates)
+            fresh = HolderRanking(3)
+            fresh.set_candidates(candidates)
+            fresh.set_upstreams(upstreams)
+            for key in upstreams:
+                self.assertEqual(fresh.pick(key, 3), ranking.pick(key, 3))
