Report readiness only when the start wait is over

Ruled out: the rate cap (100 calls/s in these tests) and the shares (the codes were 203 only). Change: /readyz asks the configuration too, and an instance that has heard that there is no document yet counts as ready.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -326,7 +326,7 @@
         HealthRoutes(self._metrics.registry, self._is_ready).add_to(self._http)
 
     def _is_ready(self) -> bool:
-        return self._membership.may_act() and self._stop.accepts_new()
+        return self._may_act() and self._stop.accepts_new()
 
     def _may_act(self) -> bool:
         return self._membership.may_act() and self._configuration.is_ready()
--- a/almondspool/coordination/configuration.py
+++ b/almondspool/coordination/configuration.py
@@ -102,9 +102,10 @@
         """Return whether the instance may serve by its document.
 
         A new instance waits until the platform or a peer was heard and no peer is
-        known to run a higher generation, lest it serve by an outdated document.
+        known to run a higher generation, lest it serve by an outdated document. It
+        is also ready if it then knows that there is no document yet.
         """
-        if not self._is_ready and self.document.generation:
+        if not self._is_ready:
             peers = self._peers()
             heard = self._was_platform_heard or bool(peers)
             behind = any(m.generation > self.document.generation for m in peers)
