Share the platform's calls among the instances

Change: one cap for all instances, 180 a second, shared by those present, between 1 and 20 each. Ruled out: a larger fixed cap, which 440 instances would multiply. Seen: unit tests of the share and of a falling rate.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -24,7 +24,7 @@
 from almondspool.coordination.load_poll_task import LoadPollTask
 from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
-from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
@@ -163,7 +163,7 @@
             make_platform(settings.platform_address, settings.platform_timeout_s),
             self._timers,
             self._log,
-            settings.platform_calls_per_s,
+            share_of_calls(settings.platform_calls_per_s, 1),
             self._rng,
         )
         self._membership = make_membership_task(
@@ -363,7 +363,10 @@
 
     def _on_view_changed(self) -> None:
         self._configuration.post_view()
-        for member in self._membership.view().members_by_instance.values():
+        view = self._membership.view()
+        total_per_s = self._settings.platform_calls_per_s
+        self._platform.set_rate(share_of_calls(total_per_s, len(view.present())))
+        for member in view.members_by_instance.values():
             if member.status == MemberStatus.DEAD:
                 self._channels.drop(member.instance)
 
--- a/almondspool/coordination/platform_calls.py
+++ b/almondspool/coordination/platform_calls.py
@@ -43,6 +43,21 @@
 }
 
 
+MIN_CALLS_PER_S = 1.0
+MAX_CALLS_PER_S = 20.0
+
+
+def share_of_calls(total_per_s: float, instances: int) -> float:
+    """Return one instance's cap on calls per second.
+
+    Args:
+        total_per_s: Cap on the calls of all instances together.
+        instances: How many instances share it.
+    """
+    share = total_per_s / max(1, instances)
+    return min(MAX_CALLS_PER_S, max(MIN_CALLS_PER_S, share))
+
+
 def make_platform_calls(
     platform: PlatformInterface,
     timers: TimerService,
@@ -85,6 +100,10 @@
         self.calls_by_method: Counter[str] = Counter()
         self.refusals_by_reason: Counter[str] = Counter()
 
+    def set_rate(self, calls_per_s: float) -> None:
+        """Change the cap on calls per second."""
+        self._circuit.set_rate(self._timers.now(), calls_per_s)
+
     def get(self, kind: str, name: str) -> Result[PlatformObject, PlatformError]:
         """Read one object."""
         return self._guard("get", lambda _: self._platform.get(kind, name))
--- a/almondspool/coordination/platform_circuit.py
+++ b/almondspool/coordination/platform_circuit.py
@@ -73,7 +73,6 @@
             rng: Source of the back-off's jitter.
         """
         self._calls_per_s = calls_per_s
-        self._burst = max(1.0, calls_per_s)
         self._rng = rng
         self._state = CircuitState.CLOSED
         self._epoch = 0
@@ -82,7 +81,7 @@
         self._retry_at = 0.0
         self._probe_until = 0.0
         self._ramp_start: float | None = None
-        self._tokens = self._burst
+        self._tokens = max(1.0, calls_per_s)
         self._refilled_at: float | None = None
 
     @property
@@ -90,6 +89,12 @@
         """The state as of the last decision."""
         return self._state
 
+    def set_rate(self, now: float, calls_per_s: float) -> None:
+        """Change the cap; tokens above the new one are lost."""
+        self._refill(now)
+        self._calls_per_s = calls_per_s
+        self._tokens = min(self._tokens, max(1.0, self._rate(now)))
+
     def admit(self, now: float) -> CallTicket | CallRefusal:
         """Decide whether a call may start at monotonic second ``now``."""
         if self._state is CircuitState.OPEN and now >= self._retry_at:
--- a/almondspool/settings.py
+++ b/almondspool/settings.py
@@ -113,9 +113,9 @@
     Setting(
         "platform_calls_per_s",
         Annotated[float, pydantic.Field(gt=0, le=1000)],
-        5.0,
+        180.0,
         "1/s",
-        "Cap on this instance's calls to the platform.",
+        "Cap on the platform calls of all instances; each takes an equal share.",
     ),
     Setting("platform_timeout_s", _Seconds, 2.0, "s", "Timeout of one platform call."),
     Setting(
--- a/tests/coordination/test_platform_calls.py
+++ b/tests/coordination/test_platform_calls.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
 from almondspool.coordination.platform_circuit import CallTicket, PlatformCircuit
 from almondspool.logs import EventLog
 from almondspool.transport.timers import VirtualTimers
@@ -82,3 +82,18 @@
         self.timers.advance(5.0)
         self.calls.watch("manifest", 0, 30.0)
         self.assertEqual([30.0, 30.0, 30.0, 0.0], waits)
+
+
+class ShareOfCallsTests(testtools.TestCase):
+    def test_share_falls_with_the_fleet_between_its_bounds(self):
+        self.assertEqual(20.0, share_of_calls(180.0, 3))
+        self.assertEqual(20.0, share_of_calls(180.0, 9))
+        self.assertEqual(2.0, share_of_calls(180.0, 90))
+        self.assertEqual(1.0, share_of_calls(180.0, 440))
+
+    def test_lower_rate_takes_the_saved_tokens_away(self):
+        circuit = PlatformCircuit(20.0, random.Random(1))
+        circuit.set_rate(0.0, 2.0)
+        admitted = [circuit.admit(0.0) for _ in range(5)]
+        tickets = [each for each in admitted if isinstance(each, CallTicket)]
+        self.assertEqual(2, len(tickets))
