Answer peers that compare connection shares

Seen: an instance restarted during a platform outage never became ready, in tests.processes.test_configuration. Cause: CompareObjects had no handler, so peers never told a newcomer who holds connections. Ruled out: the document, which it had from a peer after 25 ms. Configuration proofs over real processes are added.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -40,6 +40,7 @@
 from almondspool.protocol.operator import OperatorRoutes
 from almondspool.protocol.peer import (
     CancelLegs,
+    CompareObjects,
     FetchObjects,
     LegBatch,
     LegResults,
@@ -277,13 +278,11 @@
         register(LegBatch, lambda item: self._gatherer.submit(item.message, item.reply))
         register(LegResults, lambda item: self._router.on_results(item.message))
         register(CancelLegs, lambda item: self._gatherer.cancel(item.message.leg_ids))
+        register(FetchObjects, lambda item: self._on_fetch(item.sender, item.message))
+        register(ObjectsReply, lambda item: self._on_objects(item.sender, item.message))
         register(
-            FetchObjects,
-            lambda item: self._on_fetch(item.sender, item.message),
-        )
-        register(
-            ObjectsReply,
-            lambda item: self._on_objects(item.sender, item.message),
+            CompareObjects,
+            lambda item: self._shares.post_compare(item.sender, item.message),
         )
         register(Suspicion, lambda item: self._merge_suspicion(item.message))
         self._dispatch.register_down(self._router.on_channel_down)
--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,264 @@
+"""An accepted configuration is in force everywhere and never reverts."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import contextlib
+import itertools
+import threading
+
+import yaml
+
+from almondspool.protocol.http_platform import make_platform
+from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME, SECTION_KIND
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import make_search, post
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    accepted_digest,
+    apply_text,
+    operator,
+    statuses,
+    wait_in_force,
+    wait_until,
+)
+
+OTHER_TEAM = "member-records"
+CONFLICT = 402
+NONSENSE = (
+    b"",
+    b"{not json",
+    b'{"generation": 1, "entries_by_team": {}}',
+    b"\xff" * 40,
+)
+NUMBERS = itertools.count(1001)
+TIMEOUT_S = 5.0
+
+
+def edited(cluster, team=TEAM):
+    """Return a text of a section that no earlier one equals."""
+    section = yaml.safe_load(cluster.deployment.section_texts_by_team[team])
+    section["deadline_ms"] = next(NUMBERS)
+    return yaml.safe_dump(section, sort_keys=False)
+
+
+class GenerationWatch:
+    """Samples what each instance runs until the end of a with block.
+
+    Attributes:
+        falls: What fell, across restarts too.
+    """
+
+    def __init__(self, cluster):
+        self.falls = []
+        self._cluster = cluster
+        self._highest_by_name = {}
+        self._is_stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error):
+        self._is_stopped.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._is_stopped.wait(0.02):
+            for name, status in statuses(self._cluster).items():
+                if status["is_ready"]:
+                    self._note(name, status["generation"])
+
+    def _note(self, name, generation):
+        highest = self._highest_by_name.get(name, 0)
+        if generation < highest:
+            self.falls.append(f"{name}: {generation} after {highest}")
+        self._highest_by_name[name] = max(highest, generation)
+
+
+def restart_under_stale_reads(cluster):
+    """Apply sections and restart an instance whose reads are stale."""
+    name = next(iter(cluster.instances_by_name))
+    platform = make_platform(cluster.platform_address, TIMEOUT_S)
+    with GenerationWatch(cluster) as watch:
+        wait_in_force(cluster)
+        stale_version = platform.list(MANIFEST_KIND).unwrap().version
+        text = edited(cluster)
+        wait_in_force(cluster, apply_text(cluster, TEAM, text)["generation"])
+        faults = [
+            Fault(FaultKind.STALE_READ, kind, version=stale_version)
+            for kind in (MANIFEST_KIND, SECTION_KIND)
+        ]
+        cluster.platform.set_faults(faults)
+        cluster.kill(name)
+        cluster.restart(name)
+        with contextlib.suppress(AssertionError):
+            wait_in_force(cluster)
+            wait_for_polls(cluster)
+    return text, watch.falls
+
+
+def wait_for_polls(cluster):
+    """Wait until the platform has answered a few more reads of lists."""
+
+    def count():
+        names = cluster.platform.counters()["by_name"]
+        return names.get("get", 0) + names.get("list", 0)
+
+    enough = count() + 8
+    wait_until(lambda: count() >= enough, "instances have read the platform again")
+
+
+class ConfigurationTests(ClusterTestCase):
+    def setUp(self):
+        super().setUp()
+        self.generation = wait_in_force(self.cluster)
+        self.names = tuple(self.cluster.instances_by_name)
+        self.watch = self.enterContext(GenerationWatch(self.cluster))
+        self.addCleanup(lambda: self.assertEqual([], self.watch.falls))
+        self.platform = make_platform(self.cluster.platform_address, TIMEOUT_S)
+
+    def offer(self, name, team, text, base, token):
+        return operator(self.cluster, name).apply(team, text.encode(), base, token)
+
+    def base_of(self, team):
+        return accepted_digest(operator(self.cluster), team)
+
+    def assert_runs(self, text, team=TEAM):
+        for name in self.names:
+            running = operator(self.cluster, name).section(team)["text"]
+            self.assertEqual(text, running, name)
+
+    def test_two_operators_race_on_one_section(self):
+        base, texts = self.base_of(TEAM), [edited(self.cluster) for _ in range(2)]
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            offers = [
+                pool.submit(
+                    self.offer, self.names[n], TEAM, texts[n], base, f"race-{n}"
+                )
+                for n in range(2)
+            ]
+            answers = [offer.result() for offer in offers]
+        self.assertEqual([0, CONFLICT], sorted(answer["code"] for answer in answers))
+        winner = texts[0] if answers[0]["code"] == 0 else texts[1]
+        won, lost = sorted(answers, key=lambda answer: answer["code"])
+        self.assertEqual(won["digest"], lost["current_digest"])
+        self.assertEqual(won["generation"], lost["current_version"])
+        self.assertIn(base[:8], lost["message"])
+        self.assertEqual(
+            self.generation + 1, wait_in_force(self.cluster, won["generation"])
+        )
+        self.assert_runs(winner)
+
+    def test_two_operators_race_on_different_sections(self):
+        texts_by_team = {t: edited(self.cluster, t) for t in (TEAM, OTHER_TEAM)}
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            offers = [
+                pool.submit(
+                    self.offer, name, team, text, self.base_of(team), f"r-{team}"
+                )
+                for name, (team, text) in zip(
+                    self.names, texts_by_team.items(), strict=False
+                )
+            ]
+            self.assertEqual([0, 0], [offer.result()["code"] for offer in offers])
+        wait_in_force(self.cluster, self.generation + 2)
+        for team, text in texts_by_team.items():
+            self.assert_runs(text, team)
+
+    def test_reply_lost_after_effect(self):
+        lost = Fault(
+            FaultKind.DROP_REPLY_AFTER_EFFECT, MANIFEST_KIND, method="PUT", count=1
+        )
+        self.cluster.platform.set_faults([lost])
+        text = edited(self.cluster)
+        answer = self.offer(self.names[0], TEAM, text, self.base_of(TEAM), "lost")
+        again = self.offer(self.names[1], TEAM, text, self.base_of(TEAM), "lost")
+        self.assertEqual([0, 0], [answer["code"], again["code"]])
+        self.assertEqual(
+            self.generation + 1, wait_in_force(self.cluster, self.generation + 1)
+        )
+        self.assert_runs(text)
+
+    def test_outage_during_acceptance(self):
+        base, text = self.base_of(TEAM), edited(self.cluster)
+        self.cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
+        refused = self.offer(self.names[0], TEAM, text, base, "outage")
+        self.assertEqual(6, refused["code"] // 100, refused)
+        self.cluster.platform.clear_faults()
+
+        def is_accepted():
+            return self.offer(self.names[1], TEAM, text, base, "outage")["code"] == 0
+
+        wait_until(is_accepted, "the section is accepted after the outage")
+        self.assertEqual(
+            self.generation + 1, wait_in_force(self.cluster, self.generation + 1)
+        )
+        self.assert_runs(text)
+
+    def test_restart_during_outage(self):
+        text = edited(self.cluster)
+        generation = apply_text(self.cluster, TEAM, text)["generation"]
+        wait_in_force(self.cluster, generation)
+        self.cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
+        self.cluster.kill(self.names[1])
+        self.cluster.restart(self.names[1])
+        self.assertEqual(generation, wait_in_force(self.cluster, generation))
+        self.assert_runs(text)
+        address = self.cluster.instances_by_name[self.names[1]].caller_address
+        wait_until(lambda: post(address, make_search(1)).code == 0, "it serves")
+
+    def test_restart_under_stale_reads(self):
+        text, falls = restart_under_stale_reads(self.cluster)
+        self.assertEqual([], falls)
+        wait_in_force(self.cluster, self.generation + 1)
+        self.assert_runs(text)
+
+    def test_hand_edited_manifest(self):
+        text = edited(self.cluster)
+        generation = apply_text(self.cluster, TEAM, text)["generation"]
+        wait_in_force(self.cluster, generation)
+        good = self.platform.get(MANIFEST_KIND, MANIFEST_NAME).unwrap()
+        version = good.version
+        for value in NONSENSE:
+            before = self.count_refusals()
+            version = (
+                self.platform.put(MANIFEST_KIND, MANIFEST_NAME, value, version)
+                .unwrap()
+                .version
+            )
+            wait_until(lambda b=before: self.count_refusals() > b, "it is refused")
+            self.assertEqual(generation, wait_in_force(self.cluster, generation))
+            self.assert_runs(text)
+        self.platform.put(MANIFEST_KIND, MANIFEST_NAME, good.value, version).unwrap()
+        repaired = edited(self.cluster)
+        answer = apply_text(self.cluster, TEAM, repaired)
+        wait_in_force(self.cluster, answer["generation"])
+        self.assert_runs(repaired)
+
+    def test_hand_edited_section(self):
+        text = edited(self.cluster)
+        generation = apply_text(self.cluster, TEAM, text)["generation"]
+        wait_in_force(self.cluster, generation)
+        for stored in (
+            self.platform.list(SECTION_KIND).unwrap().objects_by_name.values()
+        ):
+            self.platform.put(SECTION_KIND, stored.name, b"nonsense", stored.version)
+        self.cluster.kill(self.names[2])
+        self.cluster.restart(self.names[2])
+        self.assertEqual(generation, wait_in_force(self.cluster, generation))
+        self.assert_runs(text)
+
+    def count_refusals(self):
+        found = statuses(self.cluster).values()
+        return sum(sum(status["refusals"].values()) for status in found)
+
+
+class RevertingTests(ClusterTestCase):
+    variant = "reverting"
+
+    def test_falls_are_found(self):
+        _, falls = restart_under_stale_reads(self.cluster)
+        self.assertNotEqual([], falls)
--- /dev/null
+++ b/tests/processes/variants/reverting.py
@@ -0,0 +1,24 @@
+"""Takes any manifest that it is sent, also of a lower generation."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.configuration import Configuration
+
+_take_manifest = Configuration._take_manifest
+
+
+def _take_any(configuration, value, source):
+    actions = _take_manifest(configuration, value, source)
+    candidates = configuration._candidates
+    for candidate in candidates.highest_first():
+        if candidate.value != value:
+            candidates.remove(candidate)
+    return actions
+
+
+Configuration._is_lower = lambda configuration, manifest: False
+Configuration._take_manifest = _take_any
+
+if __name__ == "__main__":
+    daemon.run()
