Hold the answer of a crashing request until peers know of it

Seen: in tests.processes.test_crashing_requests a resend to another instance 2.5 ms after the answer crashed a third searcher. Cause: the suspicion was still on its way to peers. Ruled out: the quarantine itself, which refused once it was told. A suspicion is given 0.1 s to spread before the answer leaves. More proofs over real processes are added.

--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -29,6 +29,10 @@
     from almondspool.transport.timers import TimerService
 
 
+# Time in which a suspicion reaches all peers, over a new channel too.
+SUSPICION_SPREAD_S = 0.1
+
+
 class RunServices(NamedTuple):
     """What a run uses of its instance.
 
@@ -119,6 +123,9 @@
                 self._services.share_suspicion(action.suspicion)
             if isinstance(action, Finish):
                 answer = action.answer
+        if answer and any(isinstance(action, ShareSuspicion) for action in actions):
+            # The caller may resend at once elsewhere: peers must know before that.
+            eventlet.sleep(SUSPICION_SPREAD_S)
         return answer
 
     def _send(self, sends: Sequence[SendLeg]) -> None:
--- /dev/null
+++ b/tests/processes/test_foreign_peers.py
@@ -0,0 +1,122 @@
+"""Foreign, forged, replayed and damaged messages are refused by name."""
+
+from __future__ import annotations
+
+import socket
+from unittest import mock
+
+from almondspool.protocol import peer
+from almondspool.protocol.peer import Heartbeat, PeerCodec
+from almondspool.standins.launcher import PEER_KEY
+from almondspool.standins.web import parse_address
+from almondspool.state.members import Member, MemberStatus
+from tests.processes.caller import Caller, make_search
+from tests.processes.checks import wrong_answers
+from tests.processes.support import (
+    ClusterTestCase,
+    log_of,
+    metric,
+    statuses,
+    wait_in_force,
+    wait_until,
+)
+
+FOREIGN_KEY = "another-cluster-key!"
+MILLION = 10**15
+GARBAGE = (b"", b"x", b"\x00" * 64, b"\xff" * 1200, b"GET / HTTP/1.1\r\n\r\n")
+
+
+def forge(cluster, key, sequence=1):
+    """Return a heartbeat in another's name that says it is leaving."""
+    name, instance = list(cluster.instances_by_name.items())[-1]
+    member = Member(
+        name,
+        MILLION,
+        instance.zone,
+        instance.caller_address,
+        instance.peer_address,
+        MemberStatus.LEAVING,
+        session=MILLION,
+    )
+    heartbeat = Heartbeat(member, (), False, 0)
+    return PeerCodec(key).encode(name, MILLION, sequence, (heartbeat,))
+
+
+def send_datagram(cluster, name, data):
+    address = cluster.instances_by_name[name].peer_address
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(data, parse_address(address))
+
+
+def left_members(cluster, name):
+    """Return whom an instance holds for leaving or dead."""
+    members = statuses(cluster, [name])[name]["members"]
+    gone = ("leaving", "dead")
+    return [each["instance"] for each in members if each["status"] in gone]
+
+
+class ForeignPeerTests(ClusterTestCase):
+    def setUp(self):
+        super().setUp()
+        self.generation = wait_in_force(self.cluster)
+        self.name = next(iter(self.cluster.instances_by_name))
+
+    def refused(self, code):
+        sample = f'almondspool_heartbeat_refused_total{{code="{code}"}}'
+        return metric(self.cluster, self.name, sample)
+
+    def assert_refused(self, data, code):
+        before = self.refused(code)
+        send_datagram(self.cluster, self.name, data)
+        wait_until(lambda: self.refused(code) > before, f"{code} is counted")
+        self.assertIn(f"code={code}", log_of(self.cluster, self.name))
+        self.assert_state_stays()
+
+    def assert_state_stays(self):
+        self.assertEqual([], left_members(self.cluster, self.name))
+        self.assertEqual(self.generation, wait_in_force(self.cluster))
+        found = [Caller(self.cluster).send(make_search(number)) for number in range(3)]
+        self.assertEqual([], wrong_answers(self.cluster, found, whole=True))
+
+    def test_foreign_key(self):
+        self.assert_refused(forge(self.cluster, FOREIGN_KEY), "PEER_KEY")
+
+    def test_forged_signature(self):
+        data = bytearray(forge(self.cluster, PEER_KEY))
+        data[-1] ^= 1
+        self.assert_refused(bytes(data), "PEER_KEY")
+
+    def test_truncated(self):
+        self.assert_refused(forge(self.cluster, PEER_KEY)[:40], "PEER_KEY")
+
+    def test_other_version(self):
+        with mock.patch.object(peer, "PROTOCOL_VERSION", peer.PROTOCOL_VERSION + 1):
+            data = forge(self.cluster, PEER_KEY)
+        self.assert_refused(data, "PEER_VERSION")
+
+    def test_replayed(self):
+        ghost = Member("ghost", 1, "perth-north", "127.0.0.1:1", "127.0.0.1:2")
+        heartbeat = Heartbeat(ghost, (), False, 0)
+        data = PeerCodec(PEER_KEY).encode("ghost", 1, 7, (heartbeat,))
+        send_datagram(self.cluster, self.name, data)
+        before = self.refused("PEER_REPLAY")
+        send_datagram(self.cluster, self.name, data)
+        wait_until(lambda: self.refused("PEER_REPLAY") > before, "it is counted")
+
+    def test_garbage_on_every_port(self):
+        instance = self.cluster.instances_by_name[self.name]
+        for data in GARBAGE:
+            send_datagram(self.cluster, self.name, data)
+            for address in (instance.caller_address, instance.peer_address):
+                with socket.create_connection(parse_address(address)) as connection:
+                    connection.sendall(data)
+        self.assert_state_stays()
+
+
+class UnsignedTests(ClusterTestCase):
+    variant = "unsigned_peers"
+
+    def test_forged_heartbeat_is_believed(self):
+        name = next(iter(self.cluster.instances_by_name))
+        send_datagram(self.cluster, name, forge(self.cluster, FOREIGN_KEY))
+        wait_until(lambda: left_members(self.cluster, name), "the view is wrong")
--- /dev/null
+++ b/tests/processes/variants/no_rejoin.py
@@ -0,0 +1,12 @@
+"""Goes on after a freeze as if no time had passed."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.membership import Membership
+
+Membership.may_act = lambda membership, now: membership.own.ready
+Membership._check_gap = lambda membership, now: []
+
+if __name__ == "__main__":
+    daemon.run()
--- /dev/null
+++ b/tests/processes/variants/unshared_limit.py
@@ -0,0 +1,28 @@
+"""Lets each instance use the whole limit of each upstream."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.shares import Shares
+
+LIMIT = 4
+
+
+def _whole_limit(shares, upstream_id):
+    return LIMIT
+
+
+def _all_whole(shares):
+    return dict.fromkeys(shares._upstream_ids, LIMIT)
+
+
+def _own_only(shares, upstream_id):
+    return (shares._instance,)
+
+
+Shares.allowed = _whole_limit
+Shares.allowed_by_upstream_id = _all_whole
+Shares.holders = _own_only
+
+if __name__ == "__main__":
+    daemon.run()
