Count legs in flight, not exchanges, and see overload before the deadline

Causes: (1) a lane's limit counted exchanges of up to 16 legs, so a searcher queued legs that no priority could overtake; (2) a partial answer is built before its deadline, so admission never saw a miss and left 64 requests running per instance; (3) the floor of a quarter of them was still four times what fits; (4) one estimate of run time for all classes refused urgent requests for the time of background ones. Ruled out: the instances' processors (0.56 of a core each) and connection limits.

--- a/almondspool/coordination/admission.py
+++ b/almondspool/coordination/admission.py
@@ -14,6 +14,9 @@
 AGING_S = 0.1
 RATE_DECAY_S = 5.0
 INITIAL_SERVICE_S = 0.02
+# A request that ran for more of its deadline than this shows too much concurrency.
+# One that ends as partial ends before its deadline, so the deadline itself shows none.
+MAX_SERVICE_SHARE = 0.6
 # Above this share of work from higher classes a wait is not estimated any longer.
 MAX_HIGHER_SHARE = 0.9
 
@@ -96,7 +99,7 @@
         self._waiting_by_id: dict[str, _Request] = {}
         self._running_by_id: dict[str, _Request] = {}
         self._service = DurationEstimate(INITIAL_SERVICE_S)
-        self._service_by_kind: dict[str, DurationEstimate] = {}
+        self._service_by_kind: dict[tuple[str, int], DurationEstimate] = {}
         self._arrivals = tuple(DecayedRate(RATE_DECAY_S, now) for _ in Priority)
         self._next_return_at = now
 
@@ -133,11 +136,14 @@
         """Take the end of an admitted request and admit the next ones."""
         request = self._running_by_id.pop(request_id)
         self._service.add(service_time_s)
-        estimate = self._service_by_kind.get(request.kind)
+        # Upstreams' queues serve higher classes first, so a kind is estimated by class.
+        key = (request.kind, request.priority)
+        estimate = self._service_by_kind.get(key)
         if estimate is None:
-            estimate = self._service_by_kind[request.kind] = DurationEstimate(0.0)
+            estimate = self._service_by_kind[key] = DurationEstimate(0.0)
         estimate.add(service_time_s)
-        self._limit.on_finished(now, now >= request.expires_at, service_time_s)
+        allowed_s = MAX_SERVICE_SHARE * (request.expires_at - request.arrived_at)
+        self._limit.on_finished(now, service_time_s > allowed_s, service_time_s)
         return self._admit_next(now)
 
     def withdraw(self, now: float, request_id: str) -> list[Action]:
@@ -224,7 +230,8 @@
         return Refuse(request_id, code, self._retry_after_ms(now), detail)
 
     def _is_late(self, now: float, request: _Request, wait_s: float) -> bool:
-        estimate = self._service_by_kind.get(request.kind, self._service)
+        key = (request.kind, request.priority)
+        estimate = self._service_by_kind.get(key, self._service)
         return now + wait_s + estimate.high_s() > request.expires_at
 
     def _place_s(self, now: float, priority: int) -> float:
--- a/almondspool/coordination/gatherer.py
+++ b/almondspool/coordination/gatherer.py
@@ -97,20 +97,20 @@
     ) -> list[Action]:
         """Take one result of an exchange."""
         exchange = self._exchanges_by_id[exchange_id]
-        run = exchange.runs_by_leg_id.pop(result.leg_id, None)
+        run = exchange.take(result.leg_id)
         if run is None:
             return []
-        self._learn(now, exchange, result)
+        _learn(now, exchange, result)
         actions: list[Action] = []
         self._answer(run, result, actions)
+        self._dispatch(now, exchange.lane, actions)
         return actions
 
     def on_end(self, now: float, exchange_id: int) -> list[Action]:
         """Take the end of an exchange, whose connection is free again."""
         exchange = self._exchanges_by_id.pop(exchange_id)
-        exchange.lane.in_flight -= 1
         actions: list[Action] = []
-        for run in exchange.runs_by_leg_id.values():
+        for run in exchange.close():
             detail = "the exchange ended without a result"
             self._fail(run, ResultCode.LEG_FAILED, detail, True, actions)
         self._dispatch(now, exchange.lane, actions)
@@ -221,7 +221,7 @@
         self._fail(displaced, ResultCode.LEG_SHED, detail, False, actions)
 
     def _dispatch(self, now: float, lane: Lane, actions: list[Action]) -> None:
-        while lane.has_room:
+        while lane.room:
             runs = self._take_runs(now, lane, actions)
             if not runs:
                 return
@@ -230,7 +230,8 @@
     def _take_runs(self, now: float, lane: Lane, actions: list[Action]) -> list[Run]:
         runs: list[Run] = []
         shortest_s = lane.limit.shortest_s(now)
-        while len(runs) < MAX_LEGS_PER_EXCHANGE:
+        most = min(MAX_LEGS_PER_EXCHANGE, lane.room)
+        while len(runs) < most:
             run = lane.pop(now)
             if run is None:
                 break
@@ -248,8 +249,6 @@
 
     def _start(self, now: float, lane: Lane, runs: list[Run]) -> StartExchange:
         exchange_id = next(self._exchange_ids)
-        lane.in_flight += 1
-        lane.started += len(runs)
         self._exchanges_by_id[exchange_id] = Exchange(lane, runs, now)
         self._totals["exchanges"] += 1
         self._totals["runs_sent"] += len(runs)
@@ -262,16 +261,6 @@
         timeout_s = max(run.expires_at for run in runs) - now
         return StartExchange(exchange_id, lane.upstream_id, legs, timeout_s)
 
-    def _learn(self, now: float, exchange: Exchange, result: LegResult) -> None:
-        limit = exchange.lane.limit
-        if result.code in _BUSY_CODES:
-            limit.on_shed(now)
-        elif result.code in (ResultCode.OK, ResultCode.LEG_TIMEOUT):
-            if not exchange.answered:
-                latency_s = now - exchange.started_at
-                limit.on_latency(now, latency_s, exchange.in_flight)
-        exchange.answered = True
-
     def _withdraw(
         self,
         run: Run,
@@ -292,7 +281,7 @@
             self._lanes_by_id[run.upstream_id].remove(run)
             return
         exchange = self._exchanges_by_id[run.exchange_id]
-        exchange.runs_by_leg_id.pop(run.leg.leg_id, None)
+        exchange.take(run.leg.leg_id)
         stopped_by_upstream.setdefault(run.upstream_id, []).append(run.leg.leg_id)
 
     def _expire(self, now: float, lane: Lane, actions: list[Action]) -> None:
@@ -309,7 +298,7 @@
             run for run in exchange.runs_by_leg_id.values() if run.expires_at <= due
         ]
         for run in expired:
-            del exchange.runs_by_leg_id[run.leg.leg_id]
+            exchange.take(run.leg.leg_id)
             detail = "the deadline passed while the leg ran"
             self._fail(run, ResultCode.LEG_TIMEOUT, detail, True, actions)
 
@@ -346,6 +335,14 @@
     return max(1, int((remaining_s - margin_s) * 1000))
 
 
+def _learn(now: float, exchange: Exchange, result: LegResult) -> None:
+    limit = exchange.lane.limit
+    if result.code in _BUSY_CODES:
+        limit.on_shed(now)
+    elif result.code in (ResultCode.OK, ResultCode.LEG_TIMEOUT):
+        limit.on_latency(now, now - exchange.started_at, exchange.running)
+
+
 def _failure(run: Run, code: ResultCode, detail: str, was_run: bool) -> LegResult:
     return LegResult(
         run.leg.leg_id, code, 0, run.leg.shard, (), run.upstream_id, detail, was_run
--- a/almondspool/coordination/lane.py
+++ b/almondspool/coordination/lane.py
@@ -71,19 +71,32 @@
         lane: The upstream's lane.
         runs_by_leg_id: Runs without a result yet, by the id on the wire.
         started_at: When it was sent, in monotonic seconds.
-        in_flight: Exchanges of the lane at that time, itself included.
-        answered: Whether a result has arrived.
+        running: Runs of the lane in flight at that time, its own included.
     """
 
-    __slots__ = ("answered", "in_flight", "lane", "runs_by_leg_id", "started_at")
+    __slots__ = ("lane", "running", "runs_by_leg_id", "started_at")
 
     def __init__(self, lane: Lane, runs: list[Run], now: float) -> None:
         """Start with all runs open."""
         self.lane = lane
         self.runs_by_leg_id = {run.leg.leg_id: run for run in runs}
         self.started_at = now
-        self.in_flight = lane.in_flight
-        self.answered = False
+        lane.in_flight += 1
+        lane.running += len(runs)
+        lane.started += len(runs)
+        self.running = lane.running
+
+    def take(self, leg_id: str) -> Run | None:
+        """Take out a run that ended; None if the id is not of an open one."""
+        run = self.runs_by_leg_id.pop(leg_id, None)
+        if run is not None:
+            self.lane.running -= 1
+        return run
+
+    def close(self) -> tuple[Run, ...]:
+        """End the exchange and return the runs that had no result."""
+        self.lane.in_flight -= 1
+        return tuple(self.take(leg_id) for leg_id in tuple(self.runs_by_leg_id))
 
 
 class Lane:
@@ -92,8 +105,9 @@
     Attributes:
         upstream_id: The upstream.
         granted: Connections this instance may open.
-        limit: Adaptive limit of exchanges.
+        limit: Adaptive limit of runs in flight, and so of exchanges.
         in_flight: Exchanges that run now.
+        running: Runs in flight, without a result yet.
         arrived: Runs that came to wait, since the start.
         started: Runs that were sent, since the start.
     """
@@ -104,6 +118,7 @@
         self.granted = granted
         self.limit = AdaptiveLimit(slots, granted)
         self.in_flight = 0
+        self.running = 0
         self.arrived = 0
         self.started = 0
         self._queue: PriorityQueue[Run] = PriorityQueue(AGING_S)
@@ -114,9 +129,16 @@
         return len(self._queue) + (self._held is not None)
 
     @property
-    def has_room(self) -> bool:
-        """Return whether another exchange may start."""
-        return self.in_flight < self.limit.limit
+    def room(self) -> int:
+        """Return how many runs another exchange may carry; 0 for no exchange.
+
+        Runs count, not exchanges: an upstream queues the runs of one exchange behind
+        its slots, and what it queues no priority can overtake any more.
+        """
+        limit = self.limit.limit
+        if self.in_flight >= limit:
+            return 0
+        return max(0, limit - self.running)
 
     def set_granted(self, granted: int) -> None:
         """Change the granted connections."""
--- a/almondspool/coordination/limits.py
+++ b/almondspool/coordination/limits.py
@@ -14,16 +14,18 @@
 CUT_FACTOR = 0.7
 MIN_CUT_INTERVAL_S = 0.02
 
-LEAST_SHARE = 0.25
+LEAST_SHARE = 1.0 / 16.0
 MISSED_SHARE = 0.05
-MISSED_WEIGHT = 0.02
-MISSED_CUT_FACTOR = 0.9
+MISSED_WEIGHT = 0.05
+MISSED_CUT_FACTOR = 0.8
 
 
 class AdaptiveLimit:
     """Additive increase while latency stays near its minimum, else multiplicative cut.
 
     Starts at the upstream's slots and stays within 1 and the granted connections.
+    Latency alone cuts it no further than to the slots: with fewer the upstream would
+    stand idle between exchanges, whatever made it slow.
 
     Attributes:
         floor_s: Decayed minimum latency, in seconds; 0 before the first sample.
@@ -31,6 +33,7 @@
 
     def __init__(self, slots: int, granted: int) -> None:
         """Start at the slots, within the granted connections."""
+        self._slots = slots
         self._granted = granted
         self._exact = float(max(1, min(slots, granted)))
         self._latency_s = 0.0
@@ -70,7 +73,7 @@
         """
         self._smooth(now, latency_s)
         if self._latency_s > TOLERANCE * self.floor_s:
-            self._cut(now)
+            self._cut(now, float(max(1, min(self._slots, self._granted))))
         elif in_flight >= self.limit:
             # An idle limit says nothing about what the upstream would bear.
             self._exact = min(float(self._granted), self._exact + 1.0 / self._exact)
@@ -78,7 +81,7 @@
 
     def on_shed(self, now: float) -> None:
         """Take a reply by which the upstream shed or refused load."""
-        self._cut(now)
+        self._cut(now, 1.0)
 
     def _smooth(self, now: float, latency_s: float) -> None:
         if not self.floor_s:
@@ -90,16 +93,16 @@
         self.floor_s = min(latency_s, grown, max(self.floor_s, self._latency_s))
         self._sampled_at = now
 
-    def _cut(self, now: float) -> None:
+    def _cut(self, now: float, least: float) -> None:
         # One cut for each round trip: results already under way tell nothing new.
         if now - self._cut_at < max(MIN_CUT_INTERVAL_S, self._latency_s):
             return
         self._cut_at = now
-        self._exact = max(1.0, self._exact * CUT_FACTOR)
+        self._exact = min(self._exact, max(least, self._exact * CUT_FACTOR))
 
 
 class DeadlineLimit:
-    """Concurrency of requests, cut while too many of them miss their deadline.
+    """Concurrency of requests, cut while too many of them run for too long.
 
     Unlike a limit on latency it doesn't mistake a mix of short and long requests for
     load. It keeps a share of the most, since a lost upstream causes misses too that
@@ -124,7 +127,7 @@
         return int(self._exact)
 
     def on_finished(self, now: float, missed: bool, service_s: float) -> None:
-        """Take whether a request missed its deadline, and its time to run."""
+        """Take whether a request ran for too much of its time, and its run time."""
         self._missed_share += MISSED_WEIGHT * (float(missed) - self._missed_share)
         if self._missed_share <= MISSED_SHARE:
             self._exact = min(self._most, self._exact + 1.0 / self._exact)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -108,6 +108,23 @@
         [queued] = busy.arrive(20.0, "check", 1, 0.150, "check")
         self.assertIsInstance(queued, Queue)
 
+    def test_slow_lower_classes_do_not_refuse_urgent_requests(self):
+        busy = Admission(0.0, 1, 10, 1)
+        for number in range(20):
+            for priority, service_s in ((0, 0.02), (2, 0.3)):
+                busy.arrive(number, f"{priority}{number}", priority, 9.0, "sweep")
+                busy.finished(number, f"{priority}{number}", service_s)
+        busy.arrive(20.0, "running", 2, 9.0, "sweep")
+        [queued] = busy.arrive(20.0, "urgent", 0, 0.4, "sweep")
+        self.assertIsInstance(queued, Queue)
+
+    def test_answers_cut_short_of_their_deadline_lower_the_concurrency(self):
+        admission = Admission(0.0, 64, 10, 1)
+        for number in range(100):
+            admission.arrive(number, f"r{number}", 1, 0.4, "sweep")
+            admission.finished(number + 0.395, f"r{number}", 0.395)
+        self.assertEqual(4, admission.row(100.0).limit)
+
 
 EVENTS = st.lists(
     st.tuples(
--- a/tests/coordination/test_limits.py
+++ b/tests/coordination/test_limits.py
@@ -62,6 +62,14 @@
             limit.on_latency(number * 0.01, 0.01, 1)
         self.assertEqual(SLOTS, limit.limit)
 
+    def test_a_slow_upstream_is_kept_as_busy_as_its_slots(self):
+        limit = AdaptiveLimit(SLOTS, GRANTED)
+        now = self.saturate(limit, 0.0, 1.0, 0.010)
+        now = self.saturate(limit, now, 2.0, 0.100)
+        self.assertEqual(SLOTS, limit.limit)
+        limit.on_shed(now + 1.0)
+        self.assertEqual(1, limit.limit)
+
     def test_an_old_minimum_refuses_no_legs(self):
         limit = AdaptiveLimit(SLOTS, GRANTED)
         limit.on_latency(10.0, 0.3, 1)
