--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -24,7 +24,7 @@
 from almondspool.coordination.load_poll_task import LoadPollTask
 from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
-from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
@@ -67,6 +67,7 @@
 _LOCAL_STATE_INTERVAL_S = 0.25
 _STALE_SWEEP_S = 5.0
 _GIVE_BACK_POLL_S = 0.05
+_SUCCESSOR_WAIT_S = 8.0
 _MS_PER_S = 1000
 
 
@@ -163,7 +164,7 @@
             make_platform(settings.platform_address, settings.platform_timeout_s),
             self._timers,
             self._log,
-            settings.platform_calls_per_s,
+            share_of_calls(settings.platform_calls_per_s, 1),
             self._rng,
         )
         self._membership = make_membership_task(
@@ -208,6 +209,7 @@
             lambda upstream: self._shares.holders(upstream.upstream_id),
             self._membership.view,
             self._log,
+            settings.log_decisions,
         )
         self._admission = make_admission_task(
             self._timers,
@@ -326,7 +328,7 @@
         HealthRoutes(self._metrics.registry, self._is_ready).add_to(self._http)
 
     def _is_ready(self) -> bool:
-        return self._membership.may_act() and self._stop.accepts_new()
+        return self._may_act() and self._stop.accepts_new()
 
     def _may_act(self) -> bool:
         return self._membership.may_act() and self._configuration.is_ready()
@@ -363,7 +365,10 @@
 
     def _on_view_changed(self) -> None:
         self._configuration.post_view()
-        for member in self._membership.view().members_by_instance.values():
+        view = self._membership.view()
+        total_per_s = self._settings.platform_calls_per_s
+        self._platform.set_rate(share_of_calls(total_per_s, len(view.present())))
+        for member in view.members_by_instance.values():
             if member.status == MemberStatus.DEAD:
                 self._channels.drop(member.instance)
 
@@ -378,7 +383,9 @@
 
     def _publish_local_state(self) -> None:
         load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
-        generation = self._configuration.document.generation
+        # Peers give callers this address once it is confirmed at their generation.
+        is_ready = self._configuration.is_ready() and self._shares.is_informed()
+        generation = self._configuration.document.generation if is_ready else 0
         self._membership.set_local(LocalState(generation, load, self._shares.version()))
 
     def _send_peer(self, instance: str, message: NamedTuple) -> bool:
@@ -405,6 +412,9 @@
     def _give_back(self) -> None:
         while not self._claims.is_idle():
             eventlet.sleep(_GIVE_BACK_POLL_S)
+        give_up_at = self._timers.now() + _SUCCESSOR_WAIT_S
+        while self._shares.unsucceeded() and self._timers.now() < give_up_at:
+            eventlet.sleep(_GIVE_BACK_POLL_S)
         self._shares.give_back()
 
     def _count_refusal(self, code: ResultCode) -> None:
