Tell readiness to act apart from readiness for callers

Cause: an instance with a confirmed view must take its shares before callers are sent to it; one flag for both needs a false generation to delay the second.

Conclusion: may_act() needs view and generation only; LocalState.can_serve keeps the record unready until the application says otherwise, true by default. make_share_settings derives the times of share moves from the heartbeat interval.

--- a/almondspool/coordination/liveness.py
+++ b/almondspool/coordination/liveness.py
@@ -16,6 +16,7 @@
     from almondspool.coordination.gossip import Gossip
     from almondspool.coordination.listings import Listings
     from almondspool.coordination.member_table import MemberTable
+    from almondspool.coordination.membership_settings import MembershipSettings
 
 RELAYS_PER_PROBE = 3
 
@@ -33,7 +34,7 @@
         table: MemberTable,
         gossip: Gossip,
         listings: Listings,
-        times: tuple[float, float, float],
+        settings: MembershipSettings,
         rng: random.Random,
     ) -> None:
         """Judge the members of a table.
@@ -42,13 +43,15 @@
             table: The records.
             gossip: Writes the datagrams.
             listings: The platform's leaving marks.
-            times: Heartbeat interval, suspect_after_s and dead_after_s, in seconds.
+            settings: The times.
             rng: Shuffles the rounds.
         """
         self._table = table
         self._gossip = gossip
         self._listings = listings
-        self._interval_s, self._suspect_after_s, self._dead_after_s = times
+        self._interval_s = settings.heartbeat_interval_s
+        self._suspect_after_s = settings.suspect_after_s
+        self._dead_after_s = settings.dead_after_s
         self._probes = Probes(rng)
         self._heard_at_by_instance: dict[str, float] = {}
 
--- a/almondspool/coordination/member_actions.py
+++ b/almondspool/coordination/member_actions.py
@@ -64,7 +64,7 @@
 
 
 class BecameReady(NamedTuple):
-    """The view and the generation are confirmed; the instance may act.
+    """View and generation are confirmed: the instance may act.
 
     Attributes:
         source: ``peer``, ``platform`` or ``alone``.
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from almondspool.coordination.gossip import Gossip
 from almondspool.coordination.joining import Joining
@@ -32,6 +32,7 @@
     from collections.abc import Iterable
 
     from almondspool.coordination.member_actions import Message
+    from almondspool.coordination.membership_settings import MembershipSettings
     from almondspool.protocol.platform import InstanceListing
 
 JOIN_FANOUT = 3
@@ -42,16 +43,6 @@
 FORGET_AFTER_S = 1800.0
 
 
-class MembershipSettings(NamedTuple):
-    """Times of the membership, in seconds; see the settings table."""
-
-    heartbeat_interval_s: float = 1.0
-    suspect_after_s: float = 3.0
-    dead_after_s: float = 8.0
-    lease_s: float = 6.0
-    seed_peers: tuple[str, ...] = ()
-
-
 class Membership:
     """Takes messages and ticks, returns actions.
 
@@ -70,12 +61,14 @@
         self._gossip = Gossip(self._table, rng)
         self._listings = Listings(rng)
         self._liveness = Liveness(
-            self._table, self._gossip, self._listings, settings[:3], rng
+            self._table, self._gossip, self._listings, settings, rng
         )
         self._joining = Joining(
             settings.seed_peers, own.peer_address, settings.dead_after_s
         )
         self._leaving = False
+        self._is_confirmed = False
+        self._can_serve = True
         self._ticks = 0
         self._last_tick = 0.0
 
@@ -97,7 +90,7 @@
 
     def may_act(self, now: float) -> bool:
         """Return whether view and generation are confirmed and the lease holds."""
-        return self.own.ready and now - self._last_tick <= self._settings.lease_s
+        return self._is_confirmed and now - self._last_tick <= self._settings.lease_s
 
     def spread_time_s(self) -> float:
         """Return a time in which news reach all members, in seconds."""
@@ -163,9 +156,23 @@
         return [self._gossip.send(address, correction)]
 
     def set_local(
-        self, generation: int, load: float, shares_version: int, now: float
+        self,
+        generation: int,
+        load: float,
+        shares_version: int,
+        now: float,
+        can_serve: bool = True,
     ) -> list[Action]:
-        """Change what the own record says; load is a share from 0.0 to 1.0."""
+        """Change what the own record says.
+
+        Args:
+            generation: The document generation in force here.
+            load: Busy share from 0.0 to 1.0.
+            shares_version: The version of the connection shares acted on.
+            now: Monotonic seconds.
+            can_serve: Whether callers may be sent here, once the view is confirmed.
+        """
+        self._can_serve = can_serve
         changed = self.own._replace(
             generation=generation,
             load=round(round(load / LOAD_STEP) * LOAD_STEP, 2),
@@ -256,6 +263,7 @@
 
     def _rejoin(self, incarnation: int, gap_s: float, now: float) -> list[Action]:
         self._last_tick = now
+        self._is_confirmed = False
         self._table.own = self.own._replace(
             incarnation=incarnation, session=incarnation, ready=False
         )
@@ -271,18 +279,22 @@
         others = self._table.members_by_instance.values()
         living = sum(member.status != MemberStatus.DEAD for member in others)
         self._joining.confirm_without_peer(living, len(others), now)
-        if self.own.ready or not self._joining.confirmed_by:
-            return []
-        newest = max((member.generation for member in others), default=0)
-        if self.own.generation < newest:
+        actions: list[Action] = []
+        if not self._is_confirmed and self._joining.confirmed_by:
+            newest = max((member.generation for member in others), default=0)
+            self._is_confirmed = self.own.generation >= newest
+            if self._is_confirmed:
+                actions.append(BecameReady(self._joining.confirmed_by))
+        ready = self._is_confirmed and self._can_serve
+        return actions + self._announce_ready(ready)
+
+    def _announce_ready(self, ready: bool) -> list[Action]:
+        own = self.own
+        if ready == own.ready:
             return []
-        own = self.own._replace(ready=True, revision=self.own.revision + 1)
-        self._table.own = own
-        return [
-            BecameReady(self._joining.confirmed_by),
-            MemberChanged(own, own.status),
-            *self._gossip.to_some(JOIN_FANOUT),
-        ]
+        self._table.own = own._replace(ready=ready, revision=own.revision + 1)
+        changed = MemberChanged(self.own, own.status)
+        return [changed, *self._gossip.to_some(JOIN_FANOUT)]
 
     def _forget(self, now: float) -> list[Action]:
         actions: list[Action] = []
--- a/almondspool/coordination/membership_task.py
+++ b/almondspool/coordination/membership_task.py
@@ -18,7 +18,8 @@
     SendDatagram,
 )
 from almondspool.coordination.member_records import MemberRecords, PlatformAction
-from almondspool.coordination.membership import Membership, MembershipSettings
+from almondspool.coordination.membership import Membership
+from almondspool.coordination.membership_settings import MembershipSettings
 from almondspool.events import READY, REJOINED, VIEW_CHANGED
 from almondspool.protocol.peer import PeerCodec
 from almondspool.state.members import Member, MemberStatus
@@ -45,11 +46,13 @@
         generation: The document generation in force here.
         load: Busy share from 0.0 to 1.0.
         shares_version: The version of the connection shares acted on.
+        can_serve: Whether callers may be sent here, once the view is confirmed.
     """
 
     generation: int
     load: float
     shares_version: int
+    can_serve: bool = True
 
 
 class MembershipTask:
@@ -138,7 +141,15 @@
 
     def set_local(self, state: LocalState) -> None:
         """Change what the own record says."""
-        self._post(lambda now: self._membership.set_local(*state, now))
+        self._post(
+            lambda now: self._membership.set_local(
+                state.generation,
+                state.load,
+                state.shares_version,
+                now,
+                state.can_serve,
+            )
+        )
 
     def announce_leaving(self) -> None:
         """Announce that this instance leaves; returns once peers were told."""
--- a/almondspool/coordination/share_policy.py
+++ b/almondspool/coordination/share_policy.py
@@ -20,6 +20,9 @@
     from almondspool.state.document import Upstream
     from almondspool.state.shares import UpstreamShares
 
+SETTLE_HEARTBEATS = 2
+GRACE_HEARTBEATS = 5
+
 
 class ShareSettings(NamedTuple):
     """Times and counts of the connection shares.
@@ -39,6 +42,20 @@
     release_after_s: float = 600.0
 
 
+def make_share_settings(holders: int, heartbeat_interval_s: float) -> ShareSettings:
+    """Return settings whose times follow the membership's pace.
+
+    Args:
+        holders: Instances that hold connections to one upstream.
+        heartbeat_interval_s: Time between heartbeats, in seconds.
+    """
+    return ShareSettings(
+        holders=holders,
+        settle_s=SETTLE_HEARTBEATS * heartbeat_interval_s,
+        release_grace_s=GRACE_HEARTBEATS * heartbeat_interval_s,
+    )
+
+
 class SharePolicy:
     """Ranks holders and lets a move happen only once the ranking is settled.
 
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -31,7 +31,8 @@
         revision: Grows with each change of the record within one incarnation.
         session: The incarnation at which it last started or re-joined; it then held
             no connection and no lease. Refuting a suspicion leaves it as it is.
-        ready: Whether its view and generation were confirmed since it joined.
+        ready: Whether its view and generation were confirmed since it joined, and
+            callers may be sent to it.
     """
 
     instance: str
--- a/tests/coordination/network.py
+++ b/tests/coordination/network.py
@@ -15,7 +15,8 @@
     SendDatagram,
     WriteRecord,
 )
-from almondspool.coordination.membership import Membership, MembershipSettings
+from almondspool.coordination.membership import Membership
+from almondspool.coordination.membership_settings import MembershipSettings
 from almondspool.protocol.peer import PeerCodec
 from almondspool.state.members import Member, MemberStatus
 from almondspool.transport.timers import VirtualTimers
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -221,6 +221,18 @@
         network.advance(30)
         self.assertTrue(network.nodes["perth-3"].may_act(network.now))
 
+    def test_instance_that_cannot_serve_yet_acts_but_gets_no_callers(self):
+        network = settled(3)
+        node = network.nodes["perth-2"]
+        for can_serve in (False, True):
+            actions = node.set_local(0, 0.0, 0, network.now, can_serve)
+            network.act("perth-2", actions)
+            network.advance(10)
+            self.assertTrue(node.may_act(network.now))
+            seen = network.nodes["perth-1"].view().serving()
+            names = [member.instance for member in seen]
+            self.assertEqual(can_serve, "perth-2" in names)
+
     def test_unconfirmed_view_keeps_instance_from_acting(self):
         always = mock.patch.object(Joining, "confirm_without_peer")
         with always, contextlib.suppress(KeyError):
