Take a leaving mark of the platform's list for the session it was meant for

Seen: in a rolling restart callers had no address left but refusing ones (NOT_RUN_LEAVING), tests.processes.test_planned_stop. Cause: a restarted instance found the mark of its former process in the lagging list, announced itself as leaving until the next read 15 s later, and peers laid the mark over it too. Ruled out: the stopping instances, which left the entry lists in time.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -382,10 +382,12 @@
 
     def _publish_local_state(self) -> None:
         load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
-        # Peers give callers this address once it is confirmed at their generation.
+        generation = self._configuration.document.generation
         is_ready = self._configuration.is_ready() and self._shares.is_informed()
-        generation = self._configuration.document.generation if is_ready else 0
-        self._membership.set_local(LocalState(generation, load, self._shares.version()))
+        can_serve = is_ready or not generation
+        self._membership.set_local(
+            LocalState(generation, load, self._shares.version(), can_serve)
+        )
 
     def _send_peer(self, instance: str, message: NamedTuple) -> bool:
         member = self._membership.view().members_by_instance.get(instance)
--- a/almondspool/coordination/listings.py
+++ b/almondspool/coordination/listings.py
@@ -30,23 +30,39 @@
         self._rng = rng
         self._next_write_at = 0.0
         self._next_read_at = 0.0
+        self._marked_session_by_instance: dict[str, int] = {}
+        self._is_read = False
         self.listed: frozenset[str] = frozenset()
-        self.leaving: frozenset[str] = frozenset()
 
-    def replace(self, listings: Iterable[InstanceListing]) -> list[str]:
-        """Take a new list; return the instances whose leaving mark changed."""
+    def replace(
+        self, listings: Iterable[InstanceListing], members: Iterable[Member], own: str
+    ) -> list[str]:
+        """Take a new list; return the instances whose leaving mark changed.
+
+        The list lags: a mark is of the session known when it is first seen, or of an
+        earlier process if the own instance finds it at its first look.
+        """
         listings = tuple(listings)
-        former = self.leaving
+        former = self._marked_session_by_instance
+        session_by_instance = {each.instance: each.session for each in members}
+        if not self._is_read:
+            session_by_instance[own] -= 1
+        self._is_read = True
         self.listed = frozenset(listing.instance for listing in listings)
-        self.leaving = frozenset(
-            listing.instance for listing in listings if listing.leaving
-        )
-        return sorted(former ^ self.leaving)
+        self._marked_session_by_instance = {
+            name: former.get(name, session_by_instance.get(name, 0))
+            for name in sorted(each.instance for each in listings if each.leaving)
+        }
+        return sorted(former.keys() ^ self._marked_session_by_instance.keys())
+
+    def is_marked(self, member: Member) -> bool:
+        """Return whether the list marks the present session as leaving."""
+        session = self._marked_session_by_instance.get(member.instance)
+        return session is not None and member.session <= session
 
     def marked(self, member: Member) -> Member:
         """Return a record with the list's leaving mark laid over it."""
-        is_marked = member.instance in self.leaving
-        if is_marked and member.status < MemberStatus.LEAVING:
+        if self.is_marked(member) and member.status < MemberStatus.LEAVING:
             return member._replace(status=MemberStatus.LEAVING)
         return member
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 import contextlib
+import random
 from unittest import mock
 
 import testtools
 from hypothesis import given, settings, strategies as st
 
 from almondspool.coordination.joining import Joining
+from almondspool.coordination.listings import Listings
 from almondspool.coordination.liveness import Liveness
 from almondspool.coordination.member_table import MAX_DATAGRAM_BYTES, merge
 from almondspool.coordination.membership import Membership
@@ -254,6 +256,19 @@
         network.advance(40)
         self.assertEqual({"ALIVE"}, set(network.statuses("perth-2").values()))
 
+    def test_mark_of_a_former_process_is_not_taken(self):
+        own = Member("perth-1", 5, "perth-north", "a", "b", session=5)
+        other = own._replace(instance="perth-2")
+        marks = [InstanceListing(each.instance, "", "", True) for each in (own, other)]
+        listings = Listings(random.Random(1))
+        listings.replace(marks, (own, other), own.instance)
+        self.assertFalse(listings.is_marked(own))
+        self.assertTrue(listings.is_marked(other))
+        self.assertFalse(listings.is_marked(other._replace(session=6)))
+        listings.replace((), (own, other), own.instance)
+        listings.replace(marks, (own, other), own.instance)
+        self.assertTrue(listings.is_marked(own))
+
     def test_list_never_removes_an_instance_that_answers(self):
         network = settled(3)
         network.listings["perth-1"] = InstanceListing("perth-1", "", "", False)
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -74,6 +74,7 @@
         for team in cls.cluster.section_paths_by_team:
             apply_text(cls.cluster, team, section_of(cls.cluster, team, cls))
         wait_in_force(cls.cluster)
+        wait_until(lambda: is_whole(cls.cluster), "every shard has a searcher")
 
     def tearDown(self):
         self.clear_faults()
@@ -84,6 +85,17 @@
             control.clear_faults()
 
 
+def is_whole(cluster: Cluster) -> bool:
+    """Return whether every instance answers a search of each team whole."""
+    codes = set()
+    for name in cluster.instances_by_name:
+        for team in cluster.deployment.datasets_by_team:
+            request_id = f"first-{time.monotonic_ns()}"
+            request = {"request_id": request_id, "team": team, "idempotent": True}
+            codes.add(operator(cluster, name).search(request)["code"])
+    return codes == {0}
+
+
 def section_of(cluster: Cluster, team: str, case: type[ClusterTestCase]) -> str:
     """Return the text with which a team starts."""
     text = cluster.deployment.section_texts_by_team[team]
