Let a leaving mark count only for the session that was listed without it

Cause: in a rolling restart 265 requests met an instance that refused as leaving. The platform's list lags: it still showed the former process as leaving when the new one ran, so peers and the new process itself took the mark for their own, for up to 14 s; with the next one stopping, no instance was left to be given out. Ruled out: the entry look-up, which chose rightly from a wrong view. Change: a mark counts only for a session that an earlier read showed without it.

--- a/almondspool/coordination/listings.py
+++ b/almondspool/coordination/listings.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from almondspool.protocol.platform import InstanceListing
 
@@ -31,22 +31,50 @@
         self._next_write_at = 0.0
         self._next_read_at = 0.0
         self.listed: frozenset[str] = frozenset()
-        self.leaving: frozenset[str] = frozenset()
+        self._session_by_leaving: dict[str, int] = {}
+        self._session_at_last_read: dict[str, int] = {}
 
-    def replace(self, listings: Iterable[InstanceListing]) -> list[str]:
-        """Take a new list; return the instances whose leaving mark changed."""
+    def replace(
+        self,
+        listings: Iterable[InstanceListing],
+        session_by_instance: Mapping[str, int],
+    ) -> list[str]:
+        """Take a new list; return the instances whose leaving mark changed.
+
+        A new mark counts only for a session that stood in an earlier read: the list
+        lags, so that the mark of an ended process outlives it.
+
+        Args:
+            listings: The platform's list.
+            session_by_instance: The present session of each known instance.
+        """
         listings = tuple(listings)
-        former = self.leaving
+        former = self._session_by_leaving
+        marked = {listing.instance for listing in listings if listing.leaving}
         self.listed = frozenset(listing.instance for listing in listings)
-        self.leaving = frozenset(
-            listing.instance for listing in listings if listing.leaving
-        )
-        return sorted(former ^ self.leaving)
+        self._session_by_leaving = {
+            instance: session
+            for instance, session in session_by_instance.items()
+            if instance in marked and self._is_fresh(instance, session, former)
+        }
+        self._session_at_last_read = {
+            instance: session
+            for instance, session in session_by_instance.items()
+            if instance not in marked
+        }
+        return sorted(former.keys() ^ self._session_by_leaving.keys())
+
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether the list says that this session leaves."""
+        return self._session_by_leaving.get(member.instance) == member.session
+
+    def _is_fresh(self, instance: str, session: int, former: Mapping[str, int]) -> bool:
+        was_unmarked = self._session_at_last_read.get(instance) == session
+        return was_unmarked or former.get(instance) == session
 
     def marked(self, member: Member) -> Member:
         """Return a record with the list's leaving mark laid over it."""
-        is_marked = member.instance in self.leaving
-        if is_marked and member.status < MemberStatus.LEAVING:
+        if self.is_leaving(member) and member.status < MemberStatus.LEAVING:
             return member._replace(status=MemberStatus.LEAVING)
         return member
 
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -214,7 +214,9 @@
     ) -> list[Action]:
         """Take the platform's lagging list: only a hint who is leaving."""
         actions: list[Action] = []
-        for instance in self._listings.replace(listings):
+        members = (self.own, *self._table.members_by_instance.values())
+        sessions = {member.instance: member.session for member in members}
+        for instance in self._listings.replace(listings, sessions):
             if instance == self.own.instance:
                 actions += self._own_mark_changed(now)
             else:
@@ -224,7 +226,7 @@
     def _own_mark_changed(self, now: float) -> list[Action]:
         if self._leaving:
             return []
-        is_marked = self.own.instance in self._listings.leaving
+        is_marked = self._listings.is_leaving(self.own)
         status = MemberStatus.LEAVING if is_marked else MemberStatus.ALIVE
         return self._announce_status(status, now)
 
