Ask the budget before a replica is chosen, send legs before they are logged

Cause: a query to 630 searchers spent 10 ms of its front's time on choosing replicas for hedges that the budget then refused, all at about the same moment, while results waited; it built the membership view for each upstream, and wrote 630 log lines before the first leg left. Ruled out: the merge of results (7 ms) and the first choices (16).

--- a/almondspool/coordination/budget.py
+++ b/almondspool/coordination/budget.py
@@ -73,10 +73,21 @@
         """
         return self._take(now, OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART)
 
-    def _take(self, now: float, part: float) -> bool:
+    def allows_hedge(self, now: float, is_overdue: bool = False) -> bool:
+        """Return whether take_hedge would allow one now; a refusal is counted."""
+        part = OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART
+        if self._allows(now, part):
+            return True
+        self._counts = self._counts._replace(denied=self._counts.denied + 1)
+        return False
+
+    def _allows(self, now: float, part: float) -> bool:
         first, extra = self._sums(now)
         allowed = (self._share * first + MINIMUM_EXTRA_LEGS) * part
-        if self._share == 0 or extra + 1 > allowed:
+        return self._share > 0 and extra + 1 <= allowed
+
+    def _take(self, now: float, part: float) -> bool:
+        if not self._allows(now, part):
             self._counts = self._counts._replace(denied=self._counts.denied + 1)
             return False
         self._add(now, 0, 1)
--- a/almondspool/coordination/leg_router.py
+++ b/almondspool/coordination/leg_router.py
@@ -16,11 +16,11 @@
 from almondspool.state.members import MemberStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from almondspool.logs import EventLog
     from almondspool.state.document import Upstream
-    from almondspool.state.members import View
+    from almondspool.state.members import Member, View
 
 
 class RoutedLeg(NamedTuple):
@@ -96,10 +96,11 @@
         assignments_by_choice: dict[HolderChoice, list[LegAssignment]] = {}
         unroutable: list[LegAssignment] = []
         choice_by_upstream_id: dict[str, HolderChoice] = {}
+        members = self._view().members_by_instance
         for upstream, assignment in pairs:
             choice = choice_by_upstream_id.get(upstream.upstream_id)
             if choice is None:
-                choice = self._choose_holder(upstream)
+                choice = self._choose_holder(upstream, members)
             if choice is None:
                 unroutable.append(assignment)
                 continue
@@ -153,8 +154,9 @@
                 )
             )
 
-    def _choose_holder(self, upstream: Upstream) -> HolderChoice | None:
-        members = self._view().members_by_instance
+    def _choose_holder(
+        self, upstream: Upstream, members: Mapping[str, Member]
+    ) -> HolderChoice | None:
         usable = [
             holder
             for holder in self._holders_of(upstream)
--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -125,10 +125,6 @@
         section = self._current_section()
         if section is not None:
             self._upstreams_by_id = section.upstreams_by_id
-        for send in sends:
-            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
-            if self._services.log_decisions:
-                self._log_decision(send)
         pairs = [
             (
                 self._upstreams_by_id[send.upstream_id],
@@ -137,6 +133,11 @@
             for send in sends
         ]
         self._services.router.send(self._priority, pairs, self._inbox.put)
+        # Counted and logged while the legs are on their way.
+        for send in sends:
+            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
+            if self._services.log_decisions:
+                self._log_decision(send)
 
     def _log_decision(self, send: SendLeg) -> None:
         candidates = [
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -239,13 +239,18 @@
             self._hedge(now, run)
 
     def _hedge(self, now: float, run: ShardRun) -> None:
-        choice = self._choose(now, run)
-        if not choice.upstream_id or not self._deadline.may_send(now):
+        if not self._deadline.may_send(now):
             return
-        if not self._context.budget.take_hedge(now, run.is_overdue):
+        # A choice costs more than the budget's answer, which a wide request asks for
+        # all its shards at about the same time.
+        if not self._context.budget.allows_hedge(now, run.is_overdue):
             run.is_overdue = True
             self._wake_at(now + run.hedge_delay_s, run)
             return
+        choice = self._choose(now, run)
+        if not choice.upstream_id:
+            return
+        self._context.budget.take_hedge(now, run.is_overdue)
         run.is_hedged = True
         self._send(now, run, choice, "hedge")
 
--- a/tests/coordination/test_leg_router.py
+++ b/tests/coordination/test_leg_router.py
@@ -68,6 +68,18 @@
 
 
 class HolderChoiceTests(RouterTestCase):
+    def test_the_view_is_taken_once_for_a_wide_request(self):
+        views = []
+        self.router._view = lambda: views.append(self.view) or self.view
+        upstreams = [UPSTREAM._replace(upstream_id=f"u{n}") for n in range(5)]
+        leg = Leg("leg", "r", "t", 1, "s", {}, 100)
+        pairs = [
+            (item, LegAssignment(item.upstream_id, leg._replace(leg_id=str(number))))
+            for number, item in enumerate(upstreams)
+        ]
+        self.router.send(0, pairs, lambda result: None)
+        self.assertEqual(1, len(views))
+
     def test_holder_in_the_zone_of_the_upstream_is_preferred(self):
         self.assertEqual(NEAR, self.chosen())
 
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -298,8 +298,16 @@
         self.assertThat(counts.extra, testtools.matchers.LessThan(31))
         self.assertThat(counts.denied, testtools.matchers.GreaterThan(0))
 
+    def test_a_hedge_the_budget_refuses_chooses_no_replica(self):
+        bench = SearchBench(hedge_share=0.0)
+        session = _start(bench)
+        self.patch(bench.context.chooser, "choose", self.fail)
+        for _ in range(2):
+            session.on_timer(session.next_wake)
+        self.assertEqual(4, bench.context.budget.counts.denied)
+
     def test_without_the_budget_extra_legs_exceed_the_share(self):
-        self.patch(ExtraLegBudget, "take_hedge", lambda self, now, is_overdue: True)
+        self.patch(ExtraLegBudget, "_allows", lambda self, now, part: True)
         bench = _run_slow(200)
         self.assertThat(len(bench.sent), testtools.matchers.GreaterThan(450))
 
