--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -215,7 +215,8 @@
         """Take the platform's lagging list: only a hint who is leaving."""
         actions: list[Action] = []
         members = (self.own, *self._table.members_by_instance.values())
-        for instance in self._listings.replace(listings, members, self.own.instance):
+        sessions = {member.instance: member.session for member in members}
+        for instance in self._listings.replace(listings, sessions):
             if instance == self.own.instance:
                 actions += self._own_mark_changed(now)
             else:
@@ -225,7 +226,7 @@
     def _own_mark_changed(self, now: float) -> list[Action]:
         if self._leaving:
             return []
-        is_marked = self._listings.is_marked(self.own)
+        is_marked = self._listings.is_leaving(self.own)
         status = MemberStatus.LEAVING if is_marked else MemberStatus.ALIVE
         return self._announce_status(status, now)
 
