--- a/tests/processes/test_silent_connections.py
+++ b/tests/processes/test_silent_connections.py
@@ -16,27 +16,41 @@
     return {**make_search(number), "deadline_ms": DEADLINE_MS}
 
 
+def wait_for_more(load):
+    enough = load.count() + ANSWERS
+    wait_until(lambda: load.count() >= enough, f"{ANSWERS} answers are there")
+
+
+def are_whole(load):
+    """Return whether the last of some more answers are all whole."""
+    wait_for_more(load)
+    return all(attempt.code == 0 for attempt in load.attempts[-WHOLE_IN_A_ROW:])
+
+
 class SilentConnectionTests(ClusterTestCase):
     def test_answers_are_whole_again_and_no_searcher_is_left_out(self):
         control = self.cluster.searcher_controls()[0]
         with Load(self.cluster, make_short_search) as load:
-            self.wait_for_more(load)
+            wait_for_more(load)
             control.set_faults([Fault(FaultKind.SILENT_CONNECTION)])
-            wait_until(lambda: self.are_whole(load), "answers are whole")
+            wait_until(lambda: are_whole(load), "answers are whole")
             control.clear_journal()
             wait_until(self.runs_everywhere, "every searcher gets work")
         self.assertEqual([], wrong_answers(self.cluster, load.attempts))
 
-    def wait_for_more(self, load):
-        enough = load.count() + ANSWERS
-        wait_until(lambda: load.count() >= enough, f"{ANSWERS} answers are there")
-
-    def are_whole(self, load):
-        self.wait_for_more(load)
-        last = load.attempts[-WHOLE_IN_A_ROW:]
-        return all(attempt.code == 0 for attempt in last)
-
     def runs_everywhere(self):
         ran = {entry["upstream_id"] for entry in journal_entries(self.cluster)}
         searchers = self.cluster.deployment.searchers_by_id
         return ran >= {key for key, each in searchers.items() if each.team == TEAM}
+
+
+class SilenceUnseenTests(ClusterTestCase):
+    variant = "silence_unseen"
+
+    def test_lasting_gaps_are_found(self):
+        with Load(self.cluster, make_short_search) as load:
+            wait_for_more(load)
+            fault = Fault(FaultKind.SILENT_CONNECTION)
+            self.cluster.searcher_controls()[0].set_faults([fault])
+            wait_for_more(load)
+            self.assertFalse(are_whole(load))
--- /dev/null
+++ b/tests/processes/variants/silence_unseen.py
@@ -0,0 +1,21 @@
+"""Keeps connections however long they are silent, and trusts them again."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.connections import ConnectionWatch
+from almondspool.transport.http_pool import HttpPool
+
+_release = HttpPool.release
+
+
+def _release_whole(pool, connection, whole, abandoned=False):
+    _release(pool, connection, True, False)
+
+
+ConnectionWatch.on_timeout = lambda watch, now, upstream_id, serial, sent_at: 0
+ConnectionWatch.newest_doubtful = lambda watch, now, upstream_id: 0
+HttpPool.release = _release_whole
+
+if __name__ == "__main__":
+    daemon.run()
