Ask peers every second for shares until holders are known

Cause: an instance that starts while the platform is down learns the holders from peers alone, and a lost first request cost it ten seconds.

--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -42,6 +42,8 @@
 SPREAD_FANOUT = 2
 # A push that was lost is made good after this, in seconds.
 COMPARE_INTERVAL_S = 10.0
+# Until it is known who holds connections, also without the platform.
+FIRST_COMPARE_INTERVAL_S = 1.0
 CLOSE_POLL_S = 0.02
 # Longer than any request may run.
 CLOSE_TIMEOUT_S = 65.0
@@ -312,7 +314,9 @@
         asked = self._pick_members(1, "")
         if now < self._next_compare_at or not asked:
             return
-        self._next_compare_at = now + COMPARE_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+        informed = self._shares.is_informed()
+        interval_s = COMPARE_INTERVAL_S if informed else FIRST_COMPARE_INTERVAL_S
+        self._next_compare_at = now + interval_s * self._rng.uniform(0.5, 1.5)
         versions_by_name = self._shares.versions_by_name()
         compare = CompareObjects(SHARES_KIND, versions_by_name)
         self._services.send_peer(asked[0], compare)
--- a/tests/coordination/test_shares_task.py
+++ b/tests/coordination/test_shares_task.py
@@ -12,7 +12,7 @@
 from almondspool.state.document import Upstream
 from almondspool.state.members import View
 from almondspool.transport.timers import VirtualTimers
-from tests.coordination.fake_platform import FakePlatform
+from tests.coordination.fake_platform import DOWN, FakePlatform
 from tests.coordination.network import ZONES, make_member
 
 UPSTREAM = Upstream("desk-1", "10.1.0.1:80", ZONES[0], 2, 25)
@@ -126,6 +126,19 @@
         self.run_for(5)
         self.assertEqual(1, len(done))
 
+    def test_holders_are_learnt_from_peers_when_the_platform_is_down(self):
+        self.start(2)
+        self.run_for(10)
+        self.platform.faults = [DOWN] * 1000
+        self.platform.list = lambda kind: self.platform.get(kind, "")
+        late = make_member("perth-3", 2)._replace(session=1)
+        members = [make_member(f"perth-{n}", n - 1) for n in (1, 2)]
+        members = [member._replace(session=1) for member in members]
+        self.start_one(late, [*members, late])
+        self.run_for(5)
+        task = self.tasks_by_instance["perth-3"]
+        self.assertEqual({"perth-1", "perth-2"}, set(task.holders("desk-1")))
+
     def test_re_join_waits_until_every_connection_is_closed(self):
         self.start(1)
         self.run_for(10)
