--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -29,6 +29,10 @@
     from almondspool.transport.timers import TimerService
 
 
+# Time in which a suspicion reaches all peers, over a new channel too.
+SUSPICION_SPREAD_S = 0.1
+
+
 class RunServices(NamedTuple):
     """What a run uses of its instance.
 
@@ -119,16 +123,15 @@
                 self._services.share_suspicion(action.suspicion)
             if isinstance(action, Finish):
                 answer = action.answer
+        if answer and any(isinstance(action, ShareSuspicion) for action in actions):
+            # The caller may resend at once elsewhere: peers must know before that.
+            eventlet.sleep(SUSPICION_SPREAD_S)
         return answer
 
     def _send(self, sends: Sequence[SendLeg]) -> None:
         section = self._current_section()
         if section is not None:
             self._upstreams_by_id = section.upstreams_by_id
-        for send in sends:
-            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
-            if self._services.log_decisions:
-                self._log_decision(send)
         pairs = [
             (
                 self._upstreams_by_id[send.upstream_id],
@@ -137,6 +140,11 @@
             for send in sends
         ]
         self._services.router.send(self._priority, pairs, self._inbox.put)
+        # Counted and logged while the legs are on their way.
+        for send in sends:
+            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
+            if self._services.log_decisions:
+                self._log_decision(send)
 
     def _log_decision(self, send: SendLeg) -> None:
         candidates = [
