--- /dev/null
+++ b/bench/leg_cost.py
@@ -0,0 +1,188 @@
+"""Processor time per leg of the front, the peer codec and an exchange.
+
+Run as ``python -m bench.leg_cost``. Prints microseconds of this process's own
+processor time for each leg; the searchers run in another process.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.search import make_session
+from almondspool.coordination.search_actions import SendLeg
+from almondspool.coordination.search_context import make_context
+from almondspool.protocol.caller import Record, SearchRequest
+from almondspool.protocol.http_upstream import make_upstream
+from almondspool.protocol.peer import LegAssignment, LegBatch, LegResults, PeerCodec
+from almondspool.protocol.upstream import Leg, LegResult
+from almondspool.standins.launcher import Cluster
+from almondspool.state.document import (
+    Priority,
+    Section,
+    Service,
+    Shard,
+    Snapshot,
+    Upstream,
+)
+from almondspool.transport.timers import EventletTimers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+US_PER_S = 1e6
+SHARDS = 630
+QUERIES = 20
+CODEC_ROUNDS = 200
+EXCHANGES = 100
+DEADLINE_MS = 60_000
+PEER_KEY = "benchmark-of-the-peer-codec"
+FIELDS = {"suburb": "Bayswater", "street": "Swan View", "house": "104"}
+
+
+class Cost(NamedTuple):
+    """One measured cost.
+
+    Attributes:
+        work: What was done.
+        legs: Legs at a time.
+        us_per_leg: Processor time per leg, in microseconds.
+    """
+
+    work: str
+    legs: int
+    us_per_leg: float
+
+
+def measure_all() -> list[Cost]:
+    """Return every cost."""
+    costs = [measure_session()]
+    for legs in (1, 30, 210):
+        costs.append(measure_codec(legs))
+    return costs + measure_exchanges()
+
+
+def measure_session() -> Cost:
+    """Return the cost of deciding a wide query, from its start to its answer."""
+    section = _wide_section()
+    rng = random.Random(1)
+    context = make_context("perth-1", 1, "perth-north", 0.05, 600.0, rng)
+    seconds = _processor_s(lambda: _run_session(section, context), QUERIES)
+    return Cost("decide a query", SHARDS, seconds / QUERIES / SHARDS * US_PER_S)
+
+
+def measure_codec(legs: int) -> Cost:
+    """Return the cost of a leg's way to a peer and back, both ends together."""
+    codec = PeerCodec(PEER_KEY)
+    batch = LegBatch("b", 0, tuple(_assignment(number) for number in range(legs)))
+    results = LegResults(tuple(_result(f"leg-{number}") for number in range(legs)))
+
+    def relay() -> None:
+        codec.decode(codec.encode("perth-1", 1, 1, (batch,)))
+        codec.decode(codec.encode("perth-2", 1, 1, (results,)))
+
+    seconds = _processor_s(relay, CODEC_ROUNDS)
+    return Cost("peer codec", legs, seconds / CODEC_ROUNDS / legs * US_PER_S)
+
+
+def measure_exchanges() -> list[Cost]:
+    """Return the cost of exchanges with a searcher that carry few and many legs."""
+    with Cluster("demo", instances=0, service_time_ms=0.01) as cluster:
+        cluster.start_standins()
+        upstream, shard = _first_upstream(cluster)
+        client, sweep = make_upstream(EventletTimers(), ConnectionWatch())
+        client.set_grants({upstream.upstream_id: 1})
+        costs = []
+        for legs in (1, 4, 16):
+            parts = tuple(_leg(f"leg-{n}", shard) for n in range(legs))
+            seconds = _processor_s(
+                lambda parts=parts: list(client.run(upstream, parts, 10.0)), EXCHANGES
+            )
+            us_per_leg = seconds / EXCHANGES / legs * US_PER_S
+            costs.append(Cost("HTTP exchange, client side", legs, us_per_leg))
+        sweep.cancel()
+        return costs
+
+
+def _processor_s(work: Callable[[], object], rounds: int) -> float:
+    work()
+    started = time.process_time()
+    for _ in range(rounds):
+        work()
+    return time.process_time() - started
+
+
+def _run_session(section: Section, context: object) -> None:
+    request = SearchRequest("r-1", "alert-desk", deadline_ms=DEADLINE_MS)
+    session = make_session(context, request, lambda: section, 1, 0.0, 0.0)
+    for action in session.start(0.0):
+        if isinstance(action, SendLeg):
+            leg = action.leg
+            result = LegResult(
+                leg.leg_id,
+                ResultCode.OK,
+                leg.snapshot,
+                leg.shard,
+                (Record(leg.shard, FIELDS),),
+                action.upstream_id,
+            )
+            session.on_result(0.005, result)
+
+
+def _wide_section() -> Section:
+    shards, services = {}, {}
+    upstreams = {}
+    for number in range(SHARDS):
+        names = (f"s{number}-a", f"s{number}-b")
+        service_id = f"service-{number}"
+        services[service_id] = Service(service_id, names)
+        shards[f"shard-{number}"] = Shard(f"shard-{number}", service_id, names)
+        for name in names:
+            upstreams[name] = _upstream(name)
+    return Section(
+        "alert-desk",
+        Priority.URGENT,
+        160,
+        {},
+        services,
+        upstreams,
+        {1: Snapshot(1, shards)},
+    )
+
+
+def _upstream(name: str) -> Upstream:
+    return Upstream(name, "127.0.0.1:1", "perth-north", 2, 25)
+
+
+def _first_upstream(cluster: Cluster) -> tuple[Upstream, str]:
+    searcher = next(iter(cluster.deployment.searchers_by_id.values()))
+    shard = sorted(searcher.shards_by_snapshot[1])[0]
+    return _upstream(searcher.upstream_id)._replace(address=searcher.address), shard
+
+
+def _leg(leg_id: str, shard: str) -> Leg:
+    query = {"suburb": "Bayswater"}
+    return Leg(leg_id, "r-1", "alert-desk", 1, shard, query, DEADLINE_MS)
+
+
+def _assignment(number: int) -> LegAssignment:
+    return LegAssignment(f"s{number}-a", _leg(f"leg-{number}", f"shard-{number}"))
+
+
+def _result(leg_id: str) -> LegResult:
+    records = (Record("alert-desk-01-000007", FIELDS),)
+    return LegResult(leg_id, ResultCode.OK, 1, "shard-1", records, "s1-a")
+
+
+def main() -> None:
+    """Print the costs as a table."""
+    print("| work | legs at a time | us a leg |\n|---|---|---|")
+    for cost in measure_all():
+        print(f"| {cost.work} | {cost.legs} | {cost.us_per_leg:.1f} |")
+
+
+if __name__ == "__main__":
+    main()
