--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -70,6 +70,7 @@
                 **cls.options,
             )
         )
+        cls.addClassCleanup(kill_daemons, cls.cluster)
         cls.cluster.start()
         for team in cls.cluster.section_paths_by_team:
             apply_text(cls.cluster, team, section_of(cls.cluster, team, cls))
@@ -85,6 +86,12 @@
             control.clear_faults()
 
 
+def kill_daemons(cluster: Cluster) -> None:
+    """End the daemons at once: together they would wait for each other's shares."""
+    for name in cluster.instances_by_name:
+        cluster.kill(name)
+
+
 def is_whole(cluster: Cluster) -> bool:
     """Return whether every instance answers a search of each team whole."""
     codes = set()
