Build the view only when the membership changed

Five places built or sorted the whole membership three to four times a second: the view itself, the duty of the watch, the peers ahead, the candidates of shares and the choice of a peer to compare with. Ruled out: heartbeats, whose size and rate are constant (1.1 KB/s at each size). Change: the view is one object until a record, the own one or the list changes, and readers skip what they have seen. Times of shares follow the heartbeat interval. Not yet measured again.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -28,7 +28,7 @@
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
-from almondspool.coordination.share_policy import ShareSettings
+from almondspool.coordination.share_policy import make_share_settings
 from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.coordination.shutdown import ShutdownSettings
 from almondspool.coordination.stop_task import StopServices, StopTask
@@ -189,7 +189,9 @@
         self._shares = make_shares_task(
             settings.instance,
             self._incarnation,
-            ShareSettings(holders=settings.holders_per_upstream),
+            make_share_settings(
+                settings.holders_per_upstream, settings.heartbeat_interval_s
+            ),
             ShareServices(
                 membership=self._membership,
                 platform=self._platform,
--- a/almondspool/coordination/configuration.py
+++ b/almondspool/coordination/configuration.py
@@ -94,6 +94,7 @@
         self._was_platform_heard = False
         self._value = b""
         self._view = View({})
+        self._highest = 0
         self._candidates = ManifestCandidates(self.sections)
         self._fetches = SectionFetches(rng)
         self._chase_due = started_at
@@ -176,7 +177,9 @@
 
     def on_view(self, view: View, now: float) -> list[Action]:
         """Take the membership, which tells the generations that peers run."""
-        self._view = view
+        if view is not self._view:
+            self._view = view
+            self._highest = max((m.generation for m in self._peers()), default=0)
         return self._chase(now)
 
     def on_tick(self, now: float) -> list[Action]:
@@ -338,9 +341,9 @@
 
     def _chase(self, now: float) -> list[Action]:
         """Ask a peer that runs a higher generation for its manifest."""
-        ahead = self._peers_at(self.document.generation + 1)
-        if not ahead or now < self._chase_due:
+        if self._highest <= self.document.generation or now < self._chase_due:
             return []
+        ahead = self._peers_at(self.document.generation + 1)
         self._chase_due = now + FETCH_TIMEOUT_S
         return [SendMessage(self._rng.choice(ahead), _FETCH_MANIFEST)]
 
--- a/almondspool/coordination/configuration_task.py
+++ b/almondspool/coordination/configuration_task.py
@@ -106,6 +106,7 @@
         self._log = log
         self._on_document = on_document
         self._view = view
+        self._seen_view: View | None = None
         self._inbox: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._readers = eventlet.GreenPool(READERS)
         self._watch: ManifestWatch | None = None
@@ -216,7 +217,9 @@
 
     def _look_at_view(self, now: float) -> list[Action]:
         view = self._view()
-        self._watch.on_view(view)
+        if view is not self._seen_view:
+            self._seen_view = view
+            self._watch.on_view(view)
         return self.configuration.on_view(view, now)
 
     def _carry_out(self, action: Action) -> None:
--- a/almondspool/coordination/listings.py
+++ b/almondspool/coordination/listings.py
@@ -23,13 +23,19 @@
 
 
 class Listings:
-    """Keeps the listed instances and the times of the next platform calls."""
+    """Keeps the listed instances and the times of the next platform calls.
+
+    Attributes:
+        version: Grows with each list taken.
+        listed: The instances in the last list.
+    """
 
     def __init__(self, rng: random.Random) -> None:
         """Jitter the times with the given generator."""
         self._rng = rng
         self._next_write_at = 0.0
         self._next_read_at = 0.0
+        self.version = 0
         self.listed: frozenset[str] = frozenset()
         self._session_by_leaving: dict[str, int] = {}
         self._session_at_last_read: dict[str, int] = {}
@@ -50,6 +56,7 @@
         """
         listings = tuple(listings)
         former = self._session_by_leaving
+        self.version += 1
         marked = {listing.instance for listing in listings if listing.leaving}
         self.listed = frozenset(listing.instance for listing in listings)
         self._session_by_leaving = {
--- a/almondspool/coordination/member_table.py
+++ b/almondspool/coordination/member_table.py
@@ -71,6 +71,7 @@
         own: The own record, which every heartbeat carries.
         members_by_instance: The others' records.
         changed_at_by_instance: Monotonic seconds of the last change of status.
+        version: Grows with each change of members_by_instance.
     """
 
     def __init__(self, own: Member) -> None:
@@ -78,6 +79,7 @@
         self.own = own
         self.members_by_instance: dict[str, Member] = {}
         self.changed_at_by_instance: dict[str, float] = {}
+        self.version = 0
         self._delta_by_instance: dict[str, _Delta] = {}
         self._order = 0
 
@@ -89,6 +91,8 @@
         """Merge a record; return whether that is news, which is then spread."""
         former = self.get(member.instance)
         merged = merge(former, member) if former else member
+        if merged != former:
+            self.version += 1
         self.members_by_instance[member.instance] = merged
         if former is not None and not _is_news(former, merged):
             return False
@@ -100,6 +104,7 @@
 
     def forget(self, instance: str) -> None:
         """Drop all that is known of an instance."""
+        self.version += 1
         self.members_by_instance.pop(instance, None)
         self.changed_at_by_instance.pop(instance, None)
         self._delta_by_instance.pop(instance, None)
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -71,6 +71,8 @@
         self._can_serve = True
         self._ticks = 0
         self._last_tick = 0.0
+        self._viewed_state: tuple[Member, int, int] | None = None
+        self._view = View({})
 
     @property
     def own(self) -> Member:
@@ -78,7 +80,17 @@
         return self._table.own
 
     def view(self) -> View:
-        """Return the membership with the platform's leaving marks laid over it."""
+        """Return the membership with the platform's leaving marks laid over it.
+
+        The same object is returned as long as nothing changed.
+        """
+        state = (self.own, self._table.version, self._listings.version)
+        if state != self._viewed_state:
+            self._viewed_state = state
+            self._view = self._build_view()
+        return self._view
+
+    def _build_view(self) -> View:
         members = (self.own, *self._table.members_by_instance.values())
         return View(
             {member.instance: self._listings.marked(member) for member in members}
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -152,9 +152,11 @@
             listed: Instances in the platform's list; empty if it was never read.
             may_act: Whether this instance is confirmed and its lease holds.
         """
-        self._view = view
         self._listed = listed
         self._may_act = may_act
+        if view is self._view:
+            return
+        self._view = view
         self._policy.set_candidates(
             {member.instance: member.zone for member in view.present() if member.ready}
         )
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -311,8 +311,10 @@
 
     def _compare(self, now: float) -> None:
         """Ask one member from time to time for what was missed."""
+        if now < self._next_compare_at:
+            return
         asked = self._pick_members(1, "")
-        if now < self._next_compare_at or not asked:
+        if not asked:
             return
         informed = self._shares.is_informed()
         interval_s = COMPARE_INTERVAL_S if informed else FIRST_COMPARE_INTERVAL_S
