Let the fleet's polls of the platform stop growing at nine instances

Cause: every instance without a watch polled the manifest each platform_poll_s, so the calls of the fleet grew with it: 1.10 a second with 9 instances, 1.69 with 27, and by arithmetic 7.3 a second of polls alone with 440. Peers spread changes; the poll is only the last resort. Change: from nine instances on the time between polls grows with their number. A test counts the fleet's polls for 3 to 440 instances. Not measured over processes yet.

--- a/almondspool/coordination/manifest_watch.py
+++ b/almondspool/coordination/manifest_watch.py
@@ -23,6 +23,7 @@
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 10.0
 DUTY_CHECK_S = 1.0
+POLLING_FLEET = 9
 DUTY_KEY = "configuration/watch"
 _LOST_PLACE_CODES = (
     ResultCode.PLATFORM_HISTORY_GONE,
@@ -46,6 +47,14 @@
     return instance in rank_over_zones(DUTY_KEY, serving)[:watchers]
 
 
+def poll_factor(instances: int) -> float:
+    """Return how much longer than its setting the time between polls is.
+
+    From POLLING_FLEET instances on, all of them together poll at a constant rate.
+    """
+    return max(1.0, instances / POLLING_FLEET)
+
+
 class ManifestWatch:
     """A green thread that reads the manifest and hands on what it read."""
 
@@ -74,6 +83,7 @@
         self._poll_s = poll_s
         self._rng = rng
         self._on_manifest = on_manifest
+        self._poll_factor = 1.0
         self._is_watcher = False
         self._version: int | None = None
         self._thread: eventlet.greenthread.GreenThread | None = None
@@ -90,6 +100,7 @@
     def on_view(self, view: View) -> None:
         """Take or leave the duty by the membership."""
         self._is_watcher = holds_watch(self._instance, view, self._watchers)
+        self._poll_factor = poll_factor(len(view.present()))
 
     def _run(self) -> None:
         while True:
@@ -106,7 +117,8 @@
             self._on_manifest(None)
         else:
             return result.failure()
-        self._wait_for_duty(self._poll_s * self._rng.uniform(0.75, 1.25))
+        jitter = self._rng.uniform(0.75, 1.25)
+        self._wait_for_duty(self._poll_s * self._poll_factor * jitter)
         return None
 
     def _wait_for_duty(self, longest_s: float) -> None:
--- a/tests/coordination/test_configuration_task.py
+++ b/tests/coordination/test_configuration_task.py
@@ -7,7 +7,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.configuration_task import start_configuration_task
-from almondspool.coordination.manifest_watch import holds_watch
+from almondspool.coordination.manifest_watch import holds_watch, poll_factor
 from almondspool.coordination.rendezvous import rank, rank_over_zones
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import FetchObjects
@@ -143,3 +143,7 @@
         leaving = member._replace(status=MemberStatus.LEAVING)
         view = View({**view.members_by_instance, first: leaving})
         self.assertFalse(holds_watch(first, view, 1))
+
+    def test_polls_of_the_whole_fleet_stop_growing(self):
+        rates = [count / poll_factor(count) for count in (3, 9, 27, 440)]
+        self.assertEqual([3.0, 9.0, 9.0, 9.0], rates)
