--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -241,18 +241,14 @@
     def _hedge(self, now: float, run: ShardRun) -> None:
         if not self._deadline.may_send(now):
             return
-        # A choice costs more than the budget's answer, which a wide request asks for
-        # all its shards at about the same time.
+        # The budget's answer costs less than a choice, so it is asked first.
         if not self._context.budget.allows_hedge(now, run.is_overdue):
             run.is_overdue = True
             self._wake_at(now + run.hedge_delay_s, run)
-            return
-        choice = self._choose(now, run)
-        if not choice.upstream_id:
-            return
-        self._context.budget.take_hedge(now, run.is_overdue)
-        run.is_hedged = True
-        self._send(now, run, choice, "hedge")
+        elif (choice := self._choose(now, run)).upstream_id:
+            self._context.budget.take_hedge(now, run.is_overdue)
+            run.is_hedged = True
+            self._send(now, run, choice, "hedge")
 
     def _on_answer(self, now: float, run: ShardRun, result: LegResult) -> None:
         run.settle_answered(tuple(result.records))
