Move peer look-up and the end of a planned stop out of the application

The upstreams of a document were flattened in two places. Seen: the demo's program exits 0, answers equal to the scan; gatherer and backlog tests pass.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -24,6 +24,7 @@
 from almondspool.coordination.load_poll_task import LoadPollTask
 from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
+from almondspool.coordination.peer_links import PeerLinks
 from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.coordination.request_run import RunServices
@@ -31,7 +32,7 @@
 from almondspool.coordination.share_policy import make_share_settings
 from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.coordination.shutdown import ShutdownSettings
-from almondspool.coordination.stop_task import StopServices, StopTask
+from almondspool.coordination.stop_task import StopServices, StopTask, give_back
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
 from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
 from almondspool.protocol.document import MAX_SECTION_BYTES
@@ -55,7 +56,7 @@
 from almondspool.transport.timers import EventletTimers
 
 if TYPE_CHECKING:
-    from typing import Any, NamedTuple
+    from typing import Any
 
     from almondspool.codes import ResultCode
     from almondspool.coordination.claims_task import ClaimsTask
@@ -67,8 +68,6 @@
 
 _LOCAL_STATE_INTERVAL_S = 0.25
 _STALE_SWEEP_S = 5.0
-_GIVE_BACK_POLL_S = 0.05
-_SUCCESSOR_WAIT_S = 8.0
 _MS_PER_S = 1000
 
 
@@ -111,7 +110,7 @@
         self._configuration = start_configuration_task(
             settings.instance,
             self._platform,
-            self._send_peer,
+            self._links.send,
             self._timers,
             self._log,
             self._rng,
@@ -177,6 +176,9 @@
             self._log,
             self._metrics.registry,
         )
+        self._links = PeerLinks(
+            settings.instance, self._channels, self._membership.view
+        )
         self._upstream, self._overdue_sweep = make_upstream(
             self._timers, ConnectionWatch()
         )
@@ -199,12 +201,12 @@
                 log=self._log,
                 set_grants=self._gatherer.set_grants,
                 open_connections=self._upstream.open_connections,
-                send_peer=self._send_peer,
+                send_peer=self._links.send,
             ),
             self._metrics.registry,
         )
         transport = LegTransport(
-            self._gatherer.submit, self._gatherer.cancel, self._send_peer
+            self._gatherer.submit, self._gatherer.cancel, self._links.send
         )
         self._router = LegRouter(
             settings.instance,
@@ -263,7 +265,7 @@
             self._router,
             self._log,
             self._metrics,
-            self._share_suspicion,
+            self._links.send_all,
             self._settings.log_decisions,
         )
         return FrontServices(
@@ -306,7 +308,7 @@
                 self._log,
                 self._front.in_flight_ids,
                 self._membership.announce_leaving,
-                self._give_back,
+                lambda: give_back(self._timers, self._claims, self._shares),
             )
         )
 
@@ -344,7 +346,7 @@
         )
 
     def _held_upstreams(self) -> dict[str, Upstream]:
-        upstreams_by_id = _upstreams_by_id(self._configuration.document)
+        upstreams_by_id = self._configuration.document.upstreams_by_id()
         return {
             upstream_id: upstreams_by_id[upstream_id]
             for upstream_id in self._shares.allowed_by_upstream_id()
@@ -359,7 +361,7 @@
         self._metrics.generation.set(document.generation)
         self._gatherer.set_document(document)
         self._backlog.set_document(document)
-        upstreams_by_id = _upstreams_by_id(document)
+        upstreams_by_id = document.upstreams_by_id()
         self._context.chooser.forget_absent(upstreams_by_id)
         self._shares.set_upstreams(upstreams_by_id)
         self._publish_local_state()
@@ -369,9 +371,7 @@
         view = self._membership.view()
         total_per_s = self._settings.platform_calls_per_s
         self._platform.set_rate(share_of_calls(total_per_s, len(view.present())))
-        for member in view.members_by_instance.values():
-            if member.status == MemberStatus.DEAD:
-                self._channels.drop(member.instance)
+        self._links.drop_dead()
 
     def _on_rejoined(self, rejoin: Rejoin) -> None:
         self._incarnation = rejoin.incarnation
@@ -391,17 +391,6 @@
             LocalState(generation, load, self._shares.version(), can_serve)
         )
 
-    def _send_peer(self, instance: str, message: NamedTuple) -> bool:
-        member = self._membership.view().members_by_instance.get(instance)
-        if member is None:
-            return False
-        return self._channels.send(instance, member.peer_address, message)
-
-    def _share_suspicion(self, suspicion: Suspicion) -> None:
-        for member in self._membership.view().present():
-            if member.instance != self._settings.instance:
-                self._send_peer(member.instance, suspicion)
-
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
         now_ms = int(self._timers.wall_time() * _MS_PER_S)
         self._context.quarantine.merge(now_ms, suspicion)
@@ -412,14 +401,6 @@
             return False
         return member.session <= incarnation
 
-    def _give_back(self) -> None:
-        while not self._claims.is_idle():
-            eventlet.sleep(_GIVE_BACK_POLL_S)
-        give_up_at = self._timers.now() + _SUCCESSOR_WAIT_S
-        while self._shares.unsucceeded() and self._timers.now() < give_up_at:
-            eventlet.sleep(_GIVE_BACK_POLL_S)
-        self._shares.give_back()
-
     def _count_refusal(self, code: ResultCode) -> None:
         self._metrics.peer_refusals.labels(code.name).inc()
 
@@ -427,14 +408,6 @@
         self._metrics.channel_bytes.labels(direction).inc(count)
 
 
-def _upstreams_by_id(document: Document) -> dict[str, Upstream]:
-    return {
-        upstream_id: upstream
-        for section in document.sections_by_team.values()
-        for upstream_id, upstream in section.upstreams_by_id.items()
-    }
-
-
 def make_application(settings: Any, log: EventLog) -> Application:
     """Return the application of one instance, not started."""
     return Application(settings, log)
--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/gatherer_task.py
@@ -65,11 +65,7 @@
 
     def set_document(self, document: Document) -> None:
         """Take the document in force."""
-        self._upstreams_by_id = {
-            upstream_id: upstream
-            for section in document.sections_by_team.values()
-            for upstream_id, upstream in section.upstreams_by_id.items()
-        }
+        self._upstreams_by_id = document.upstreams_by_id()
         slots = {key: item.slots for key, item in self._upstreams_by_id.items()}
         self._gatherer.set_slots(slots)
         self._apply_grants()
--- a/almondspool/coordination/stop_task.py
+++ b/almondspool/coordination/stop_task.py
@@ -19,11 +19,14 @@
     from collections.abc import Callable, Sequence
 
     from almondspool.codes import ResultCode
+    from almondspool.coordination.claims_task import ClaimsTask
+    from almondspool.coordination.shares_task import SharesTask
     from almondspool.coordination.shutdown import Action
     from almondspool.logs import EventLog
     from almondspool.transport.timers import TimerHandle, TimerService
 
 TICK_S = 0.05
+SUCCESSOR_WAIT_S = 8.0
 
 
 class StopServices(NamedTuple):
@@ -103,3 +106,20 @@
     def _give_back(self) -> None:
         self._services.give_back()
         self._carry_out(self._shutdown.given_back())
+
+
+def give_back(timers: TimerService, claims: ClaimsTask, shares: SharesTask) -> None:
+    """Write what claims are open, wait for successors, and end all shares.
+
+    Args:
+        timers: The time.
+        claims: Claims whose outcome must be written first.
+        shares: Connection shares; another instance should hold each upstream before
+            they end, for at most SUCCESSOR_WAIT_S.
+    """
+    while not claims.is_idle():
+        eventlet.sleep(TICK_S)
+    give_up_at = timers.now() + SUCCESSOR_WAIT_S
+    while shares.unsucceeded() and timers.now() < give_up_at:
+        eventlet.sleep(TICK_S)
+    shares.give_back()
--- a/almondspool/state/document.py
+++ b/almondspool/state/document.py
@@ -95,5 +95,13 @@
     generation: int
     sections_by_team: dict[str, Section]
 
+    def upstreams_by_id(self) -> dict[str, Upstream]:
+        """Return the upstreams of all sections by id."""
+        return {
+            upstream_id: upstream
+            for section in self.sections_by_team.values()
+            for upstream_id, upstream in section.upstreams_by_id.items()
+        }
+
 
 EMPTY_DOCUMENT = Document(0, {})
