--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -173,7 +173,7 @@
     chosen = flags.FLAGS.only
     reports = [
         run_deployment(shape, scale)
-        for shape in scale.shapes
+        for shape in (FULL.shapes if chosen else scale.shapes)
         if chosen in ("", shape.deployment)
     ]
     if chosen in ("", WIDE.deployment):
