--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -173,6 +173,17 @@
     return status_by_name
 
 
+def is_dead(cluster: Cluster, name: str) -> bool:
+    """Return whether all others think that an instance is past its lease."""
+    others = [other for other in cluster.instances_by_name if other != name]
+    return all(
+        member["status"] == "dead"
+        for status in statuses(cluster, others).values()
+        for member in status["members"]
+        if member["instance"] == name
+    )
+
+
 def wait_in_force(cluster: Cluster, generation: int = 1) -> int:
     """Wait until every instance serves one generation, at least the given one."""
 
