Close idle peer channels and wake an idle instance less often

A profile of 15 s with 9 instances shows 376 turns of the event loop a second and 8 keep-alive pings a second, two for each open stream; share comparisons had opened a stream to nearly every peer, for good. Ruled out: own decisions, together under 0.5%. Change: a stream without messages for 65 s (longer than any deadline) is closed and opened again for the next message; only the opening side pings; four steady timers run half to a quarter as often. The new test failed first: leaving an idle stream was reported as a closed channel.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -66,7 +66,7 @@
     from almondspool.protocol.upstream import LoadReport
     from almondspool.state.document import Document, Upstream
 
-_LOCAL_STATE_INTERVAL_S = 0.25
+_LOCAL_STATE_INTERVAL_S = 0.5
 _STALE_SWEEP_S = 5.0
 _MS_PER_S = 1000
 
--- a/almondspool/coordination/configuration_task.py
+++ b/almondspool/coordination/configuration_task.py
@@ -33,7 +33,7 @@
     from almondspool.state.members import View
     from almondspool.transport.timers import TimerHandle, TimerService
 
-TICK_S = 0.25
+TICK_S = 0.5
 READERS = 4
 OWN_KINDS = (MANIFEST_KIND, SECTION_KIND)
 
--- a/almondspool/daemon.py
+++ b/almondspool/daemon.py
@@ -21,7 +21,7 @@
 from almondspool.logs import AbslLineFormatter, EventLog  # noqa: E402
 from almondspool.settings import load_settings  # noqa: E402
 
-_SIGNAL_POLL_S = 0.05
+_SIGNAL_POLL_S = 0.2
 
 _SETTINGS = flags.DEFINE_string("settings", None, "The settings file, in YAML.")
 
--- a/almondspool/protocol/http_upstream.py
+++ b/almondspool/protocol/http_upstream.py
@@ -30,7 +30,7 @@
     from almondspool.transport.timers import TimerHandle, TimerService
 
 CANCEL_TIMEOUT_S = 0.5
-SWEEP_INTERVAL_S = 0.1
+SWEEP_INTERVAL_S = 0.25
 # Exchanges are started within the grant, so that only places which linger after a
 # timeout make one wait; its legs had better go elsewhere.
 MAX_POOL_WAIT_S = 0.05
--- a/almondspool/transport/peer_channel.py
+++ b/almondspool/transport/peer_channel.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import time
 from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
@@ -33,6 +34,9 @@
 _KEEPALIVE_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 1.0
 _RECONNECT_DELAY_S = 0.2
+# Longer than any deadline, so that no reply is still under way.
+_IDLE_LIMIT_S = 65.0
+_IDLE_CHECK_S = 5.0
 _MAX_QUEUED_MESSAGES = 10_000
 _MAX_MESSAGES_PER_ENVELOPE = 256
 _CHANNEL_ERRORS = (
@@ -188,7 +192,7 @@
             OSError: If the address is in use.
         """
         host, port = address.rsplit(":", 1)
-        self._server = Server([self], codec=BytesCodec(), config=_config())
+        self._server = Server([self], codec=BytesCodec())
         eventlet.asyncio.spawn_for_awaitable(self._server.start(host, int(port))).wait()
 
     def send(self, instance: str, address: str, message: NamedTuple) -> bool:
@@ -279,11 +283,13 @@
         self._codec = codec
         self._log = log
         self._closed = False
+        self._used_at = time.monotonic()
         self._outbox = _Outbox(owner, codec)
         self._task: asyncio.Task | None = None
         eventlet.asyncio.spawn_for_awaitable(self._run())
 
     def put(self, message: NamedTuple) -> bool:
+        self._used_at = time.monotonic()
         return self._outbox.put(message)
 
     def close(self) -> None:
@@ -297,11 +303,15 @@
             while not self._closed:
                 await self._outbox.wait()
                 detail = await self._exchange()
+                if detail is None:
+                    continue  # Idle: the next message opens it again.
                 self._outbox.clear()
                 self._owner.notify_down(self._instance, detail)
                 await asyncio.sleep(_RECONNECT_DELAY_S)
 
-    async def _exchange(self) -> str:
+    async def _exchange(self) -> str | None:
+        """Run one stream; return why it went down, or None if it was idle."""
+        is_idle = False
         host, port = self.address.rsplit(":", 1)
         channel = Channel(host, int(port), codec=BytesCodec(), config=_config())
         try:
@@ -310,29 +320,40 @@
                 _METHOD, Cardinality.STREAM_STREAM, bytes, bytes
             ) as stream:
                 await stream.send_request()
-                await self._pump(stream)
-            return "stream ended"
+                is_idle = await self._pump(stream)
+            return None if is_idle else "stream ended"
         except PeerError as error:
             self._owner.refuse(self._instance, error)
             return str(error)
         except _CHANNEL_ERRORS as error:
-            return f"{type(error).__name__}: {error}"
+            # Leaving an idle stream may end in an error of its own.
+            return None if is_idle else f"{type(error).__name__}: {error}"
         finally:
             channel.close()
 
-    async def _pump(self, stream: object) -> None:
+    async def _pump(self, stream: object) -> bool:
         loop = asyncio.get_running_loop()
         writer = loop.create_task(_write_all(stream, self._outbox))
         reader = loop.create_task(self._read_all(stream))
+        watcher = loop.create_task(self._wait_idle())
+        tasks = {writer, reader, watcher}
         try:
-            done, _ = await asyncio.wait(
-                {writer, reader}, return_when=asyncio.FIRST_COMPLETED
-            )
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
+            return watcher in done
         finally:
-            writer.cancel()
-            reader.cancel()
+            for task in tasks:
+                task.cancel()
+
+    async def _wait_idle(self) -> None:
+        # Each open stream costs pings, so one that is not in use is closed.
+        self._used_at = time.monotonic()
+        while not self._is_idle():
+            await asyncio.sleep(_IDLE_CHECK_S)
+
+    def _is_idle(self) -> bool:
+        return time.monotonic() - self._used_at >= _IDLE_LIMIT_S
 
     async def _read_all(self, stream: object) -> None:
         inbox = _Inbox(self._owner, self._codec, self._deliver)
@@ -340,6 +361,7 @@
             inbox.accept(data)
 
     def _deliver(self, sender: str, message: NamedTuple) -> None:
+        self._used_at = time.monotonic()
         self._owner.deliver(sender, message, self._outbox.put)
 
 
--- /dev/null
+++ b/tests/transport/test_peer_channel.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import testtools
+
+# The channels need eventlet's asyncio hub, which a process chooses once.
+SCRIPT = """
+import eventlet
+eventlet.monkey_patch()
+from almondspool.logs import EventLog
+from almondspool.protocol.peer import CancelLegs, PeerCodec
+from almondspool.transport import peer_channel
+from almondspool.standins.ports import free_ports
+
+peer_channel._IDLE_LIMIT_S = 0.2
+peer_channel._IDLE_CHECK_S = 0.05
+codec = PeerCodec("a-key-of-the-test-suite")
+
+def make(name):
+    return peer_channel.PeerChannels(
+        name, codec, EventLog(lambda line: None), print, lambda way, count: None
+    )
+
+one, two = make("perth-1"), make("perth-2")
+address = f"127.0.0.1:{free_ports(1).start}"
+two.listen(address)
+with eventlet.Timeout(20):
+    for number in range(3):
+        one.send("perth-2", address, CancelLegs((f"leg-{number}",)))
+        item = two.inbox.get()
+        item.reply(CancelLegs((f"reply-{number}",)))
+        print(item.sender, item.message.leg_ids[0], one.inbox.get().message.leg_ids[0])
+        channel = one._channel_by_instance["perth-2"]
+        while not channel._is_idle():
+            eventlet.sleep(0.05)
+        eventlet.sleep(0.1)
+print("down notices", one.inbox.qsize())
+"""
+
+
+class IdleChannelTests(testtools.TestCase):
+    def test_idle_channel_opens_again_for_the_next_message(self):
+        environment = {**os.environ, "EVENTLET_HUB": "asyncio", "PYTHONPATH": "."}
+        done = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", SCRIPT],
+            capture_output=True,
+            text=True,
+            env=environment,
+            timeout=60,
+        )
+        expected = [f"perth-1 leg-{n} reply-{n}" for n in range(3)]
+        self.assertEqual([*expected, "down notices 0"], done.stdout.splitlines())
