--- a/almondspool/protocol/caller.py
+++ b/almondspool/protocol/caller.py
@@ -4,7 +4,7 @@
 
 import abc
 import enum
-from typing import Annotated, NamedTuple
+from typing import Annotated, NamedTuple, get_type_hints
 
 import msgspec
 from msgspec import Meta
@@ -149,16 +149,19 @@
         """Return the addresses a caller in a zone should use."""
 
 
-class _RequestBody(msgspec.Struct, forbid_unknown_fields=True):
-    request_id: _Name
-    team: _Name
-    caller: Annotated[str, Meta(max_length=128)] = ""
-    query: Annotated[dict[str, str], Meta(max_length=MAX_QUERY_TERMS)] = {}
-    services: tuple[_Name, ...] = ()
-    shard: Annotated[str, Meta(max_length=256)] = ""
-    deadline_ms: Annotated[int, Meta(ge=0, le=MAX_DEADLINE_MS)] = 0
-    idempotent: bool = True
-    issued_at_ms: Annotated[int, Meta(ge=0)] = 0
+def _body_fields() -> list[tuple]:
+    hints = get_type_hints(SearchRequest, include_extras=True)
+    defaults = SearchRequest._field_defaults
+    return [
+        (name, hint, defaults[name]) if name in defaults else (name, hint)
+        for name, hint in hints.items()
+    ]
+
+
+# The JSON form: a NamedTuple would be read from an array and take unknown keys.
+_RequestBody = msgspec.defstruct(
+    "_RequestBody", _body_fields(), forbid_unknown_fields=True
+)
 
 
 def decode_request(body: bytes) -> SearchRequest:
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -107,26 +107,6 @@
     expires_ms: int
 
 
-class ClaimAsk(NamedTuple):
-    """Asks the holder of a claim bucket to commit a claim or an outcome."""
-
-    ask_id: str
-    request_id: str
-    fingerprint: str
-    issued_at_ms: int
-    outcome: str
-    answer: bytes
-
-
-class ClaimReply(NamedTuple):
-    """The bucket holder's reply to a ClaimAsk."""
-
-    ask_id: str
-    code: int
-    outcome: str
-    answer: bytes
-
-
 class Heartbeat(NamedTuple):
     """A UDP datagram between instances: own record and changes to others.
 
@@ -197,8 +177,6 @@
     FetchObjects,
     ObjectsReply,
     Suspicion,
-    ClaimAsk,
-    ClaimReply,
     Heartbeat,
     ProbeRequest,
     ProbeReply,
