Drop two constants that nothing reads

Cause: reading the whole change once more found MAX_ENVELOPE_BYTES, a limit that no code enforced and so promised what does not hold, and a leftover of the demo's draft. Behaviour is unchanged. Seen: formatter and linter clean, 26 tests of the touched modules and their neighbours pass, the demo's program exits 0 with answers equal to the scan. The whole suite was not run again.

--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -13,7 +13,6 @@
 from almondspool.state.members import Member
 
 PROTOCOL_VERSION = 1
-MAX_ENVELOPE_BYTES = 8 * 1024 * 1024
 SIGNATURE_BYTES = 32
 
 
--- a/almondspool/standins/demo.py
+++ b/almondspool/standins/demo.py
@@ -16,7 +16,6 @@
 TEAM = "alert-desk"
 CALLER = "flood-desk"
 QUERY = {"suburb": "Bayswater"}
-SNAPSHOT = 2
 CLI_TIMEOUT_S = 30.0
 SEARCH_TIMEOUT_S = 5.0
 
