--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from almondspool.coordination.contacts import JOIN_FANOUT, Contacts
 from almondspool.coordination.gossip import Gossip
 from almondspool.coordination.joining import Joining
 from almondspool.coordination.listings import Listings
@@ -35,7 +36,6 @@
     from almondspool.coordination.membership_settings import MembershipSettings
     from almondspool.protocol.platform import InstanceListing
 
-JOIN_FANOUT = 3
 REFUTE_FANOUT = 3
 LEAVE_FANOUT = 8
 LOAD_STEP = 0.05
@@ -66,6 +66,7 @@
         self._joining = Joining(
             settings.seed_peers, own.peer_address, settings.dead_after_s
         )
+        self._contacts = Contacts(self._table, self._gossip, self._joining, rng)
         self._leaving = False
         self._is_confirmed = False
         self._can_serve = True
@@ -113,7 +114,7 @@
         """Announce the start to the platform and to the seeds."""
         self._last_tick = now
         self._joining.restart(now)
-        return [*self._platform_calls(now), *self._contact_peers()]
+        return [*self._platform_calls(now), *self._contacts.greet_some()]
 
     def tick(self, now: float) -> list[Action]:
         """Do what is due; call once every heartbeat interval."""
@@ -125,9 +126,9 @@
         actions += self._forget(now)
         actions += self._liveness.probe_next(now)
         if not self._joining.confirmed_by:
-            actions += self._contact_peers()
+            actions += self._contacts.greet_some()
         elif self._ticks % RECONNECT_TICKS == 0:
-            actions += self._contact_lost(1)
+            actions += self._contacts.greet_lost(1)
         actions += self._platform_calls(now)
         return actions + self._check_ready(now)
 
@@ -209,7 +210,7 @@
             elif self._table.get(record.instance) is None:
                 self._joining.add_candidate(record.peer_address, record.instance, now)
         if not self._joining.confirmed_by:
-            actions += self._contact_peers()
+            actions += self._contacts.greet_some()
         return actions + self._check_ready(now)
 
     def receive_own_record(self, record: Member, now: float) -> list[Action]:
@@ -286,7 +287,7 @@
         return [
             Rejoin(incarnation, gap_s),
             self._write_record(now),
-            *self._contact_peers(),
+            *self._contacts.greet_some(),
         ]
 
     def _check_ready(self, now: float) -> list[Action]:
@@ -328,19 +329,6 @@
         is_duty = rank(instance, present)[0] == self.own.instance
         return [DeleteRecord(instance)] if is_duty else []
 
-    def _contact_peers(self) -> list[Action]:
-        present = self._gossip.pick(JOIN_FANOUT)
-        greetings = self._gossip.greet(member.peer_address for member in present)
-        return [*greetings, *self._contact_lost(JOIN_FANOUT)]
-
-    def _contact_lost(self, count: int) -> list[Action]:
-        living = {member.peer_address for member in self._table.living()}
-        members = self._table.members_by_instance.values()
-        lost = {member.peer_address for member in members} - living
-        lost |= {candidate.address for candidate in self._joining.candidates()} - living
-        chosen = self._rng.sample(sorted(lost), min(count, len(lost)))
-        return list(self._gossip.greet(chosen))
-
     def _platform_calls(self, now: float) -> list[Action]:
         fleet = len(self._table.members_by_instance) + 1
         joining = self._joining.needs_platform()
@@ -387,7 +375,7 @@
             return [*actions, ack]
         actions += self._liveness.answer_relay(message)
         if self._joining.wants_page(now):
-            actions.append(self._ask_page(address, "", now))
+            actions.append(self._contacts.ask_page(address, "", now))
         return actions
 
     def _view_reply(self, address: str, message: ViewReply, now: float) -> list[Action]:
@@ -400,12 +388,7 @@
             self._joining.confirm_by_peer()
             return actions
         after = message.members[-1].instance
-        return [*actions, self._ask_page(address, after, now)]
-
-    def _ask_page(self, address: str, after: str, now: float) -> Action:
-        send = self._gossip.send(address, ViewRequest(after))
-        self._joining.page_asked(send.sequence, now)
-        return send
+        return [*actions, self._contacts.ask_page(address, after, now)]
 
 
 def _is_disputed(record: Member) -> bool:
