End the daemons of the command-line process test at once

Cause: its cleanup stopped the daemons gracefully while the platform was down, and they waited 20 s to give back their shares; planned stops have a test of their own.

Ruled out: the checks themselves, whose steps took 22 s together.

No check changes.

--- a/tests/cli/test_main_process.py
+++ b/tests/cli/test_main_process.py
@@ -13,6 +13,7 @@
 from almondspool.codes import ResultCode, exit_code
 from almondspool.standins.faults import Fault, FaultKind
 from almondspool.standins.launcher import Cluster
+from tests.processes.support import kill_daemons
 
 TEAM = "alert-desk"
 WAIT_S = 20.0
@@ -23,6 +24,8 @@
         super().setUp()
         cluster = Cluster("demo", instances=3, settings={"entry_ttl_s": 0.5})
         self.cluster = self.enterContext(cluster)
+        # A planned stop would wait for the platform, which is down by then.
+        self.addCleanup(kill_daemons, cluster)
         cluster.start()
         self.names = sorted(cluster.instances_by_name)
         self.path = cluster.section_paths_by_team[TEAM]
