Load no DNS resolver in the daemon

Importing eventlet loads dnspython, 218 modules, although every address in the settings, the document and the platform's list is an IP number.

Ruled out as causes of the size: membership records, 0.9 KB a member (a trial with 440 members under tracemalloc), and each of the other libraries, 0 to 2.4 MB each.

Conclusion: EVENTLET_NO_GREENDNS is set before eventlet loads; a deployment that sets it itself keeps its choice. The scale table has to be measured anew.

--- a/almondspool/daemon.py
+++ b/almondspool/daemon.py
@@ -5,6 +5,8 @@
 import os
 
 os.environ.setdefault("EVENTLET_HUB", "asyncio")  # grpclib needs an asyncio loop.
+# Addresses are IP numbers: a resolver would cost memory and time to load.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
 import eventlet  # noqa: E402
 
