Move a leg that reached no upstream without drawing on the budget

Each probe that answers now doubles how many services are probed at a time; the first still runs alone; - the budget's floor of 10 in 10 s was given anew in each window, so that the share in the long run was above the setting at low rates. Now each first leg credits the share, in the long run extra legs stay within it, and the rule of the window still holds besides.

A leg that was cut off did reach its upstream and still counts as extra. Since a lost zone cuts off many at once, such retries may borrow up to a window's credit (at least 30 legs), and everything else waits until that is repaid.

Ruled out: a retry for free after any failure. Shed, failed and timed-out legs put load on an upstream and stay in the budget. A storm of moves stays impossible: no upstream gets two legs of one shard.

Tests: test_lost_replicas is new; 7 of its tests fail on the code before. The new long-run property fails without the credit. Changed: test_without_retries_a_lost_replica_costs_coverage patches the permission to go on instead of MAX_ATTEMPTS, which no longer bounds moves; make_section takes up to 6 replicas. Golden search_drain and search_lost_replica: the reason of a free move is move_after_... instead of retry_after_...; nothing else differs.

--- a/almondspool/coordination/budget.py
+++ b/almondspool/coordination/budget.py
@@ -7,6 +7,7 @@
 
 WINDOW_S = 10
 MINIMUM_EXTRA_LEGS = 10
+MINIMUM_LOAN_LEGS = 30
 HEDGE_PART = 0.7
 OVERDUE_HEDGE_PART = 0.85
 
@@ -35,13 +36,18 @@
 
 
 class ExtraLegBudget:
-    """Caps hedges and retries over a sliding window of WINDOW_S seconds.
-
-    In each window, extra legs stay within the share of the first legs plus
-    MINIMUM_EXTRA_LEGS, which let an instance with little traffic hedge. A leg that
-    has only just become slow may use HEDGE_PART of it, one that was refused a hedge
-    before OVERDUE_HEDGE_PART: it is more likely to be a straggler. The rest is kept
-    for retries, which save coverage.
+    """Caps hedges and retries, over a sliding window and in the long run.
+
+    In each window of WINDOW_S seconds, extra legs stay within the share of the first
+    legs plus MINIMUM_EXTRA_LEGS, which let an instance with little traffic hedge. A
+    leg that has only just become slow may use HEDGE_PART of it, one that was refused
+    a hedge before OVERDUE_HEDGE_PART: it is more likely to be a straggler. The rest
+    is kept for retries, which save coverage.
+
+    In the long run, extra legs stay within the share alone: each first leg credits
+    the share, and each extra leg costs 1. The credit saved up is at most a window's.
+    Retries of legs that were cut off may borrow as much, since a lost upstream or
+    zone cuts off many legs at once; nothing else is allowed until that is repaid.
     """
 
     def __init__(self, share: float) -> None:
@@ -49,6 +55,7 @@
         self._share = share
         self._seconds = [_EMPTY_SECOND] * WINDOW_S
         self._counts = BudgetCounts(0, 0, 0)
+        self._credit = float(MINIMUM_EXTRA_LEGS)
 
     @property
     def counts(self) -> BudgetCounts:
@@ -58,11 +65,24 @@
     def note_first(self, now: float, legs: int = 1) -> None:
         """Count first legs, sent at a monotonic second."""
         self._add(now, legs, 0)
+        first, _ = self._sums(now)
+        self._credit += self._share * legs
+        self._credit = min(self._credit, self._saved_most(first))
         self._counts = self._counts._replace(first=self._counts.first + legs)
 
     def take_retry(self, now: float) -> bool:
         """Return whether one retry may be sent, and count it if so."""
-        return self._take(now, 1.0)
+        return self._take(now, self._allows(now, 1.0))
+
+    def take_retry_after_loss(self, now: float) -> bool:
+        """Return whether a leg that was cut off may be sent again; count it if so."""
+        has_credit = self._credit - 1 >= -self.loan(now)
+        return self._take(now, self._share > 0 and has_credit)
+
+    def loan(self, now: float) -> float:
+        """Return how far the credit may fall below zero after a loss, in legs."""
+        first, _ = self._sums(now)
+        return max(float(MINIMUM_LOAN_LEGS), self._share * first)
 
     def take_hedge(self, now: float, is_overdue: bool = False) -> bool:
         """Return whether one hedge may be sent, and count it if so.
@@ -71,7 +91,8 @@
             now: Monotonic seconds.
             is_overdue: Whether the leg was refused a hedge before.
         """
-        return self._take(now, OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART)
+        part = OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART
+        return self._take(now, self._allows(now, part))
 
     def allows_hedge(self, now: float, is_overdue: bool = False) -> bool:
         """Return whether take_hedge would allow one now; a refusal is counted."""
@@ -84,13 +105,20 @@
     def _allows(self, now: float, part: float) -> bool:
         first, extra = self._sums(now)
         allowed = (self._share * first + MINIMUM_EXTRA_LEGS) * part
-        return self._share > 0 and extra + 1 <= allowed
+        kept = self._saved_most(first) * (1 - part)
+        has_credit = self._credit - 1 >= kept
+        return self._share > 0 and has_credit and extra + 1 <= allowed
+
+    def _saved_most(self, first: int) -> float:
+        """Return the most credit kept, from the first legs of the window."""
+        return max(float(MINIMUM_EXTRA_LEGS), self._share * first)
 
-    def _take(self, now: float, part: float) -> bool:
-        if not self._allows(now, part):
+    def _take(self, now: float, is_allowed: bool) -> bool:
+        if not is_allowed:
             self._counts = self._counts._replace(denied=self._counts.denied + 1)
             return False
         self._add(now, 0, 1)
+        self._credit -= 1
         self._counts = self._counts._replace(extra=self._counts.extra + 1)
         return True
 
--- a/almondspool/coordination/cut_offs.py
+++ b/almondspool/coordination/cut_offs.py
@@ -1,10 +1,12 @@
-"""What one request does after it cut off an upstream: one probe at a time.
+"""What one request does after it cut off an upstream: it probes with care.
 
 A request that crashes upstreams and a replica that was lost look alike at first:
 legs in flight are cut off. All cut-offs of legs sent before the first one was seen
 count as one crash. The affected shards are held back and retried by a single probe
 for each service; a probe that is cut off too is the second crash, one that answers
-shows that the upstream was lost for another reason.
+shows that the upstream was lost for another reason. The first probe runs alone; each
+answer doubles how many services are probed at a time, so that a lost zone does not
+keep a wide search until its deadline.
 """
 
 from __future__ import annotations
@@ -17,13 +19,14 @@
     from almondspool.coordination.shard_run import OpenLeg, ShardRun
     from almondspool.protocol.peer import Suspicion
 
+PROBE_GROWTH = 2
+
 
 class CutOffs:
     """Holds the shards that were cut off, and the request's crash count.
 
     Attributes:
         suspicion: Message for peers once an upstream was cut off, or None.
-        probe: The shard that is retried now, or None.
     """
 
     def __init__(self, quarantine: Quarantine, digest: str) -> None:
@@ -33,8 +36,9 @@
         self._held: collections.deque[ShardRun] = collections.deque()
         self._cut_off_services: set[str] = set()
         self._proven_services: set[str] = set()
+        self._probes: list[ShardRun] = []
+        self._probes_at_once = 1
         self.suspicion: Suspicion | None = None
-        self.probe: ShardRun | None = None
 
     @property
     def seen(self) -> bool:
@@ -77,27 +81,36 @@
 
     def hold(self, run: ShardRun) -> None:
         """Hold a shard back until it can be probed or is released."""
-        if run is self.probe:
-            self.probe = None
+        self.end_probe(run)
         self._held.append(run)
 
+    def holds(self, run: ShardRun) -> bool:
+        """Return whether a shard waits for a probe."""
+        return run in self._held
+
     def next_probe(self) -> ShardRun | None:
-        """Return the shard to probe with now, if none is being probed."""
-        if self.probe is not None or not self._held:
+        """Return a shard to probe its service with now, or None."""
+        if len(self._probes) >= self._probes_at_once:
             return None
-        self.probe = self._held.popleft()
-        return self.probe
+        probed = {run.shard.service_id for run in self._probes}
+        for run in self._held:
+            if run.shard.service_id not in probed:
+                self._held.remove(run)
+                self._probes.append(run)
+                return run
+        return None
 
     def end_probe(self, run: ShardRun) -> None:
-        """Note that the probe's shard was given up."""
-        if run is self.probe:
-            self.probe = None
+        """Note that a shard is no probe any more, if it was one."""
+        if run in self._probes:
+            self._probes.remove(run)
 
     def release(self, run: ShardRun) -> tuple[ShardRun, ...]:
         """Note an answer; return the held shards that it sets free."""
-        if run is not self.probe:
+        if run not in self._probes:
             return ()
-        self.probe = None
+        self._probes.remove(run)
+        self._probes_at_once *= PROBE_GROWTH
         service_id = run.shard.service_id
         self._proven_services.add(service_id)
         released = [held for held in self._held if held.shard.service_id == service_id]
@@ -107,9 +120,9 @@
         return tuple(released)
 
     def drop_held(self) -> None:
-        """Forget all shards held back, and the probe."""
+        """Forget all shards held back, and the probes."""
         self._held.clear()
-        self.probe = None
+        self._probes.clear()
 
     def close(self, now_ms: int, is_whole: bool) -> Suspicion | None:
         """Clear a request that proved harmless, or return its suspicion for peers.
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -9,6 +9,7 @@
 from almondspool.codes import ResultCode
 from almondspool.coordination.answers import AnswerBuilder
 from almondspool.coordination.cut_offs import CutOffs
+from almondspool.coordination.leg_permits import has_attempts_left, take_permit
 from almondspool.coordination.quarantine import Verdict, fingerprint
 from almondspool.coordination.request_deadline import make_deadline
 from almondspool.coordination.search_actions import (
@@ -39,9 +40,6 @@
     from almondspool.protocol.upstream import LegResult
     from almondspool.state.document import Section
 
-MAX_ATTEMPTS = 3
-BUDGET_WAITS_S = (0.010, 0.040)
-
 
 class SearchSession:
     """One request from start to answer.
@@ -182,14 +180,12 @@
         choice = self._choose(now, run)
         if not choice.upstream_id or not self._deadline.may_send(now):
             self._give_up(run)
-        elif run.attempts == 0:
-            self._context.budget.note_first(now)
-            self._send(now, run, choice, reason)
-        elif self._context.budget.take_retry(now):
+            return
+        wait_s = take_permit(now, self._context.budget, run)
+        if wait_s == 0.0:
             self._send(now, run, choice, reason)
-        elif run.budget_waits < len(BUDGET_WAITS_S):
-            self._wake_at(now + BUDGET_WAITS_S[run.budget_waits], run)
-            run.budget_waits += 1
+        elif wait_s < math.inf:
+            self._wake_at(now + wait_s, run)
         else:
             self._give_up(run)
 
@@ -222,7 +218,8 @@
             run.hedge_delay_s = self._context.chooser.hedge_delay_s(
                 choice.upstream_id, run.shard.replicas
             )
-            self._wake_at(now + run.hedge_delay_s, run)
+            run.hedge_at = now + run.hedge_delay_s
+            self._wake_at(run.hedge_at, run)
 
     def _may_hedge(self, run: ShardRun) -> bool:
         is_careful = self._is_suspect or self._cut_offs.seen
@@ -233,9 +230,10 @@
             self._wakes.add(due, run)
 
     def _on_wake(self, now: float, run: ShardRun) -> None:
-        if not run.open_by_leg:
+        # The wake may have been set for the hedge of a leg that has ended since.
+        if not run.open_by_leg and not self._cut_offs.holds(run):
             self._pending.append((run, "retry_after_budget_wait"))
-        elif self._may_hedge(run):
+        elif run.open_by_leg and self._may_hedge(run) and now >= run.hedge_at:
             self._hedge(now, run)
 
     def _hedge(self, now: float, run: ShardRun) -> None:
@@ -247,6 +245,7 @@
             self._wake_at(now + run.hedge_delay_s, run)
         elif (choice := self._choose(now, run)).upstream_id:
             self._context.budget.take_hedge(now, run.is_overdue)
+            run.permitted += 1
             run.is_hedged = True
             self._send(now, run, choice, "hedge")
 
@@ -272,10 +271,11 @@
         elif self._cut_offs.needs_probe(run):
             self._cut_offs.hold(run)
         else:
-            self._pending.append((run, f"retry_after_{code.name.lower()}"))
+            kind = "move" if run.has_leg_in_hand else "retry"
+            self._pending.append((run, f"{kind}_after_{code.name.lower()}"))
 
     def _may_retry(self, now: float, run: ShardRun, code: ResultCode) -> bool:
-        if code == ResultCode.LEG_SUSPECT or run.attempts >= MAX_ATTEMPTS:
+        if code == ResultCode.LEG_SUSPECT or not has_attempts_left(run):
             return False
         may_run_twice = self._request.idempotent and not self._is_suspect
         return self._deadline.may_send(now) and (may_run_twice or not run.may_have_run)
--- a/almondspool/coordination/shard_run.py
+++ b/almondspool/coordination/shard_run.py
@@ -13,6 +13,11 @@
     from almondspool.protocol.upstream import LegResult
     from almondspool.state.document import Section, Shard, Snapshot
 
+# With one of these, and not run, no upstream has begun to work on the leg.
+_UNREACHED_CODES = frozenset(
+    {ResultCode.LEG_REFUSED, ResultCode.LEG_NO_HOLDER, ResultCode.LEG_DRAINING}
+)
+
 
 class OpenLeg(NamedTuple):
     """A leg that was sent and has no result yet.
@@ -38,7 +43,10 @@
         open_by_leg: Legs in flight by leg id.
         tried: Upstreams that had a leg.
         attempts: Legs sent, hedges among them.
+        unreached: Legs among them of which nothing reached an upstream.
+        permitted: Legs that the budget counted, the first one among them.
         hedge_delay_s: Wait before the next try to hedge, in seconds.
+        hedge_at: When the leg in flight may be hedged, in monotonic seconds.
         budget_waits: How often a retry had to wait for the budget.
         is_hedged: Whether a hedge was sent.
         is_overdue: Whether a hedge was refused by the budget.
@@ -52,15 +60,18 @@
         "attempts",
         "budget_waits",
         "code",
+        "hedge_at",
         "hedge_delay_s",
         "is_hedged",
         "is_overdue",
         "may_have_run",
         "open_by_leg",
         "outcome",
+        "permitted",
         "records",
         "shard",
         "tried",
+        "unreached",
     )
 
     def __init__(self, shard: Shard) -> None:
@@ -69,7 +80,10 @@
         self.open_by_leg: dict[str, OpenLeg] = {}
         self.tried: set[str] = set()
         self.attempts = 0
+        self.unreached = 0
+        self.permitted = 0
         self.hedge_delay_s = 0.0
+        self.hedge_at = 0.0
         self.budget_waits = 0
         self.is_hedged = False
         self.is_overdue = False
@@ -78,6 +92,16 @@
         self.code = ResultCode.LEG_NO_HOLDER
         self.records: tuple[Record, ...] = ()
 
+    @property
+    def reached(self) -> int:
+        """Return how many legs reached an upstream, or still may."""
+        return self.attempts - self.unreached
+
+    @property
+    def has_leg_in_hand(self) -> bool:
+        """Return whether a leg that the budget counted reached no upstream."""
+        return self.reached < self.permitted
+
     def note_sent(self, leg: OpenLeg) -> None:
         """Record a leg in flight."""
         self.open_by_leg[leg.leg_id] = leg
@@ -88,6 +112,8 @@
         """Record the failure of a leg."""
         self.code = code
         self.may_have_run = self.may_have_run or was_run
+        if code in _UNREACHED_CODES and not was_run:
+            self.unreached += 1
 
     def settle_answered(self, records: tuple[Record, ...]) -> None:
         """Settle the shard with its records."""
--- a/tests/coordination/search_bench.py
+++ b/tests/coordination/search_bench.py
@@ -36,10 +36,10 @@
     """Return a section with one shard for each service."""
     upstreams, service_list, shards = {}, {}, {}
     for number in range(services):
-        names = tuple(f"s{number}-{place}" for place in "abc"[:replicas])
+        names = tuple(f"s{number}-{place}" for place in "abcdef"[:replicas])
         for place, name in enumerate(names):
             address = f"127.0.0.1:{9000 + number * 10 + place}"
-            upstreams[name] = Upstream(name, address, ZONES[place], 2, 25)
+            upstreams[name] = Upstream(name, address, ZONES[place % 3], 2, 25)
         service_id = f"service-{number}"
         service_list[service_id] = Service(service_id, names)
         shards[f"shard-{number}"] = Shard(f"shard-{number}", service_id, names)
--- /dev/null
+++ b/tests/coordination/test_lost_replicas.py
@@ -0,0 +1,158 @@
+"""Lost replicas cost no coverage, and few legs beyond those that are needed."""
+
+from __future__ import annotations
+
+import testtools
+from testtools.matchers import GreaterThan, LessThan
+
+from almondspool.codes import ResultCode
+from almondspool.coordination import cut_offs, leg_permits
+from almondspool.coordination.budget import ExtraLegBudget
+from almondspool.coordination.shard_run import ShardRun
+from tests.coordination.search_bench import (
+    Reply,
+    SearchBench,
+    make_request,
+    make_section,
+)
+
+REFUSED = Reply(0.001, ResultCode.LEG_REFUSED, was_run=False)
+CUT_OFF = Reply(0.002, ResultCode.LEG_CUT_OFF)
+SERVICES = 30
+CALM_REQUESTS = 20
+LOST_REQUESTS = 40
+
+
+def lose_replicas(bench, reply, places="a"):
+    for upstream_id in bench.section.upstreams_by_id:
+        if upstream_id[-1] in places:
+            bench.reply_by_upstream[upstream_id] = reply
+
+
+def run_some(bench, count):
+    """Run distinct requests, five a second, and return their answers."""
+    start = len(bench.answers)
+    for number in range(start, start + count):
+        request = make_request(request_id=f"r-{number}", query={"at": str(number)})
+        bench.run(request, until_s=0.2)
+    return bench.answers[start:]
+
+
+def sum_missing(answers):
+    return sum(len(answer.coverage.missing) for answer in answers)
+
+
+class LostZoneTests(testtools.TestCase):
+    """The replicas of one zone are lost while sweeps of 30 shards run."""
+
+    def lose_zone(self):
+        """Return the bench and how many shards of all answers are missing."""
+        bench = SearchBench(make_section(services=SERVICES))
+        run_some(bench, CALM_REQUESTS)
+        lose_replicas(bench, CUT_OFF)
+        answers = run_some(bench, 1)
+        lose_replicas(bench, REFUSED)
+        return bench, sum_missing(answers + run_some(bench, LOST_REQUESTS))
+
+    def test_a_lost_zone_costs_no_coverage(self):
+        bench, missing = self.lose_zone()
+        self.assertEqual(0, missing)
+        # Only the legs that were cut off are extra ones.
+        self.assertEqual(SERVICES, bench.context.budget.counts.extra)
+
+    def test_without_moves_the_budget_runs_dry(self):
+        self.patch(ShardRun, "has_leg_in_hand", False)
+        self.assertThat(self.lose_zone()[1], GreaterThan(0))
+
+    def test_without_more_probes_the_deadline_comes_first(self):
+        self.patch(cut_offs, "PROBE_GROWTH", 1)
+        self.assertThat(self.lose_zone()[1], GreaterThan(0))
+
+    def lose_zone_at_first(self):
+        bench = SearchBench(make_section(services=SERVICES))
+        lose_replicas(bench, CUT_OFF)
+        return sum_missing(run_some(bench, 1))
+
+    def test_an_instance_that_has_just_started_loses_none(self):
+        self.assertEqual(0, self.lose_zone_at_first())
+
+    def test_without_a_loan_it_does(self):
+        self.patch(ExtraLegBudget, "take_retry_after_loss", ExtraLegBudget.take_retry)
+        self.assertThat(self.lose_zone_at_first(), GreaterThan(0))
+
+
+class MoveTests(testtools.TestCase):
+    def refuse_all_but(self, places):
+        bench = SearchBench(make_section(replicas=6), hedge_share=0)
+        lost = set("abcdef") - set(places)
+        lose_replicas(bench, REFUSED, lost)
+        return bench, bench.run()
+
+    def test_one_replica_left_is_found_without_a_budget(self):
+        bench, answer = self.refuse_all_but("f")
+        self.assertEqual(ResultCode.OK, answer.code)
+        self.assertEqual(0, bench.context.budget.counts.extra)
+
+    def test_no_replica_is_tried_twice(self):
+        bench, answer = self.refuse_all_but("")
+        self.assertEqual(ResultCode.NOT_RUN_NO_UPSTREAM, answer.code)
+        used = [action.upstream_id for action in bench.sent]
+        self.assertEqual(sorted(bench.section.upstreams_by_id), sorted(used))
+
+    def test_a_leg_that_was_run_draws_on_the_budget(self):
+        for code in (ResultCode.LEG_TIMEOUT, ResultCode.LEG_FAILED):
+            bench = SearchBench(make_section(services=1), hedge_share=0)
+            bench.reply_by_number = {1: Reply(0.002, code)}
+            self.assertEqual(ResultCode.PARTIAL, bench.run().code)
+            self.assertEqual(1, len(bench.sent))
+
+    def test_a_shed_leg_draws_on_the_budget(self):
+        bench = SearchBench(make_section(services=1), hedge_share=0)
+        shed = Reply(0.001, ResultCode.LEG_SHED, was_run=False)
+        bench.reply_by_number = {1: shed}
+        self.assertEqual(ResultCode.NOT_RUN_OVERLOADED, bench.run().code)
+
+    def test_attempts_that_reached_an_upstream_are_bounded(self):
+        bench = SearchBench(make_section(services=1, replicas=6))
+        lose_replicas(bench, Reply(0.002, ResultCode.LEG_FAILED), "abcdef")
+        bench.run()
+        self.assertEqual(leg_permits.MAX_ATTEMPTS, len(bench.sent))
+
+
+class HedgeTimerTests(testtools.TestCase):
+    def sent_after_refusal(self):
+        """Return the reasons of a shard whose first leg was refused late."""
+        bench = SearchBench(make_section(services=1))
+        run_some(bench, CALM_REQUESTS)
+        number = len(bench.sent) + 1
+        bench.reply_by_number = {number: REFUSED._replace(delay_s=0.004)}
+        run_some(bench, 1)
+        return [action.reason.partition(":")[0] for action in bench.sent[number - 1 :]]
+
+    def test_a_moved_leg_is_not_hedged_by_the_timer_of_the_first(self):
+        self.assertEqual(["first", "move_after_leg_refused"], self.sent_after_refusal())
+
+    def test_a_shard_held_for_a_probe_is_not_sent_by_its_hedge_timer(self):
+        bench = SearchBench(make_section(services=6))
+        bench.reply_by_number = dict.fromkeys(range(1, 7), CUT_OFF)
+        # The probe stays out longer than any hedge delay.
+        bench.reply_by_number[7] = Reply(0.100)
+        bench.run(until_s=0.090)
+        reasons = [action.reason.partition(":")[0] for action in bench.sent]
+        self.assertEqual(["first"] * 6 + ["probe_after_cut_off"], reasons)
+
+
+class ProbeTests(testtools.TestCase):
+    def test_a_crashing_search_is_probed_once(self):
+        bench = SearchBench(make_section(services=SERVICES))
+        lose_replicas(bench, CUT_OFF, "abc")
+        bench.run()
+        self.assertEqual(SERVICES + 1, len(bench.sent))
+
+    def test_each_answer_doubles_the_probes(self):
+        bench = SearchBench(make_section(services=SERVICES))
+        lose_replicas(bench, CUT_OFF)
+        bench.run()
+        times = [action.reason for action in bench.sent]
+        self.assertEqual(SERVICES, sum("probe" in reason for reason in times))
+        self.assertThat(bench.answers[0].elapsed_ms, LessThan(50))
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -59,7 +59,7 @@
         verify_session("search_lost_replica", bench.lines)
 
     def test_without_retries_a_lost_replica_costs_coverage(self):
-        self.patch(search, "MAX_ATTEMPTS", 1)
+        self.patch(search, "has_attempts_left", lambda run: False)
         bench = SearchBench()
         bench.reply_by_number = {1: REFUSED}
         self.assertEqual(1, bench.run().coverage.not_sent)
--- a/tests/coordination/test_search_properties.py
+++ b/tests/coordination/test_search_properties.py
@@ -2,6 +2,7 @@
 
 import testtools
 from hypothesis import given, settings, strategies as st
+from testtools.matchers import GreaterThan
 
 from almondspool.codes import ResultCode
 from almondspool.coordination import budget as budget_module
@@ -115,6 +116,34 @@
         lost = 0.05 * sum(each[1] for each in sent if each[0] < oldest)
         self.assertTrue(extra <= allowed + lost)
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0, 30), st.sampled_from("fhrc"), st.sampled_from([1, 20])
+            ),
+            max_size=100,
+        )
+    )
+    def test_extra_legs_stay_within_the_share_in_the_long_run(self, steps):
+        budget = ExtraLegBudget(0.05)
+        take_by_kind = {
+            "h": budget.take_hedge,
+            "r": budget.take_retry,
+            "c": budget.take_retry_after_loss,
+            "f": budget.note_first,
+        }
+        now, greatest_loan = 0.0, 0.0
+        for wait_s, kind, count in steps:
+            now += wait_s
+            for _ in range(count):
+                take_by_kind[kind](now)
+            greatest_loan = max(greatest_loan, budget.loan(now))
+        counts = budget.counts
+        floor = budget_module.MINIMUM_EXTRA_LEGS
+        allowed = 0.05 * counts.first + floor + greatest_loan
+        self.assertThat(counts.extra, testtools.matchers.Not(GreaterThan(allowed)))
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.data())
     def test_suspicions_merge_in_any_order_and_number(self, data):
