Let one leg probe an upstream after its pause

Cause: after the pause of a lost upstream all legs drew it again until the first refusal came back (200 of 600 choices in a trial with one result outstanding), and each leg that was in flight when the upstream was lost doubled the pause: 8 of them kept a restarted searcher without work for 16 s instead of 1 s.

An upstream that has failed and not answered since now gets one leg at a time, and a failure during a pause does not lengthen it. Ruled out: probing apart from requests; a leg that is refused moves to another replica without drawing on the budget, so a probe by a request costs only the time of a refusal.

Tests: five in test_replicas, of which two fail on the code before; the others are the failing variant and guards for the growing pause and its end.

--- a/almondspool/coordination/replicas.py
+++ b/almondspool/coordination/replicas.py
@@ -96,8 +96,19 @@
         self.report: LoadReport | None = None
         self.reported_at = -math.inf
 
+    def is_fit(self, now: float) -> bool:
+        """Return whether new work may come; after a pause, one leg at a time."""
+        if self.draining_until > now or self.paused_until > now:
+            return False
+        return not self.failures or not self.in_flight
+
     def pause(self, now: float) -> None:
-        """Keep new work away for a time that grows with repeated failures."""
+        """Keep new work away for a time that grows with repeated failures.
+
+        Legs that fail during a pause were sent before it, and show nothing new.
+        """
+        if now < self.paused_until:
+            return
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0**self.failures)
         self.failures = min(self.failures + 1, 16)
         self.paused_until = now + pause_s
@@ -248,16 +259,14 @@
     def _without_unfit(self, now: float, allowed: list[str]) -> tuple[list[str], str]:
         """Leave out draining and unreachable upstreams if others remain."""
         working = [
-            upstream_id for upstream_id in allowed if self._is_fit(now, upstream_id)
+            upstream_id
+            for upstream_id in allowed
+            if self._stats(now, upstream_id).is_fit(now)
         ]
         if working:
             return working, "best_of_drawn" if len(working) > 1 else "only_replica"
         return allowed, "only_unfit_replicas"
 
-    def _is_fit(self, now: float, upstream_id: str) -> bool:
-        stats = self._stats(now, upstream_id)
-        return stats.draining_until <= now and stats.paused_until <= now
-
     def _without_cold(self, now: float, working: list[str]) -> list[str]:
         shares = [self._ramp_share(now, upstream_id) for upstream_id in working]
         if min(shares) >= 1.0:
--- a/tests/coordination/test_replicas.py
+++ b/tests/coordination/test_replicas.py
@@ -50,6 +50,28 @@
     return counts
 
 
+def make_lost_chooser(failures=1):
+    """Return a warm chooser that was refused by s0-a at 100.0, by legs in flight."""
+    chooser = make_warm_chooser()
+    for _ in range(failures):
+        chooser.begin(100.0, "s0-a")
+    for number in range(failures):
+        chooser.observe(100.0 + number / 100, "s0-a", 0.001, ResultCode.LEG_REFUSED)
+    return chooser
+
+
+def count_probes():
+    """Count the legs sent to s0-a after its pause, while the first has no result."""
+    chooser = make_lost_chooser()
+    counts = collections.Counter()
+    for number in range(600):
+        now = 101.1 + number / 1e6
+        chosen = chooser.choose(now, SECTION, REPLICAS).upstream_id
+        chooser.begin(now, chosen)
+        counts[chosen] += 1
+    return counts["s0-a"]
+
+
 class ReplicaChooserTests(testtools.TestCase):
     def test_equal_replicas_share_the_work(self):
         counts = count_choices(make_warm_chooser())
@@ -101,6 +123,35 @@
         self.assertEqual(0, count_choices(chooser)["s0-a"])
         self.assertThat(count_choices(chooser, now=110.0)["s0-a"], GreaterThan(0))
 
+    def test_after_a_pause_one_leg_probes(self):
+        self.assertEqual(1, count_probes())
+
+    def test_without_the_probe_all_work_comes_back_at_once(self):
+        self.patch(
+            replicas._UpstreamStats,
+            "is_fit",
+            lambda stats, now: stats.paused_until <= now,
+        )
+        self.assertThat(count_probes(), GreaterThan(100))
+
+    def test_an_answered_probe_ends_the_failure(self):
+        chooser = make_lost_chooser()
+        chooser.begin(102.0, "s0-a")
+        chooser.observe(102.0, "s0-a", 0.006, ResultCode.OK)
+        counts = count_choices(chooser, now=102.0)
+        self.assertThat(counts["s0-a"], GreaterThan(150))
+
+    def test_failures_during_a_pause_do_not_lengthen_it(self):
+        chooser = make_lost_chooser(failures=8)
+        self.assertEqual(0, count_choices(chooser, now=100.3)["s0-a"])
+        self.assertThat(count_choices(chooser, now=101.1)["s0-a"], GreaterThan(0))
+
+    def test_repeated_failures_lengthen_the_pause(self):
+        chooser = make_lost_chooser()
+        chooser.begin(101.1, "s0-a")
+        chooser.observe(101.1, "s0-a", 0.001, ResultCode.LEG_REFUSED)
+        self.assertEqual(0, count_choices(chooser, now=102.4)["s0-a"])
+
     def test_own_zone_goes_first_when_idle(self):
         chooser = make_chooser(ZONES[0], random.Random(1))
         counts = count_choices(chooser, choices=60, held=0)
