--- a/almondspool/coordination/budget.py
+++ b/almondspool/coordination/budget.py
@@ -5,9 +5,13 @@
 import math
 from typing import NamedTuple
 
-WINDOW_S = 10
+from almondspool.coordination.rates import DecayedRate
+
+RATE_DECAY_S = 10.0
 MINIMUM_EXTRA_LEGS = 10
 MINIMUM_LOAN_LEGS = 30
+HEDGE_COST = 1.25
+RETRY_COST = 1.0
 HEDGE_PART = 0.7
 OVERDUE_HEDGE_PART = 0.85
 
@@ -26,34 +30,25 @@
     denied: int
 
 
-class _Second(NamedTuple):
-    number: int
-    first: int
-    extra: int
-
-
-_EMPTY_SECOND = _Second(-1, 0, 0)
-
-
 class ExtraLegBudget:
-    """Caps hedges and retries, over a sliding window and in the long run.
+    """Caps hedges and retries by a credit that first legs earn.
 
-    In each window of WINDOW_S seconds, extra legs stay within the share of the first
-    legs plus MINIMUM_EXTRA_LEGS, which let an instance with little traffic hedge. A
-    leg that has only just become slow may use HEDGE_PART of it, one that was refused
-    a hedge before OVERDUE_HEDGE_PART: it is more likely to be a straggler. The rest
-    is kept for retries, which save coverage.
+    Each first leg earns the share, each extra leg costs about 1, so that extra legs
+    stay within the share at any rate. At most a second's earnings are saved, and at
+    least MINIMUM_EXTRA_LEGS, with which an instance starts.
 
-    In the long run, extra legs stay within the share alone: each first leg credits
-    the share, and each extra leg costs 1. The credit saved up is at most a window's.
-    Retries of legs that were cut off may borrow as much, since a lost upstream or
+    A leg that has only just become slow may use HEDGE_PART of what can be saved, one
+    that was refused a hedge before OVERDUE_HEDGE_PART: it is more likely to be a
+    straggler. The rest is kept for retries, which save coverage; hedges cost more, so
+    that they leave a part of what is earned too. Retries of legs that were cut off may
+    borrow a second's earnings, at least MINIMUM_LOAN_LEGS, since a lost upstream or
     zone cuts off many legs at once; nothing else is allowed until that is repaid.
     """
 
     def __init__(self, share: float) -> None:
         """Allow extra legs up to this share of first legs."""
         self._share = share
-        self._seconds = [_EMPTY_SECOND] * WINDOW_S
+        self._first_rate = DecayedRate(RATE_DECAY_S, -math.inf)
         self._counts = BudgetCounts(0, 0, 0)
         self._credit = float(MINIMUM_EXTRA_LEGS)
 
@@ -64,25 +59,18 @@
 
     def note_first(self, now: float, legs: int = 1) -> None:
         """Count first legs, sent at a monotonic second."""
-        self._add(now, legs, 0)
-        first, _ = self._sums(now)
-        self._credit += self._share * legs
-        self._credit = min(self._credit, self._saved_most(first))
+        self._first_rate.add(now, legs)
+        earned = self._credit + self._share * legs
+        self._credit = min(earned, self._saved_most(now))
         self._counts = self._counts._replace(first=self._counts.first + legs)
 
     def take_retry(self, now: float) -> bool:
         """Return whether one retry may be sent, and count it if so."""
-        return self._take(now, self._allows(now, 1.0))
+        return self._take(now, RETRY_COST, 0.0)
 
     def take_retry_after_loss(self, now: float) -> bool:
         """Return whether a leg that was cut off may be sent again; count it if so."""
-        has_credit = self._credit - 1 >= -self.loan(now)
-        return self._take(now, self._share > 0 and has_credit)
-
-    def loan(self, now: float) -> float:
-        """Return how far the credit may fall below zero after a loss, in legs."""
-        first, _ = self._sums(now)
-        return max(float(MINIMUM_LOAN_LEGS), self._share * first)
+        return self._take(now, RETRY_COST, -self.loan(now))
 
     def take_hedge(self, now: float, is_overdue: bool = False) -> bool:
         """Return whether one hedge may be sent, and count it if so.
@@ -91,49 +79,39 @@
             now: Monotonic seconds.
             is_overdue: Whether the leg was refused a hedge before.
         """
-        part = OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART
-        return self._take(now, self._allows(now, part))
+        return self._take(now, HEDGE_COST, self._kept(now, is_overdue))
 
     def allows_hedge(self, now: float, is_overdue: bool = False) -> bool:
         """Return whether take_hedge would allow one now; a refusal is counted."""
-        part = OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART
-        if self._allows(now, part):
+        if self._allows(now, HEDGE_COST, self._kept(now, is_overdue)):
             return True
         self._counts = self._counts._replace(denied=self._counts.denied + 1)
         return False
 
-    def _allows(self, now: float, part: float) -> bool:
-        first, extra = self._sums(now)
-        allowed = (self._share * first + MINIMUM_EXTRA_LEGS) * part
-        kept = self._saved_most(first) * (1 - part)
-        has_credit = self._credit - 1 >= kept
-        return self._share > 0 and has_credit and extra + 1 <= allowed
+    def loan(self, now: float) -> float:
+        """Return how far the credit may fall below zero after a loss, in legs."""
+        return max(float(MINIMUM_LOAN_LEGS), self._earned_per_s(now))
 
-    def _saved_most(self, first: int) -> float:
-        """Return the most credit kept, from the first legs of the window."""
-        return max(float(MINIMUM_EXTRA_LEGS), self._share * first)
+    def _kept(self, now: float, is_overdue: bool) -> float:
+        """Return the credit that a hedge must leave."""
+        part = OVERDUE_HEDGE_PART if is_overdue else HEDGE_PART
+        return self._saved_most(now) * (1 - part)
 
-    def _take(self, now: float, is_allowed: bool) -> bool:
-        if not is_allowed:
+    def _saved_most(self, now: float) -> float:
+        return max(float(MINIMUM_EXTRA_LEGS), self._earned_per_s(now))
+
+    def _earned_per_s(self, now: float) -> float:
+        return self._share * self._first_rate.per_s(now)
+
+    def _allows(self, now: float, cost: float, kept: float) -> bool:
+        # What was saved at a higher rate is not spent at a lower one.
+        credit = min(self._credit, self._saved_most(now))
+        return self._share > 0 and credit - cost >= kept
+
+    def _take(self, now: float, cost: float, kept: float) -> bool:
+        if not self._allows(now, cost, kept):
             self._counts = self._counts._replace(denied=self._counts.denied + 1)
             return False
-        self._add(now, 0, 1)
-        self._credit -= 1
+        self._credit -= cost
         self._counts = self._counts._replace(extra=self._counts.extra + 1)
         return True
-
-    def _sums(self, now: float) -> tuple[int, int]:
-        oldest = math.floor(now) - WINDOW_S + 1
-        recent = [second for second in self._seconds if second.number >= oldest]
-        first = sum(second.first for second in recent)
-        return first, sum(second.extra for second in recent)
-
-    def _add(self, now: float, first: int, extra: int) -> None:
-        number = math.floor(now)
-        place = number % WINDOW_S
-        second = self._seconds[place]
-        if second.number != number:
-            second = _Second(number, 0, 0)
-        self._seconds[place] = _Second(
-            number, second.first + first, second.extra + extra
-        )
