--- a/tests/coordination/test_search.py
+++ b/tests/coordination/test_search.py
@@ -59,7 +59,7 @@
         verify_session("search_lost_replica", bench.lines)
 
     def test_without_retries_a_lost_replica_costs_coverage(self):
-        self.patch(search, "MAX_ATTEMPTS", 1)
+        self.patch(search, "has_attempts_left", lambda run: False)
         bench = SearchBench()
         bench.reply_by_number = {1: REFUSED}
         self.assertEqual(1, bench.run().coverage.not_sent)
@@ -307,7 +307,7 @@
         self.assertEqual(4, bench.context.budget.counts.denied)
 
     def test_without_the_budget_extra_legs_exceed_the_share(self):
-        self.patch(ExtraLegBudget, "_allows", lambda self, now, part: True)
+        self.patch(ExtraLegBudget, "_allows", lambda self, *args: True)
         bench = _run_slow(200)
         self.assertThat(len(bench.sent), testtools.matchers.GreaterThan(450))
 
--- a/tests/coordination/test_search_properties.py
+++ b/tests/coordination/test_search_properties.py
@@ -2,6 +2,7 @@
 
 import testtools
 from hypothesis import given, settings, strategies as st
+from testtools.matchers import GreaterThan
 
 from almondspool.codes import ResultCode
 from almondspool.coordination import budget as budget_module
@@ -25,6 +26,7 @@
     snapshot=st.sampled_from([None, None, None, 6, 7, 8]),
     copies=st.sampled_from([0, 1, 1, 1, 2]),
 )
+WINDOW_S = 10
 SCRIPTS = st.lists(REPLIES, min_size=0, max_size=12)
 
 
@@ -107,7 +109,7 @@
                 sent.append((now, 20, 0))
             elif budget.take_hedge(now) if kind == "h" else budget.take_retry(now):
                 sent.append((now, 0, 1))
-        oldest = int(now) - budget_module.WINDOW_S + 1
+        oldest = int(now) - WINDOW_S + 1
         recent = [each for each in sent if each[0] >= oldest]
         first = sum(each[1] for each in recent)
         extra = sum(each[2] for each in recent)
@@ -115,6 +117,34 @@
         lost = 0.05 * sum(each[1] for each in sent if each[0] < oldest)
         self.assertTrue(extra <= allowed + lost)
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0, 30), st.sampled_from("fhrc"), st.sampled_from([1, 20])
+            ),
+            max_size=100,
+        )
+    )
+    def test_extra_legs_stay_within_the_share_in_the_long_run(self, steps):
+        budget = ExtraLegBudget(0.05)
+        take_by_kind = {
+            "h": budget.take_hedge,
+            "r": budget.take_retry,
+            "c": budget.take_retry_after_loss,
+            "f": budget.note_first,
+        }
+        now, greatest_loan = 0.0, 0.0
+        for wait_s, kind, count in steps:
+            now += wait_s
+            for _ in range(count):
+                take_by_kind[kind](now)
+            greatest_loan = max(greatest_loan, budget.loan(now))
+        counts = budget.counts
+        floor = budget_module.MINIMUM_EXTRA_LEGS
+        allowed = 0.05 * counts.first + floor + greatest_loan
+        self.assertThat(counts.extra, testtools.matchers.Not(GreaterThan(allowed)))
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(st.data())
     def test_suspicions_merge_in_any_order_and_number(self, data):
