Prove the platform outage of bookings against a failing variant

The check sent each booking to one instance only, so a build that runs bookings without a claim would have passed it. Variant claims_unneeded runs them without a claim and is found by doubled bookings. The check is stricter than before: more instances, and each booking runs exactly once after the outage. Also: the searcher that is killed in the middle of a booking now runs it for 8 s instead of 1.5 s, so that a slow machine cannot finish the booking before the kill.

--- a/tests/processes/test_bookings.py
+++ b/tests/processes/test_bookings.py
@@ -25,8 +25,12 @@
 )
 CLAIMS = "claims"
 BOOKINGS = 12
+OUTAGE_BOOKINGS = 4
 DEADLINE_MS = 4000
 SLOW_MS = 1500.0
+# Far longer than it takes to kill a searcher, which ends the wait.
+CRASH_SLOW_MS = 8000.0
+CRASH_DEADLINE_MS = 12_000
 STILL_RUNNING = 303
 UNKNOWN = 302
 PLATFORM_DOWN = 204
@@ -44,6 +48,15 @@
     return attempts
 
 
+def book_during_outage(cluster):
+    """Send bookings to every instance while the platform is down."""
+    cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
+    try:
+        return send_to_all_at_once(cluster, OUTAGE_BOOKINGS)
+    finally:
+        cluster.platform.clear_faults()
+
+
 def lose_replies(cluster, bookings=BOOKINGS):
     """Send bookings whose replies are lost after the effect, each twice."""
     lost = Fault(FaultKind.DROP_REPLY_AFTER_EFFECT)
@@ -106,10 +119,10 @@
         self.attempts += caller.attempts
         return attempt
 
-    def start_slow_booking(self, name):
+    def start_slow_booking(self, name, slow_ms=SLOW_MS, deadline_ms=DEADLINE_MS):
         """Send a booking to an instance and return when a searcher runs it."""
-        self.set_searcher_fault(FaultKind.SLOW, delay_ms=SLOW_MS)
-        booking = make_booking(SHARD, deadline_ms=DEADLINE_MS)
+        self.set_searcher_fault(FaultKind.SLOW, delay_ms=slow_ms)
+        booking = make_booking(SHARD, deadline_ms=deadline_ms)
         address = self.cluster.instances_by_name[name].caller_address
         future = self.pool.submit(self.send, address, booking)
         wait_until(lambda: self.runs_of(booking), "a searcher runs the booking")
@@ -134,19 +147,19 @@
         self.assertEqual({UNKNOWN}, codes - {STILL_RUNNING})
 
     def test_platform_outage(self):
-        self.cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
-        bookings = [make_booking(SHARD) for _ in range(4)]
-        for booking in bookings:
-            attempt = self.send(caller_addresses(self.cluster)[0], booking)
-            self.assertEqual(PLATFORM_DOWN, attempt.code)
+        self.attempts = book_during_outage(self.cluster)
+        codes = {attempt.code for attempt in self.attempts}
+        self.assertEqual({PLATFORM_DOWN}, codes)
         self.assert_sound()
-        self.cluster.platform.clear_faults()
-        for booking in bookings:
+        by_id = {each.request["request_id"]: each.request for each in self.attempts}
+        for booking in by_id.values():
             self.assertEqual(0, self.resend_until_settled(booking).code)
+            self.assertEqual(1, len(self.runs_of(booking)))
 
     def test_searcher_crashes_in_the_middle(self):
+        name = next(iter(self.cluster.instances_by_name))
         booking, future = self.start_slow_booking(
-            next(iter(self.cluster.instances_by_name))
+            name, CRASH_SLOW_MS, CRASH_DEADLINE_MS
         )
         upstream_id = self.runs_of(booking)[0]["upstream_id"]
         self.cluster.kill_searcher(upstream_id)
@@ -200,3 +213,12 @@
     def test_refusals_after_a_run_are_found(self):
         attempts = lose_replies(self.cluster)
         self.assertNotEqual([], run_though_refused(self.cluster, attempts))
+
+
+class ClaimsUnneededTests(ClusterTestCase):
+    variant = "claims_unneeded"
+
+    def test_runs_without_a_claim_are_found(self):
+        attempts = book_during_outage(self.cluster)
+        self.assertNotEqual({PLATFORM_DOWN}, {attempt.code for attempt in attempts})
+        self.assertNotEqual([], doubled_bookings(self.cluster))
--- /dev/null
+++ b/tests/processes/variants/claims_unneeded.py
@@ -0,0 +1,24 @@
+"""Runs a request without a claim when the platform does not give one."""
+
+from __future__ import annotations
+
+import math
+
+from almondspool import daemon
+from almondspool.codes import ResultCode
+from almondspool.coordination.claims_task import ClaimsTask
+
+_claim = ClaimsTask.claim
+
+
+def _claim_or_go_on(task, request, timeout_s):
+    decision = _claim(task, request, timeout_s)
+    if decision.code is not ResultCode.NOT_RUN_PLATFORM_DOWN:
+        return decision
+    return decision._replace(code=ResultCode.OK, is_claimed=True, send_before=math.inf)
+
+
+ClaimsTask.claim = _claim_or_go_on
+
+if __name__ == "__main__":
+    daemon.run()
