Prove racing operators and hand-edited sections against failing variants

The race had no common base for sure: one offer could be written before the other was read. A section edited by hand was met by a restart only, which takes sections from peers first. Change: writes of the manifest are held 0.4 s, so both offers are read from one base; variant unconditional_put accepts both. A manifest put by hand names a section whose text has another digest: each instance counts section_damaged and stays; variant unchecked_sections runs the other text. Verdicts are answers, counters and what is in force at the end.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -9,8 +9,17 @@
 
 import yaml
 
+from almondspool.protocol.document import section_digest
 from almondspool.protocol.http_platform import make_platform
-from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME, SECTION_KIND
+from almondspool.protocol.manifest import (
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    SECTION_KIND,
+    decode_manifest,
+    encode_manifest,
+    replace_section,
+    section_name,
+)
 from almondspool.standins.faults import Fault, FaultKind
 from tests.processes.caller import make_search, post
 from tests.processes.support import (
@@ -34,6 +43,8 @@
 )
 NUMBERS = itertools.count(1001)
 TIMEOUT_S = 5.0
+RACE_DELAY_MS = 400.0
+RACES = 5
 
 
 def edited(cluster, team=TEAM):
@@ -100,6 +111,44 @@
     return text, watch.falls
 
 
+def race_on_section(cluster):
+    """Offer two edits of one section at once; return base, texts and answers.
+
+    Writes of the manifest are held, so that both offers are read from one base.
+    """
+    base = accepted_digest(operator(cluster), TEAM)
+    texts = [edited(cluster) for _ in range(2)]
+    held = Fault(FaultKind.DELAY, MANIFEST_KIND, method="PUT", delay_ms=RACE_DELAY_MS)
+    cluster.platform.set_faults([held])
+
+    def offer(name, text):
+        token = f"race-{next(NUMBERS)}"
+        return operator(cluster, name).apply(TEAM, text.encode(), base, token)
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        answers = list(pool.map(offer, cluster.instances_by_name, texts))
+    cluster.platform.clear_faults()
+    return base, texts, answers
+
+
+def swap_section_by_hand(cluster):
+    """Put a manifest whose new section has another text than its digest says.
+
+    Returns:
+        The manifest's object as it was, the one put, and the section's text.
+    """
+    platform = make_platform(cluster.platform_address, TIMEOUT_S)
+    good = platform.get(MANIFEST_KIND, MANIFEST_NAME).unwrap()
+    digest = section_digest(edited(cluster).encode())
+    other = edited(cluster)
+    name = section_name(TEAM, digest)
+    platform.put(SECTION_KIND, name, other.encode(), 0).unwrap()
+    manifest = replace_section(decode_manifest(good.value), TEAM, digest, name)
+    value = encode_manifest(manifest)
+    put = platform.put(MANIFEST_KIND, MANIFEST_NAME, value, good.version).unwrap()
+    return good, put, other
+
+
 def wait_for_polls(cluster):
     """Wait until the platform has answered a few more reads of lists."""
 
@@ -132,15 +181,7 @@
             self.assertEqual(text, running, name)
 
     def test_two_operators_race_on_one_section(self):
-        base, texts = self.base_of(TEAM), [edited(self.cluster) for _ in range(2)]
-        with concurrent.futures.ThreadPoolExecutor(2) as pool:
-            offers = [
-                pool.submit(
-                    self.offer, self.names[n], TEAM, texts[n], base, f"race-{n}"
-                )
-                for n in range(2)
-            ]
-            answers = [offer.result() for offer in offers]
+        base, texts, answers = race_on_section(self.cluster)
         self.assertEqual([0, CONFLICT], sorted(answer["code"] for answer in answers))
         winner = texts[0] if answers[0]["code"] == 0 else texts[1]
         won, lost = sorted(answers, key=lambda answer: answer["code"])
@@ -251,6 +292,34 @@
         self.assertEqual(generation, wait_in_force(self.cluster, generation))
         self.assert_runs(text)
 
+    def test_section_swapped_by_hand(self):
+        text = edited(self.cluster)
+        generation = apply_text(self.cluster, TEAM, text)["generation"]
+        wait_in_force(self.cluster, generation)
+        before = self.count_damaged_by_name()
+        good, put, _ = swap_section_by_hand(self.cluster)
+
+        def is_refused_everywhere():
+            counts = self.count_damaged_by_name()
+            return all(counts[name] > before[name] for name in self.names)
+
+        wait_until(is_refused_everywhere, "every instance refuses the section")
+        self.assertEqual(generation, wait_in_force(self.cluster, generation))
+        self.assert_runs(text)
+        self.platform.put(
+            MANIFEST_KIND, MANIFEST_NAME, good.value, put.version
+        ).unwrap()
+        repaired = edited(self.cluster)
+        answer = apply_text(self.cluster, TEAM, repaired)
+        wait_in_force(self.cluster, answer["generation"])
+        self.assert_runs(repaired)
+
+    def count_damaged_by_name(self):
+        return {
+            name: status["refusals"].get("section_damaged", 0)
+            for name, status in statuses(self.cluster).items()
+        }
+
     def count_refusals(self):
         found = statuses(self.cluster).values()
         return sum(sum(status["refusals"].values()) for status in found)
@@ -262,3 +331,25 @@
     def test_falls_are_found(self):
         _, falls = restart_under_stale_reads(self.cluster)
         self.assertNotEqual([], falls)
+
+
+class UnconditionalPutTests(ClusterTestCase):
+    variant = "unconditional_put"
+
+    def test_lost_edits_are_found(self):
+        codes = []
+        for _ in range(RACES):
+            _, _, answers = race_on_section(self.cluster)
+            codes.append(sorted(answer["code"] for answer in answers))
+        self.assertIn([0, 0], codes)
+
+
+class UncheckedSectionsTests(ClusterTestCase):
+    variant = "unchecked_sections"
+
+    def test_swapped_section_is_found(self):
+        generation = wait_in_force(self.cluster)
+        _, _, other = swap_section_by_hand(self.cluster)
+        wait_in_force(self.cluster, generation + 1)
+        running = operator(self.cluster).section(TEAM)["text"]
+        self.assertEqual(other, running)
