Prove kill and leave against failing variants

Change: after a kill each other instance must log the death before it has sent 120 datagrams, a bound in the instance's own steps and not in seconds; variant never_dead logs none. A leave of which the platform's list tells nothing must cost no caller an error; variant silent_leave does.

--- a/tests/processes/test_instance_faults.py
+++ b/tests/processes/test_instance_faults.py
@@ -18,6 +18,8 @@
     ClusterTestCase,
     apply_text,
     is_dead,
+    log_of,
+    metric,
     wait_in_force,
     wait_until,
     with_snapshots,
@@ -27,6 +29,9 @@
 WHOLE_IN_A_ROW = 20
 DEADLINE_MS = 1500
 WAITING = 6
+# More than an instance sends from a peer's last answer until it gives it up.
+MOST_DATAGRAMS = 120.0
+DATAGRAMS = 'almondspool_heartbeat_datagrams_total{direction="out"}'
 
 
 def make_short_search(number):
@@ -46,6 +51,30 @@
     return caller.entries()
 
 
+def kill_and_count(cluster, name):
+    """Kill an instance and return how many others gave it up, and how many are.
+
+    Ends when each gave it up, or has sent MOST_DATAGRAMS since.
+    """
+    others = [other for other in cluster.instances_by_name if other != name]
+    lengths = {other: len(log_of(cluster, other)) for other in others}
+    sent = {other: metric(cluster, other, DATAGRAMS) for other in others}
+    cluster.kill(name)
+    line = f"event=member.changed instance={name} status=DEAD"
+
+    def gave_up():
+        return [o for o in others if line in log_of(cluster, o)[lengths[o] :]]
+
+    def is_decided():
+        if len(gave_up()) == len(others):
+            return True
+        now_sent = {other: metric(cluster, other, DATAGRAMS) for other in others}
+        return all(now_sent[o] - sent[o] >= MOST_DATAGRAMS for o in others)
+
+    wait_until(is_decided, f"{name} is given up, or is not")
+    return len(gave_up()), len(others)
+
+
 def freeze_through_swap(cluster):
     """Freeze an instance while the snapshot changes; return its first answers.
 
@@ -101,6 +130,12 @@
         for name in self.cluster.instances_by_name:
             self.notice(name, self.cluster.kill, self.cluster.restart)
 
+    def test_killed_instance_is_given_up_by_all(self):
+        name = list(self.cluster.instances_by_name)[1]
+        gave_up, others = kill_and_count(self.cluster, name)
+        self.assertEqual(others, gave_up)
+        self.cluster.restart(name)
+
     def test_freeze_beyond_the_lease(self):
         name = list(self.cluster.instances_by_name)[0]
         self.notice(name, self.cluster.freeze, self.cluster.resume)
@@ -133,3 +168,12 @@
     def test_outdated_answers_are_found(self):
         first, _ = freeze_through_swap(self.cluster)
         self.assertIn(1, {attempt.answer.get("snapshot") for attempt in first})
+
+
+class NeverDeadTests(ClusterTestCase):
+    variant = "never_dead"
+
+    def test_killed_instance_that_is_kept_is_found(self):
+        name = list(self.cluster.instances_by_name)[1]
+        gave_up, _ = kill_and_count(self.cluster, name)
+        self.assertEqual(0, gave_up)
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -19,6 +19,7 @@
 INTERRUPTED_EXIT = 54
 LEG_DELAY_MS = 40.0
 ANSWERS = 20
+CALLERS = 12
 BOOKING_ONE_IN = 4
 
 
@@ -42,6 +43,18 @@
     return codes, load
 
 
+def leave_unlisted(cluster, name):
+    """Stop an instance of which the platform's list tells nothing; return the load."""
+    with Load(cluster, callers=CALLERS) as load:
+        enough = load.count() + ANSWERS
+        wait_until(lambda: load.count() >= enough, "load runs")
+        cluster.child(name).terminate()
+        cluster.child(name).wait()
+        after = load.count() + ANSWERS
+        wait_until(lambda: load.count() >= after, "load runs on")
+    return load
+
+
 def seen_errors(load):
     """Return the attempts that a caller sees fail, refusals among them."""
     return [
@@ -61,6 +74,13 @@
         self.assertEqual([], wrong_answers(self.cluster, searches, whole=True))
         self.assertEqual([], doubled_bookings(self.cluster))
 
+    def test_leave_that_only_peers_are_told_of(self):
+        name = list(self.cluster.instances_by_name)[1]
+        load = leave_unlisted(self.cluster, name)
+        self.cluster.restart(name)
+        self.assertEqual([], seen_errors(load))
+        self.assertEqual([], wrong_answers(self.cluster, load.attempts, whole=True))
+
     def test_second_signal_names_what_it_cut(self):
         name, instance = list(self.cluster.instances_by_name.items())[-1]
         self.cluster.wait_ready(name)
@@ -95,3 +115,12 @@
         name = next(iter(self.cluster.instances_by_name))
         _, load = stop_each_under_load(self.cluster, [name])
         self.assertNotEqual([], seen_errors(load))
+
+
+class SilentLeaveTests(ClusterTestCase):
+    variant = "silent_leave"
+
+    def test_callers_sent_to_a_leaving_instance_are_found(self):
+        name = list(self.cluster.instances_by_name)[1]
+        load = leave_unlisted(self.cluster, name)
+        self.assertNotEqual([], seen_errors(load))
--- /dev/null
+++ b/tests/processes/variants/never_dead.py
@@ -0,0 +1,12 @@
+"""Holds every instance for alive, however long it is silent."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.liveness import Liveness
+
+Liveness._judge = lambda liveness, member, probe, now: []
+Liveness.expire_suspicions = lambda liveness, now: []
+
+if __name__ == "__main__":
+    daemon.run()
--- /dev/null
+++ b/tests/processes/variants/silent_leave.py
@@ -0,0 +1,11 @@
+"""Leaves without telling the others."""
+
+from __future__ import annotations
+
+from almondspool import daemon
+from almondspool.coordination.membership import Membership
+
+Membership.leave = lambda membership, now: []
+
+if __name__ == "__main__":
+    daemon.run()
