Keep requests in flight while a leaving instance refuses others

Cause: test_leaving_instance sent requests in batches and waited for each batch. The code it asserts is given only between the end of serving and the exit, and the instance exits as soon as nothing is in flight: with a batch that ended just then, the next one met a closed port. The verdict rested on a state that passes. Change: eight callers send without a pause, each begun a little later, so that answers of some hold the instance open while others are refused. The assertions are the same. Ruled out: the other verdicts in tests/processes rest on journals, counters, logs or states that stay until the test ends them.

--- a/tests/processes/test_not_run.py
+++ b/tests/processes/test_not_run.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import signal
+import time
 from typing import ClassVar
 
 from almondspool.standins.faults import Fault, FaultKind
@@ -15,6 +16,24 @@
 LEAVING = 202
 REQUESTS = 120
 CALLERS = 24
+LEAVING_CALLERS = 8
+STAGGER_S = 0.13
+
+
+def send_until_gone(address, number):
+    """Send to one instance, without a pause, until nobody listens there.
+
+    Each caller begins a little later than the one before, so that the answers of
+    some hold the instance open while others are refused.
+    """
+    time.sleep(number * STAGGER_S)
+    attempts = []
+    while not attempts or attempts[-1].code != REFUSED:
+        request = make_search(number + len(attempts))
+        if number % 2:
+            request = make_booking(f"{TEAM}-02/{number % 3}")
+        attempts.append(post(address, request))
+    return attempts
 
 
 class NotRunTests(ClusterTestCase):
@@ -60,13 +79,12 @@
         slow = Fault(FaultKind.SLOW, delay_ms=1000.0)
         self.cluster.searcher_controls()[0].set_faults([slow])
         self.cluster.child(name).send(signal.SIGTERM)
-        attempts = []
-        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
-            while REFUSED not in {attempt.code for attempt in attempts}:
-                searches = [make_search(len(attempts) + n) for n in range(4)]
-                bookings = [make_booking(f"{TEAM}-02/{n}") for n in range(3)]
-                requests = searches + bookings
-                attempts += pool.map(post, [address] * len(requests), requests)
+        with concurrent.futures.ThreadPoolExecutor(LEAVING_CALLERS) as pool:
+            callers = [
+                pool.submit(send_until_gone, address, number)
+                for number in range(LEAVING_CALLERS)
+            ]
+            attempts = [each for caller in callers for each in caller.result()]
         self.assert_sound(attempts, LEAVING)
         self.assertEqual(0, self.cluster.child(name).wait())
         self.cluster.restart(name)
