Refuse peer messages over a size limit before they are read

Cause: the gRPC library buffers whatever length a sender announces; with no key at all one could make an instance wait for, and keep, up to 4 GiB. Datagrams had no limit below 64 KiB. Change: MAX_ENVELOPE_BYTES (64 MiB, twice the largest reply of an upstream) on the channel, by the announced size; MAX_HEARTBEAT_BYTES (4096) on datagrams; the code PEER_TOO_LARGE, counted and logged as other refusals. A sender splits what does not fit into one envelope and refuses a message that is too large by itself. Left: the library has no hook for the limit, so limit_stream wraps the frame reader of a stream, which is private to it. A message of results that is too large by itself is dropped by its sender, and its legs end by their time-outs.

--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -14,6 +14,8 @@
 
 PROTOCOL_VERSION = 1
 SIGNATURE_BYTES = 32
+# Twice the largest reply of an upstream, whose results travel in one message.
+MAX_ENVELOPE_BYTES = 64 * 1024 * 1024
 
 
 class LegAssignment(NamedTuple):
@@ -223,21 +225,27 @@
         sequence: int,
         messages: tuple[NamedTuple, ...],
     ) -> bytes:
-        """Return the signature followed by the encoded envelope."""
+        """Return the signature followed by the encoded envelope.
+
+        Raises:
+            PeerError: With PEER_TOO_LARGE.
+        """
         bodies = tuple(
             (_INDEX_BY_TYPE[type(message)], msgspec.Raw(_ENCODER.encode(message)))
             for message in messages
         )
         envelope = Envelope(PROTOCOL_VERSION, sender, incarnation, sequence, bodies)
         body = _ENCODER.encode(envelope)
+        check_envelope_size(SIGNATURE_BYTES + len(body))
         return self._sign(body) + body
 
     def decode(self, data: bytes) -> tuple[Envelope, tuple[NamedTuple, ...]]:
         """Check and decode one envelope.
 
         Raises:
-            PeerError: With PEER_KEY, PEER_VERSION or PEER_MALFORMED.
+            PeerError: With PEER_TOO_LARGE, PEER_KEY, PEER_VERSION or PEER_MALFORMED.
         """
+        check_envelope_size(len(data))
         signature, body = data[:SIGNATURE_BYTES], data[SIGNATURE_BYTES:]
         if not hmac.compare_digest(signature, self._sign(body)):
             raise PeerError(
@@ -257,6 +265,24 @@
         return hmac.digest(self._key, body, "sha256")
 
 
+def check_envelope_size(size_bytes: int, limit_bytes: int | None = None) -> None:
+    """Check the size of an envelope.
+
+    Args:
+        size_bytes: Its size, or the size that its sender announced.
+        limit_bytes: MAX_ENVELOPE_BYTES unless given.
+
+    Raises:
+        PeerError: With PEER_TOO_LARGE.
+    """
+    limit_bytes = MAX_ENVELOPE_BYTES if limit_bytes is None else limit_bytes
+    if size_bytes > limit_bytes:
+        raise PeerError(
+            f"peer message of {size_bytes} bytes exceeds {limit_bytes}",
+            ResultCode.PEER_TOO_LARGE,
+        )
+
+
 def _check_version(envelope: Envelope) -> None:
     if envelope.version != PROTOCOL_VERSION:
         raise PeerError(
--- a/almondspool/transport/heartbeats.py
+++ b/almondspool/transport/heartbeats.py
@@ -17,6 +17,7 @@
     ProbeRequest,
     ViewReply,
     ViewRequest,
+    check_envelope_size,
 )
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from almondspool.transport.timers import TimerService
 
 RECEIVE_BYTES = 65_536
+MAX_HEARTBEAT_BYTES = 4096
 REPLAY_WINDOW = 256
 MAX_SENDERS = 4096
 REFUSAL_LOG_INTERVAL_S = 10.0
@@ -220,23 +222,42 @@
                 continue
             except OSError:
                 return
-            self._count("in", data)
             address = f"{source[0]}:{source[1]}"
-            try:
-                datagram = self.check(data, address)
-            except PeerError as error:
-                self._refuse(error, address)
-                if isinstance(error, OldIncarnationError):
-                    on_old_incarnation(error.sender, address)
-                continue
-            on_datagram(datagram)
+            self.take(data, address, on_datagram, on_old_incarnation)
+
+    def take(
+        self,
+        data: bytes,
+        address: str,
+        on_datagram: Callable[[Datagram], None],
+        on_old_incarnation: Callable[[str, str], None],
+    ) -> None:
+        """Pass one datagram on, or count and log why it is refused.
+
+        Args:
+            data: The datagram.
+            address: ``ip:port`` it came from.
+            on_datagram: As for receive_forever.
+            on_old_incarnation: As for receive_forever.
+        """
+        self._count("in", data)
+        try:
+            datagram = self.check(data, address)
+        except PeerError as error:
+            self._refuse(error, address)
+            if isinstance(error, OldIncarnationError):
+                on_old_incarnation(error.sender, address)
+            return
+        on_datagram(datagram)
 
     def check(self, data: bytes, address: str) -> Datagram:
         """Check and decode one datagram.
 
         Raises:
-            PeerError: With PEER_KEY, PEER_VERSION, PEER_MALFORMED or PEER_REPLAY.
+            PeerError: With PEER_TOO_LARGE, PEER_KEY, PEER_VERSION, PEER_MALFORMED or
+                PEER_REPLAY.
         """
+        check_envelope_size(len(data), MAX_HEARTBEAT_BYTES)
         envelope, messages = self._codec.decode(data)
         if len(messages) != 1 or not isinstance(messages[0], DATAGRAM_TYPES):
             names = ", ".join(type(message).__name__ for message in messages)
--- a/almondspool/transport/peer_channel.py
+++ b/almondspool/transport/peer_channel.py
@@ -20,9 +20,10 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PeerError
+from almondspool.transport.envelope_limits import encode_fitting, limit_stream
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from grpclib.server import Stream
 
@@ -110,17 +111,28 @@
             self._head.append(await self._queue.get())
 
     async def next_envelope(self) -> bytes:
-        await self.wait()
-        messages, self._head = self._head, []
-        while not self._queue.empty() and len(messages) < _MAX_MESSAGES_PER_ENVELOPE:
-            messages.append(self._queue.get_nowait())
+        data = b""
+        while not data:
+            await self.wait()
+            messages = self._head
+            while self._has_more() and len(messages) < _MAX_MESSAGES_PER_ENVELOPE:
+                messages.append(self._queue.get_nowait())
+            data, self._head = encode_fitting(self._encode, messages, self._refuse)
+        self._owner.count_bytes("out", len(data))
+        return data
+
+    def _has_more(self) -> bool:
+        return not self._queue.empty()
+
+    def _encode(self, messages: Sequence[NamedTuple]) -> bytes:
         self._sequence += 1
         instance, incarnation = self._owner.identity()
-        data = self._codec.encode(
+        return self._codec.encode(
             instance, incarnation, self._sequence, tuple(messages)
         )
-        self._owner.count_bytes("out", len(data))
-        return data
+
+    def _refuse(self, error: PeerError) -> None:
+        self._owner.refuse(self._owner.identity().instance, error)
 
 
 class _Inbox:
@@ -253,6 +265,7 @@
             self._codec,
             lambda sender, message: self.deliver(sender, message, outbox.put),
         )
+        limit_stream(stream)
         await stream.send_initial_metadata()
         writer = asyncio.get_running_loop().create_task(_write_all(stream, outbox))
         try:
@@ -320,6 +333,7 @@
                 _METHOD, Cardinality.STREAM_STREAM, bytes, bytes
             ) as stream:
                 await stream.send_request()
+                limit_stream(stream)
                 is_idle = await self._pump(stream)
             return None if is_idle else "stream ended"
         except PeerError as error:
--- a/tests/processes/test_foreign_peers.py
+++ b/tests/processes/test_foreign_peers.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import struct
 from unittest import mock
 
+from grpclib.client import Channel
+from grpclib.const import Cardinality
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
 from almondspool.protocol import peer
 from almondspool.protocol.peer import Heartbeat, PeerCodec
 from almondspool.standins.launcher import PEER_KEY
 from almondspool.standins.web import parse_address
 from almondspool.state.members import Member, MemberStatus
+from almondspool.transport.peer_channel import _METHOD as METHOD, BytesCodec
 from tests.processes.caller import Caller, make_search
 from tests.processes.checks import wrong_answers
 from tests.processes.support import (
@@ -25,6 +32,7 @@
 FORGED_INCARNATION = 10**15
 ACK_TIMEOUT_S = 30.0
 MAX_DATAGRAM = 65_536
+OVERSIZED_BYTES = 60_000
 GARBAGE = (b"", b"x", b"\x00" * 64, b"\xff" * 1200, b"GET / HTTP/1.1\r\n\r\n")
 
 
@@ -87,6 +95,23 @@
     return echoes
 
 
+async def announce_flood(address):
+    """Announce a message of four gigabytes on a channel and wait for its end."""
+    host, port = parse_address(address)
+    channel = Channel(host, port, codec=BytesCodec())
+    try:
+        async with channel.request(
+            METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+        ) as stream:
+            await stream.send_request()
+            await stream._stream.send_data(struct.pack("?", False) + b"\xff" * 4)
+            await stream.recv_message()
+    except (GRPCError, ProtocolError, StreamTerminatedError):
+        pass
+    finally:
+        channel.close()
+
+
 def left_members(cluster, name):
     """Return whom an instance holds for leaving or dead."""
     members = statuses(cluster, [name])[name]["members"]
@@ -137,6 +162,21 @@
         self.assertEqual([7, 8], echoes_of_replay(self.cluster, self.name))
         self.assertEqual(before + 1, self.refused("PEER_REPLAY"))
 
+    def test_oversized_datagram(self):
+        self.assert_refused(b"\xff" * OVERSIZED_BYTES, "PEER_TOO_LARGE")
+
+    def test_oversized_message_on_a_channel(self):
+        sample = 'almondspool_peer_refusals_total{code="PEER_TOO_LARGE"}'
+        before = metric(self.cluster, self.name, sample)
+        address = self.cluster.instances_by_name[self.name].peer_address
+        asyncio.run(announce_flood(address))
+
+        def is_counted():
+            return metric(self.cluster, self.name, sample) == before + 1
+
+        wait_until(is_counted, "it is counted")
+        self.assert_state_stays()
+
     def test_garbage_on_every_port(self):
         instance = self.cluster.instances_by_name[self.name]
         for data in GARBAGE:
--- a/tests/protocol/test_peer.py
+++ b/tests/protocol/test_peer.py
@@ -36,6 +36,16 @@
         self.patch(peer, "PROTOCOL_VERSION", 1)
         self.assertEqual(ResultCode.PEER_VERSION, self.refuse(data))
 
+    def test_oversized_envelope_is_refused_unread_and_unsent(self):
+        self.patch(peer, "MAX_ENVELOPE_BYTES", len(self.data))
+        self.codec.decode(self.data)
+        self.patch(peer, "MAX_ENVELOPE_BYTES", len(self.data) - 1)
+        self.assertEqual(ResultCode.PEER_TOO_LARGE, self.refuse(self.data))
+        error = self.assertRaises(
+            PeerError, self.codec.encode, "perth-1", 7, 3, (MESSAGE, MESSAGE)
+        )
+        self.assertEqual(ResultCode.PEER_TOO_LARGE, error.code)
+
     def test_signed_nonsense_is_malformed(self):
         body = b"\xc1nonsense"
         data = self.codec._sign(body) + body
--- a/tests/transport/test_heartbeats.py
+++ b/tests/transport/test_heartbeats.py
@@ -67,6 +67,12 @@
         for length in range(len(data)):
             self.assertEqual(ResultCode.PEER_KEY, self.refusal(data[:length]).code)
 
+    def test_oversized_datagram_is_refused_by_name(self):
+        member = make_member("perth-3", 2)
+        message = Heartbeat(make_member("perth-2", 1), (member,) * 100, False, 0)
+        error = self.refusal(self.encode(message=message))
+        self.assertEqual(ResultCode.PEER_TOO_LARGE, error.code)
+
     def test_other_version(self):
         former = peer.PROTOCOL_VERSION
         self.addCleanup(setattr, peer, "PROTOCOL_VERSION", former)
--- a/tests/transport/test_peer_channel.py
+++ b/tests/transport/test_peer_channel.py
@@ -41,15 +41,64 @@
 """
 
 
+FLOOD_SCRIPT = """
+import asyncio, struct
+import eventlet
+eventlet.monkey_patch()
+import eventlet.asyncio
+from grpclib.client import Channel
+from grpclib.const import Cardinality
+from almondspool.logs import EventLog
+from almondspool.protocol.peer import PeerCodec
+from almondspool.standins.ports import free_ports
+from almondspool.transport import peer_channel
+
+refused = eventlet.queue.LightQueue()
+channels = peer_channel.PeerChannels(
+    "perth-1",
+    PeerCodec("a-key-of-the-test-suite"),
+    EventLog(lambda line: None),
+    refused.put,
+    lambda way, count: None,
+)
+address = f"127.0.0.1:{free_ports(1).start}"
+channels.listen(address)
+host, _, port = address.rpartition(":")
+
+async def announce_four_gigabytes():
+    channel = Channel(host, int(port), codec=peer_channel.BytesCodec())
+    async with channel.request(
+        peer_channel._METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+    ) as stream:
+        await stream.send_request()
+        await stream._stream.send_data(struct.pack("?", False) + b"\\xff" * 4)
+        await asyncio.sleep(60)
+
+with eventlet.Timeout(20):
+    eventlet.asyncio.spawn_for_awaitable(announce_four_gigabytes())
+    print(refused.get().name)
+"""
+
+
+def run_script(script):
+    environment = {**os.environ, "EVENTLET_HUB": "asyncio", "PYTHONPATH": "."}
+    return subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", script],
+        capture_output=True,
+        text=True,
+        env=environment,
+        timeout=60,
+    )
+
+
 class IdleChannelTests(testtools.TestCase):
     def test_idle_channel_opens_again_for_the_next_message(self):
-        environment = {**os.environ, "EVENTLET_HUB": "asyncio", "PYTHONPATH": "."}
-        done = subprocess.run(
-            [sys.executable, "-W", "ignore", "-c", SCRIPT],
-            capture_output=True,
-            text=True,
-            env=environment,
-            timeout=60,
-        )
+        done = run_script(SCRIPT)
         expected = [f"perth-1 leg-{n} reply-{n}" for n in range(3)]
         self.assertEqual([*expected, "down notices 0"], done.stdout.splitlines())
+
+
+class FloodTests(testtools.TestCase):
+    def test_announced_length_is_refused_before_it_is_read(self):
+        done = run_script(FLOOD_SCRIPT)
+        self.assertEqual(["PEER_TOO_LARGE"], done.stdout.splitlines(), done.stderr)
