Refuse bookings at once while the platform is known to be slow

Cause: a booking waited for its claim up to 2 s or its whole deadline, whichever came first, also when the claims before it had shown that the platform answers too late. It was told to come back in 0.5 s whatever the platform did. Change: ClaimPace foretells a claim's time from the calls made for claims; a booking whose claim cannot be had in its time is refused at once as NOT_RUN_PLATFORM_DOWN with that time to come back. A claim may take at most half of the time left, so that no booking is held until its deadline for nothing. claim.decided logs retry_after_ms. Ruled out: the circuit alone; replies below the call timeout never open it, and calls that run into it take three timeouts to. Refusing after one slow call: a single pause of a busy machine would refuse bookings. Seen to fail first: test_without_the_pace_every_refusal_waits plays the former way; every refusal there took more than half of the claim's time.

--- a/almondspool/coordination/claims.py
+++ b/almondspool/coordination/claims.py
@@ -91,6 +91,7 @@
         answer: The recorded answer of an earlier run, or empty.
         send_before: Monotonic second after which the owner must not send.
         detail: One line for people.
+        retry_after_s: When to ask again, in seconds, where that is known.
     """
 
     token: str
@@ -99,6 +100,7 @@
     answer: bytes = b""
     send_before: float = 0.0
     detail: str = ""
+    retry_after_s: float = 0.0
 
     def still_valid(self, now: float) -> bool:
         """Return whether the owner may send at a monotonic second."""
--- a/almondspool/coordination/claims_task.py
+++ b/almondspool/coordination/claims_task.py
@@ -11,6 +11,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.claim_bucket import ClaimBucket, ReadBucket
+from almondspool.coordination.claim_pace import ClaimPace
 from almondspool.coordination.claims import (
     CLAIM_KIND,
     ClaimDecision,
@@ -20,7 +21,7 @@
     bucket_name,
     claim_fingerprint,
 )
-from almondspool.errors import PlatformError
+from almondspool.errors import CallNotStartedError, PlatformError
 
 if TYPE_CHECKING:
     import random
@@ -63,6 +64,7 @@
         self._instance = instance
         self._incarnation = incarnation
         self._rng = rng
+        self._pace = ClaimPace()
         self._token_numbers = itertools.count(1)
         self._bucket_by_name: dict[str, ClaimBucket] = {}
         self._waiter_by_token: dict[str, Event] = {}
@@ -82,7 +84,8 @@
             before ``send_before`` or not at all, and must call ``record`` at the end.
         """
         op = self._make_op(request)
-        refusal = self._bucket_of(op.request_id).add(op)
+        refusal = self._refuse_late(op, timeout_s)
+        refusal = refusal or self._bucket_of(op.request_id).add(op)
         decision = refusal or self._await(op, timeout_s)
         if decision.is_claimed:
             self._own_op_by_request[op.request_id] = op
@@ -93,6 +96,7 @@
             code=decision.code.name,
             claimed=decision.is_claimed,
             recorded_bytes=len(decision.answer),
+            retry_after_ms=round(decision.retry_after_s * 1000),
             reason=decision.detail or "claim_written",
         )
         return decision
@@ -121,6 +125,14 @@
             self._incarnation,
         )
 
+    def _refuse_late(self, op: ClaimOp, timeout_s: float) -> ClaimDecision | None:
+        expected_s = self._pace.expected_s(self._timers.now())
+        if expected_s <= timeout_s:
+            return None
+        detail = f"a claim takes {expected_s:.1f} s, there are {timeout_s:.1f} s for it"
+        code = ResultCode.NOT_RUN_PLATFORM_DOWN
+        return ClaimDecision(op.token, code, detail=detail, retry_after_s=expected_s)
+
     def _bucket_of(self, request_id: str) -> ClaimBucket:
         name = bucket_name(request_id)
         bucket = self._bucket_by_name.get(name)
@@ -167,12 +179,15 @@
 
     def _carry_out(self, bucket: ClaimBucket, step: ReadBucket | WriteBucket) -> bool:
         """Make one call and deliver what it decides; return whether it succeeded."""
+        was_started = True
+        self._pace.start(bucket.name, self._timers.now())
         try:
             if isinstance(step, ReadBucket):
                 decisions = self._read(bucket)
             else:
                 decisions = self._write(bucket, step)
         except PlatformError as error:
+            was_started = not isinstance(error, CallNotStartedError)
             self._log.write(
                 "claim.call_failed",
                 bucket=bucket.name,
@@ -182,6 +197,8 @@
             )
             self._deliver(bucket.on_failed(error))
             return False
+        finally:
+            self._pace.end(bucket.name, self._timers.now(), was_started)
         self._deliver(decisions)
         return True
 
--- a/almondspool/coordination/front.py
+++ b/almondspool/coordination/front.py
@@ -34,6 +34,8 @@
 
 _MS_PER_S = 1000
 NO_CONFIGURATION_RETRY_MS = 500
+# Share of the time left that a claim may take; the rest is for the run itself.
+CLAIM_SHARE = 0.5
 
 
 class FrontServices(NamedTuple):
@@ -168,7 +170,8 @@
         claims = self._services.claims()
         elapsed_s = self._services.run.timers.now() - arrival.at
         remaining_s = max(0.0, arrival.deadline_s() - elapsed_s)
-        claim = claims.claim(arrival.request, min(CLAIM_TIMEOUT_S, remaining_s))
+        timeout_s = min(CLAIM_TIMEOUT_S, CLAIM_SHARE * remaining_s)
+        claim = claims.claim(arrival.request, timeout_s)
         if not claim.is_claimed:
             return self._answer_unclaimed(arrival, claim)
         state, answer = ClaimState.UNKNOWN, None
@@ -188,7 +191,10 @@
         request = arrival.request
         answer = _refusal(request, arrival.generation, claim.code, claim.detail)
         if claim.code is ResultCode.NOT_RUN_PLATFORM_DOWN:
-            return answer._replace(retry_after_ms=NO_CONFIGURATION_RETRY_MS)
+            retry_after_ms = round(claim.retry_after_s * _MS_PER_S)
+            return answer._replace(
+                retry_after_ms=max(NO_CONFIGURATION_RETRY_MS, retry_after_ms)
+            )
         return answer
 
     def _run(self, arrival: _Arrival, send_before: float) -> SearchAnswer:
