Prove over processes that a slow platform holds up nobody

Cause: docs/PROOFS.md had no proof for a platform that is slow for long. Change: with each reply of the platform 8 s late, searches are answered at every instance, also at one restarted meanwhile, bookings are refused before half of their deadline with a time to come back, none of the refused ones runs later, and all instances book again afterwards. With replies 0.6 s late a section is accepted and in force everywhere. Variant searches_ask_platform: every search is cut off by its caller. Variant patient_claims: the booking is held until its deadline.

--- /dev/null
+++ b/tests/processes/test_slow_platform.py
@@ -0,0 +1,124 @@
+"""The platform answers late for long: searches go on, bookings are refused early."""
+
+from __future__ import annotations
+
+import concurrent.futures
+from typing import ClassVar
+
+from almondspool.standins.faults import Fault, FaultKind
+from tests.processes.caller import CUT_OFF, make_booking, make_search, post
+from tests.processes.checks import (
+    doubled_bookings,
+    run_though_refused,
+    wrong_answers,
+)
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    apply_text,
+    caller_addresses,
+    operator,
+    wait_in_force,
+    wait_until,
+)
+from tests.processes.test_configuration import edited
+
+# Longer than a caller waits for a search, and than two calls fit into a booking.
+SLOW_MS = 8000.0
+LATE_MS = 600.0
+BOOKING_DEADLINE_MS = 8000
+BOOKINGS = 6
+PLATFORM_DOWN = 204
+
+
+def slow_down(cluster, delay_ms=SLOW_MS):
+    cluster.platform.set_faults([Fault(FaultKind.SLOW, delay_ms=delay_ms)])
+
+
+def search_everywhere(cluster):
+    """Send a search to each instance at once; return the attempts."""
+    addresses = caller_addresses(cluster)
+    searches = [make_search(number) for number in range(len(addresses))]
+    with concurrent.futures.ThreadPoolExecutor(len(addresses)) as pool:
+        return list(pool.map(post, addresses, searches))
+
+
+def book(cluster, count):
+    """Send bookings one after the other to one instance; return the attempts."""
+    address = caller_addresses(cluster)[0]
+    return [
+        post(address, make_booking(f"{TEAM}-01/0", deadline_ms=BOOKING_DEADLINE_MS))
+        for _ in range(count)
+    ]
+
+
+def held_bookings(attempts):
+    """Return the refusals that came in the second half of the time or later."""
+    limit_ms = BOOKING_DEADLINE_MS / 2
+    return [
+        f"{attempt.request['request_id']}: {attempt.answer}"
+        for attempt in attempts
+        if attempt.code == PLATFORM_DOWN and attempt.answer["elapsed_ms"] >= limit_ms
+    ]
+
+
+class SlowTestCase(ClusterTestCase):
+    settings: ClassVar = {"platform_timeout_s": 30.0}
+
+
+class SlowPlatformTests(SlowTestCase):
+    def test_searches_do_not_wait_for_the_platform(self):
+        name = next(iter(self.cluster.instances_by_name))
+        slow_down(self.cluster)
+        attempts = search_everywhere(self.cluster)
+        self.cluster.kill(name)
+        self.cluster.restart(name)
+        attempts += search_everywhere(self.cluster)
+        self.assertNotIn(CUT_OFF, {attempt.code for attempt in attempts})
+        self.assertEqual([], wrong_answers(self.cluster, attempts))
+        self.assert_recovers()
+
+    def test_bookings_are_refused_before_their_deadline(self):
+        slow_down(self.cluster)
+        attempts = book(self.cluster, BOOKINGS)
+        self.assertEqual({PLATFORM_DOWN}, {attempt.code for attempt in attempts})
+        self.assertEqual([], held_bookings(attempts))
+        for attempt in attempts:
+            self.assertGreater(attempt.answer["retry_after_ms"], 0)
+        self.assertEqual([], run_though_refused(self.cluster, attempts))
+        self.assert_recovers()
+        self.assertEqual([], run_though_refused(self.cluster, attempts))
+
+    def test_section_is_accepted(self):
+        generation = wait_in_force(self.cluster)
+        slow_down(self.cluster, LATE_MS)
+        text = edited(self.cluster)
+        apply_text(self.cluster, TEAM, text)
+        self.assertEqual(generation + 1, wait_in_force(self.cluster, generation + 1))
+        self.assertEqual(text, operator(self.cluster).section(TEAM)["text"])
+
+    def assert_recovers(self):
+        self.cluster.platform.clear_faults()
+        for address in caller_addresses(self.cluster):
+            wait_until(
+                lambda a=address: post(a, make_booking(f"{TEAM}-01/1")).code == 0,
+                f"{address} takes bookings again",
+            )
+        self.assertEqual([], doubled_bookings(self.cluster))
+
+
+class SearchesAskPlatformTests(SlowTestCase):
+    variant = "searches_ask_platform"
+
+    def test_searches_that_wait_are_found(self):
+        slow_down(self.cluster)
+        attempts = search_everywhere(self.cluster)
+        self.assertEqual({CUT_OFF}, {attempt.code for attempt in attempts})
+
+
+class PatientClaimsTests(SlowTestCase):
+    variant = "patient_claims"
+
+    def test_bookings_that_are_held_are_found(self):
+        slow_down(self.cluster)
+        self.assertNotEqual([], held_bookings(book(self.cluster, 1)))
--- /dev/null
+++ b/tests/processes/variants/patient_claims.py
@@ -0,0 +1,16 @@
+"""Waits for a claim until the deadline of its request."""
+
+from __future__ import annotations
+
+import math
+
+from almondspool import daemon
+from almondspool.coordination import front
+from almondspool.coordination.claim_pace import ClaimPace
+
+front.CLAIM_TIMEOUT_S = math.inf
+front.CLAIM_SHARE = 1.0
+ClaimPace.expected_s = lambda pace, now: 0.0
+
+if __name__ == "__main__":
+    daemon.run()
