--- a/tests/coordination/test_leg_router.py
+++ b/tests/coordination/test_leg_router.py
@@ -105,6 +105,49 @@
         self.assertFalse(result.was_run)
 
 
+class OwnResultsTests(RouterTestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["send", "result", "down", "cancel"]),
+                st.integers(0, 3),
+                st.integers(0, 2),
+            ),
+            max_size=40,
+        )
+    )
+    def test_each_request_gets_the_results_of_its_own_legs_only(self, events):
+        """Requests of several callers share the router, in any order of events."""
+        self.prepare()
+        sent, got = set(), collections.defaultdict(list)
+        for kind, request, leg in events:
+            leg_id = f"request-{request}/{leg}"
+            if kind == "send" and leg_id not in sent:
+                sent.add(leg_id)
+                self.send_for(f"request-{request}", leg_id, got)
+            elif kind == "result":
+                result = LegResult(leg_id, ResultCode.OK)
+                self.router.on_results(LegResults((result, result)))
+            elif kind == "cancel":
+                self.router.cancel([leg_id])
+            elif kind == "down":
+                self.router.on_channel_down(NEAR)
+        for request_id, leg_ids in got.items():
+            owners = {leg_id.partition("/")[0] for leg_id in leg_ids}
+            self.assertEqual({request_id}, owners)
+            self.assertEqual(len(set(leg_ids)), len(leg_ids))
+            self.assertLessEqual(set(leg_ids), sent)
+
+    def send_for(self, request_id, leg_id, got):
+        leg = Leg(leg_id, request_id, "t", 1, "s", {}, 100)
+        self.router.send(
+            0,
+            [(UPSTREAM, LegAssignment(UPSTREAM.upstream_id, leg))],
+            lambda result: got[request_id].append(result.leg_id),
+        )
+
+
 class EachLegOnceTests(RouterTestCase):
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(
