Write a request's routing lines while it waits for results

Cause: a wide request wrote its 630 lines, 20.6 us each, and counted each leg by its label before the hub had its next turn. No leg left before that: sockets are written in later turns only, so all lines stood in the way of the first byte.

Ruled out: writing after the answer, which leaves no line when the run is cut short; a line in the place where the leg leaves, which for most legs is another instance.

Now the legs leave first, the lines follow 32 a turn whenever no result waits, and the rest before the answer. Legs are counted once for each reason.

--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, NamedTuple
 
+import eventlet
 import eventlet.queue
 
 from almondspool.coordination.search_actions import (
@@ -31,6 +33,7 @@
 
 # Time in which a suspicion reaches all peers, over a new channel too.
 SUSPICION_SPREAD_S = 0.1
+LINES_A_TURN = 32
 
 
 class RunServices(NamedTuple):
@@ -80,6 +83,7 @@
         self._priority = priority
         self._inbox: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._upstreams_by_id: dict[str, Upstream] = {}
+        self._unlogged: collections.deque[SendLeg] = collections.deque()
 
     def run(self) -> SearchAnswer:
         """Return the final answer; blocks the calling green thread."""
@@ -87,6 +91,7 @@
         while True:
             answer = self._carry_out(actions)
             if answer is not None:
+                self._log_some(len(self._unlogged))
                 return answer
             actions = self._next_actions()
 
@@ -99,12 +104,22 @@
         return self._session.on_result(now, result)
 
     def _next_result(self) -> LegResult | None:
-        if not self._inbox.empty():
-            return self._inbox.get_nowait()
+        while self._inbox.empty():
+            wait_s = self._wait_s()
+            if wait_s is not None and wait_s <= 0:
+                return None
+            if not self._unlogged:
+                return self._wait_result(wait_s)
+            # The legs leave before their lines are written, which takes longer.
+            eventlet.sleep(0)
+            self._log_some(LINES_A_TURN)
+        return self._inbox.get_nowait()
+
+    def _wait_s(self) -> float | None:
         wake = self._session.next_wake
-        wait_s = None if wake is None else wake - self._services.timers.now()
-        if wait_s is not None and wait_s <= 0:
-            return None
+        return None if wake is None else wake - self._services.timers.now()
+
+    def _wait_result(self, wait_s: float | None) -> LegResult | None:
         try:
             return self._inbox.get(timeout=wait_s)
         except eventlet.queue.Empty:
@@ -140,11 +155,15 @@
             for send in sends
         ]
         self._services.router.send(self._priority, pairs, self._inbox.put)
-        # Counted and logged while the legs are on their way.
-        for send in sends:
-            self._services.metrics.legs.labels(send.reason.partition(":")[0]).inc()
-            if self._services.log_decisions:
-                self._log_decision(send)
+        counts = collections.Counter(send.reason.partition(":")[0] for send in sends)
+        for reason, count in counts.items():
+            self._services.metrics.legs.labels(reason).inc(count)
+        if self._services.log_decisions:
+            self._unlogged.extend(sends)
+
+    def _log_some(self, count: int) -> None:
+        for _ in range(min(count, len(self._unlogged))):
+            self._log_decision(self._unlogged.popleft())
 
     def _log_decision(self, send: SendLeg) -> None:
         candidates = [
