Cut links between instances and to the platform in process tests

Cause: one-way cuts, the loss of an availability zone and a platform that only one side reaches were unproved over real processes, as nothing could cut the traffic between daemons.

Ruled out: a relay before each pair, since gossiped addresses lead past it and it accepts a dial that should hang.

Five tests: a one-way cut between two instances, one to and one from the platform, a zone cut off from all, from its peers only, and from all in an outage of the platform. Each checks answers, coverage, connection limits, bookings and that no generation falls. Two variants must fail: claims ignored doubles bookings over a cut, forgotten shares of the dead exceed a limit.

Links to searchers can't be cut; a zone's searchers are frozen instead.

--- a/almondspool/standins/launcher.py
+++ b/almondspool/standins/launcher.py
@@ -7,7 +7,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from types import TracebackType
 from typing import NamedTuple
 
@@ -22,7 +22,8 @@
     build_deployment,
     count_searchers,
 )
-from almondspool.standins.ports import free_ports, loopback_address
+from almondspool.standins.link_cuts import PLATFORM_HOST, LinkCuts, links_between
+from almondspool.standins.ports import free_ports, loopback_address, loopback_host
 from almondspool.standins.processes import Child, answers_ok
 from almondspool.standins.searcher_settings import (
     SearcherProcessSettings,
@@ -56,6 +57,7 @@
         platform_address: ``ip:port`` of the object API.
         platform: Control client of the platform.
         section_paths_by_team: Files of the configuration document.
+        cuts: The cut links between instances, if daemon_module obeys them.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         settings: dict[str, object] | None = None,
         platform_flags: Sequence[str] = (),
         daemon_module: str = "almondspool.daemon",
+        has_links: bool = False,
         **deployment_options: object,
     ) -> None:
         """Plan a cluster; nothing is started.
@@ -78,6 +81,7 @@
             settings: Further settings of every daemon.
             platform_flags: Further flags of the platform stand-in.
             daemon_module: The module that is run as the daemon.
+            has_links: Whether that module is standins.links or made of it.
             deployment_options: Passed to build_deployment.
         """
         searchers = count_searchers(PLANS_BY_NAME[deployment])
@@ -97,8 +101,10 @@
         self.deployment: Deployment = build_deployment(
             deployment, first_searcher, **deployment_options
         )
+        self.cuts = LinkCuts(self.directory / "cuts")
+        self._has_links = has_links
         self.instances_by_name = _plan_instances(
-            self.deployment, instances, first_searcher + searchers
+            self.deployment, instances, first_searcher + searchers, has_links
         )
         self._listed_by_name: dict[str, dict[str, object]] = {}
         self.section_paths_by_team = self._write_sections()
@@ -218,6 +224,30 @@
                     ran_at.append(entry["upstream_id"])
         return upstream_ids
 
+    def cut(
+        self, names: Iterable[str], others: Iterable[str], *, both_ways: bool = True
+    ) -> None:
+        """Cut the links from some instances to others, and back; add to earlier cuts.
+
+        Args:
+            names: Instances.
+            others: Instances, or ``platform``.
+            both_ways: Whether also nothing comes back.
+        """
+        hosts, other_hosts = map(self.host, names), map(self.host, others)
+        links = links_between(hosts, other_hosts, both_ways=both_ways)
+        self.cuts.replace(self.cuts.links() | links)
+
+    def heal(self) -> None:
+        """Let all cut links work again."""
+        self.cuts.replace(())
+
+    def host(self, name: str) -> str:
+        """Return the host that stands for an instance or the platform in cuts."""
+        if name == PLATFORM:
+            return PLATFORM_HOST
+        return self.instances_by_name[name].peer_address.rpartition(":")[0]
+
     def kill_searcher(self, upstream_id: str) -> None:
         """Close one searcher's listener and connections."""
         self.searcher_control(upstream_id).change_searcher(upstream_id, down=True)
@@ -319,19 +349,25 @@
             }
             text = msgspec.yaml.encode(settings).decode()
             path = self._write(f"{name}.yaml", text)
-            self._add_child(name, module, f"--settings={path}")
+            self._add_child(name, module, f"--settings={path}", *self._link_flags(name))
+
+    def _link_flags(self, name: str) -> tuple[str, ...]:
+        if not self._has_links:
+            return ()
+        return f"--cuts={self.directory / 'cuts'}", f"--host={self.host(name)}"
 
 
 def _plan_instances(
-    deployment: Deployment, count: int, first_port: int
+    deployment: Deployment, count: int, first_port: int, has_own_hosts: bool
 ) -> dict[str, Instance]:
     instances_by_name = {}
     for number in range(count):
         zone = deployment.zones[number % len(deployment.zones)]
         name = f"{zone}-{number // len(deployment.zones) + 1}"
         port = first_port + PORTS_PER_INSTANCE * number
+        host = loopback_host(number + 1 if has_own_hosts else 0)
         instances_by_name[name] = Instance(
-            name, zone, loopback_address(port), loopback_address(port + 1)
+            name, zone, loopback_address(port), f"{host}:{port + 1}"
         )
     return instances_by_name
 
--- a/almondspool/standins/ports.py
+++ b/almondspool/standins/ports.py
@@ -18,6 +18,11 @@
     return f"{LOOPBACK}:{port}"
 
 
+def loopback_host(number: int) -> str:
+    """Return one of several IP numbers of the loopback network, from 0 to 254."""
+    return f"{LOOPBACK.rpartition('.')[0]}.{number + 1}"
+
+
 def free_ports(count: int) -> range:
     """Return consecutive ports that are free for TCP and UDP.
 
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -52,6 +52,7 @@
 
     instances = 3
     variant = ""
+    daemon_module = "almondspool.daemon"
     settings: ClassVar[dict[str, object]] = {}
     options: ClassVar[dict[str, object]] = {}
     first_snapshots: ClassVar[tuple[int, ...]] = ()
@@ -59,7 +60,7 @@
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
-        module = f"{VARIANTS}.{cls.variant}" if cls.variant else "almondspool.daemon"
+        module = f"{VARIANTS}.{cls.variant}" if cls.variant else cls.daemon_module
         cls.cluster = cls.enterClassContext(
             Cluster(
                 "demo",
--- /dev/null
+++ b/tests/processes/test_cuts.py
@@ -0,0 +1,238 @@
+"""Instances cut off from each other or from the platform; answers stay true."""
+
+from __future__ import annotations
+
+import concurrent.futures
+from typing import ClassVar
+
+from almondspool.standins.faults import Fault, FaultKind
+from almondspool.standins.launcher import PLATFORM
+from tests.processes.caller import Load, make_booking, make_search, post
+from tests.processes.checks import (
+    beyond_limit,
+    doubled_bookings,
+    run_though_refused,
+    wrong_answers,
+)
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    apply_text,
+    is_dead,
+    is_whole,
+    statuses,
+    wait_in_force,
+    wait_until,
+)
+from tests.processes.test_configuration import GenerationWatch, edited
+from tests.processes.test_connection_limits import CALLERS, TightTestCase
+
+ANSWERS = 25
+BOOKINGS = 6
+SEARCHES = 4
+DEADLINE_MS = 1000
+SHARDS = tuple(f"{TEAM}-0{service}/0" for service in (1, 2))
+
+
+def make_short_search(number):
+    return {**make_search(number), "deadline_ms": DEADLINE_MS}
+
+
+def wait_for_more(load):
+    enough = load.count() + ANSWERS
+    wait_until(lambda: load.count() >= enough, f"{ANSWERS} answers are there")
+
+
+def are_all_alive(cluster):
+    """Return whether each instance sees all as alive."""
+    found = statuses(cluster).values()
+    seen = [member["status"] for status in found for member in status["members"]]
+    return seen == ["alive"] * len(cluster.instances_by_name) ** 2
+
+
+def searchers_of(cluster, zone):
+    """Return the ids of the searchers in an availability zone."""
+    searchers = cluster.deployment.searchers_by_id.values()
+    return [each.upstream_id for each in searchers if each.zone == zone]
+
+
+class LinkTestCase(ClusterTestCase):
+    daemon_module = "almondspool.standins.links"
+    options: ClassVar[dict[str, object]] = {"has_links": True}
+
+    def setUp(self):
+        super().setUp()
+        self.names = tuple(self.cluster.instances_by_name)
+        self.generation = wait_in_force(self.cluster)
+        self.watch = self.enterContext(GenerationWatch(self.cluster))
+        self.addCleanup(self.assert_sound)
+
+    def tearDown(self):
+        self.cluster.heal()
+        super().tearDown()
+
+    def assert_sound(self):
+        """Check what must hold through every cut."""
+        self.assertEqual([], self.watch.falls)
+        self.assertEqual([], beyond_limit(self.cluster))
+        self.assertEqual([], doubled_bookings(self.cluster))
+
+    def assert_true(self, load, attempts):
+        """Check the answers of a load, and those sent to chosen instances."""
+        searches = [each for each in attempts if each.request.get("idempotent", True)]
+        answered = [*load.attempts, *searches]
+        self.assertEqual([], wrong_answers(self.cluster, answered))
+        self.assertEqual([], run_though_refused(self.cluster, attempts))
+
+    def wait_until_healed(self):
+        self.cluster.heal()
+        wait_until(lambda: are_all_alive(self.cluster), "every view has healed")
+        wait_until(lambda: is_whole(self.cluster), "answers are whole again")
+
+
+class OneWayTests(LinkTestCase):
+    def test_one_way_cut_between_two_instances(self):
+        first, second, _ = self.names
+        with Load(self.cluster, make_short_search) as load:
+            wait_for_more(load)
+            self.cluster.cut([first], [second], both_ways=False)
+            wait_until(lambda: is_whole(self.cluster), "answers are whole in the cut")
+            wait_for_more(load)
+            self.wait_until_healed()
+            wait_for_more(load)
+        self.assertEqual([], wrong_answers(self.cluster, load.attempts))
+
+    def test_one_way_cut_from_the_platform(self):
+        for is_reply_lost in (False, True):
+            self.cut_platform_one_way(self.names[0], is_reply_lost)
+
+    def cut_platform_one_way(self, name, is_reply_lost):
+        """Cut one direction between an instance and the platform under bookings."""
+        sides = ([PLATFORM], [name]) if is_reply_lost else ([name], [PLATFORM])
+        others = [other for other in self.names if other != name]
+        with Load(self.cluster, make_short_search) as load:
+            self.cluster.cut(*sides, both_ways=False)
+            attempts = book_on_both_sides(self.cluster, name, others[0])
+            text = edited(self.cluster)
+            generation = apply_text(self.cluster, TEAM, text, *others)["generation"]
+            wait_in_force(self.cluster, generation)
+            wait_for_more(load)
+            self.wait_until_healed()
+        self.assert_true(load, attempts)
+
+
+def book_on_both_sides(cluster, *names):
+    """Send the same bookings to several instances at once; return the attempts."""
+    addresses = [cluster.instances_by_name[name].caller_address for name in names]
+    bookings = [make_booking(SHARDS[number % 2]) for number in range(BOOKINGS)]
+    with concurrent.futures.ThreadPoolExecutor(BOOKINGS * len(names)) as pool:
+        sent = [
+            pool.submit(post, address, booking)
+            for booking in bookings
+            for address in addresses
+        ]
+        return [future.result() for future in sent]
+
+
+class ZoneTestCase(LinkTestCase, TightTestCase):
+    def setUp(self):
+        super().setUp()
+        self.cut_off, *self.others = self.names
+
+    def cut_zone(self, *others):
+        """Cut an instance off from others and from its zone's searchers."""
+        zone = self.cluster.instances_by_name[self.cut_off].zone
+        faults = [
+            Fault(FaultKind.FREEZE, upstream_id)
+            for upstream_id in searchers_of(self.cluster, zone)
+        ]
+        self.cluster.searcher_controls()[0].set_faults(faults)
+        self.cluster.cut([self.cut_off], [*self.others, *others])
+
+    def wait_until_dead(self):
+        wait_until(
+            lambda: is_dead(self.cluster, self.cut_off), "the cut-off one is dead"
+        )
+
+    def apply_elsewhere(self):
+        """Accept a section on the other side; return its generation."""
+        text = edited(self.cluster)
+        return apply_text(self.cluster, TEAM, text, *self.others)["generation"]
+
+    def heal_zone(self, generation):
+        self.clear_faults()
+        self.wait_until_healed()
+        wait_in_force(self.cluster, generation)
+
+    def book(self):
+        return book_on_both_sides(self.cluster, self.cut_off, self.others[0])
+
+    def search_cut_off(self):
+        """Search at the cut-off instance, which no caller would choose."""
+        address = self.cluster.instances_by_name[self.cut_off].caller_address
+        return [post(address, make_short_search(number)) for number in range(SEARCHES)]
+
+
+class ZoneTests(ZoneTestCase):
+    def test_zone_cut_off_from_all_and_back(self):
+        with Load(self.cluster, make_short_search) as load:
+            wait_for_more(load)
+            self.cut_zone(PLATFORM)
+            self.wait_until_dead()
+            generation = self.apply_elsewhere()
+            attempts = [*self.book(), *self.search_cut_off()]
+            wait_for_more(load)
+            self.heal_zone(generation)
+            wait_for_more(load)
+        self.assert_true(load, attempts)
+
+    def test_zone_cut_off_where_both_sides_reach_the_platform(self):
+        with Load(self.cluster, make_short_search) as load:
+            self.cut_zone()
+            self.wait_until_dead()
+            attempts = [*self.book(), *self.search_cut_off()]
+            # The platform tells the other side of the section, though no peer can.
+            wait_in_force(self.cluster, self.apply_elsewhere())
+            wait_for_more(load)
+            self.heal_zone(self.generation + 1)
+        self.assert_true(load, attempts)
+
+    def test_zone_cut_off_in_an_outage_of_the_platform(self):
+        with Load(self.cluster, make_short_search) as load:
+            self.cluster.platform.set_faults([Fault(FaultKind.OUTAGE)])
+            self.cut_zone(PLATFORM)
+            self.wait_until_dead()
+            attempts = [*self.book(), *self.search_cut_off()]
+            wait_for_more(load)
+            self.cluster.platform.clear_faults()
+            generation = self.apply_elsewhere()
+            self.heal_zone(generation)
+            wait_for_more(load)
+        self.assert_true(load, attempts)
+
+
+class ClaimsIgnoredTests(ZoneTestCase):
+    variant = "links_claims_ignored"
+
+    def assert_sound(self):
+        """Doubled bookings are what this class looks for."""
+
+    def test_bookings_doubled_over_a_cut_are_found(self):
+        self.cut_zone()
+        self.wait_until_dead()
+        self.book()
+        self.assertNotEqual([], doubled_bookings(self.cluster))
+
+
+class DeadSharesForgottenTests(ZoneTestCase):
+    variant = "links_dead_shares_forgotten"
+
+    def assert_sound(self):
+        """Connections beyond the limit are what this class looks for."""
+
+    def test_limit_exceeded_over_a_cut_is_found(self):
+        with Load(self.cluster, make_short_search, CALLERS) as load:
+            self.cut_zone()
+            self.wait_until_dead()
+            wait_until(lambda: beyond_limit(self.cluster), "a limit is exceeded")
+            self.assertGreater(load.count(), 0)
