Commit the claims of all instances through one holder of their bucket

Now an ask travels over the peer channel (ClaimAsk, ClaimReply, with size bounds) to the bucket's holder, first in rendezvous order of the serving members. The asker writes itself, with the same token, when the holder is silent, unreachable or says it does not hold the bucket. The object's version and the token stay the only safety.

Found on the way, each by a test that failed before: an ask that its owner had closed as unsent could be claimed again by a late holder (NOT_RUN_CLAIM_CLOSED now); an ask replaced while its write was under way was settled by the old decision.

Ruled out: a holder by lease (one more object and a wait after each failure, for writes that are safe without it).

Seen to fail with the mechanism off: the property test, two_holders and others without conditional updates; the frozen holder without withdrawal; the late write without the doubt mark; the closing without the state check; the closed ask without its rule.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -7,30 +7,26 @@
 
 import eventlet
 
-from almondspool.coordination.admission_task import make_admission_task
-from almondspool.coordination.backlog_task import make_backlog_task
-from almondspool.coordination.claims_task import make_claims_task
+from almondspool.coordination.claim_routes import bucket_holder
+from almondspool.coordination.claims_task import ClaimPeers, make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
 from almondspool.coordination.connections import ConnectionWatch
 from almondspool.coordination.entries import choose_entries
 from almondspool.coordination.front import Front, FrontServices
-from almondspool.coordination.gatherer_task import make_gatherer_task
 from almondspool.coordination.instance_operator import (
     InstanceOperator,
     OperatorServices,
     backlog_rows,
 )
-from almondspool.coordination.leg_router import LegRouter, LegTransport
 from almondspool.coordination.load_poll_task import LoadPollTask
 from almondspool.coordination.membership_task import LocalState, make_membership_task
 from almondspool.coordination.peer_dispatch import PeerDispatch
 from almondspool.coordination.peer_links import PeerLinks
+from almondspool.coordination.peer_messages import PeerTasks, register_peer_messages
 from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
-from almondspool.coordination.request_metrics import register_request_metrics
+from almondspool.coordination.request_path import PathServices, make_request_path
 from almondspool.coordination.request_run import RunServices
 from almondspool.coordination.search_context import make_context, renew_context
-from almondspool.coordination.share_policy import make_share_settings
-from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.coordination.shutdown import ShutdownSettings
 from almondspool.coordination.stop_task import StopServices, StopTask, give_back
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
@@ -39,16 +35,7 @@
 from almondspool.protocol.http_platform import make_platform
 from almondspool.protocol.http_upstream import make_upstream
 from almondspool.protocol.operator import OperatorRoutes
-from almondspool.protocol.peer import (
-    CancelLegs,
-    CompareObjects,
-    FetchObjects,
-    LegBatch,
-    LegResults,
-    ObjectsReply,
-    PeerCodec,
-    Suspicion,
-)
+from almondspool.protocol.peer import PeerCodec
 from almondspool.state.members import MemberStatus
 from almondspool.transport.http_server import HttpServer
 from almondspool.transport.metrics import Metrics
@@ -63,6 +50,7 @@
     from almondspool.coordination.member_actions import Rejoin
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import EntryList
+    from almondspool.protocol.peer import Suspicion
     from almondspool.protocol.upstream import LoadReport
     from almondspool.state.document import Document, Upstream
 
@@ -185,44 +173,25 @@
 
     def _build_request_path(self) -> None:
         settings = self._settings
-        self._gatherer = make_gatherer_task(
-            self._upstream, self._timers, self._log, settings.log_decisions
-        )
-        self._shares = make_shares_task(
-            settings.instance,
+        path = make_request_path(
+            settings,
             self._incarnation,
-            make_share_settings(
-                settings.holders_per_upstream, settings.heartbeat_interval_s
-            ),
-            ShareServices(
-                membership=self._membership,
-                platform=self._platform,
-                timers=self._timers,
-                log=self._log,
-                set_grants=self._gatherer.set_grants,
-                open_connections=self._upstream.open_connections,
-                send_peer=self._links.send,
+            PathServices(
+                self._timers,
+                self._log,
+                self._metrics.registry,
+                self._platform,
+                self._membership,
+                self._links,
+                self._upstream,
+                self._rng,
             ),
-            self._metrics.registry,
-        )
-        transport = LegTransport(
-            self._gatherer.submit, self._gatherer.cancel, self._links.send
-        )
-        self._router = LegRouter(
-            settings.instance,
-            transport,
-            lambda upstream: self._shares.holders(upstream.upstream_id),
-            self._membership.view,
-            self._log,
-            settings.log_decisions,
-        )
-        self._admission = make_admission_task(
-            self._timers,
-            self._log,
-            settings.concurrent_requests,
-            settings.queue_limit,
-            self._rng.getrandbits(32),
         )
+        self._gatherer = path.gatherer
+        self._shares = path.shares
+        self._router = path.router
+        self._admission = path.admission
+        self._backlog = path.backlog
         self._context = make_context(
             settings.instance,
             self._incarnation,
@@ -239,13 +208,17 @@
             self._held_upstreams,
             self._on_load_report,
         )
-        self._backlog = make_backlog_task(
-            self._gatherer.rows, self._timers, self._log, self._metrics.registry
-        )
-        register_request_metrics(
-            self._gatherer, self._admission, self._metrics.registry
+        register_peer_messages(
+            self._dispatch,
+            PeerTasks(
+                self._gatherer,
+                self._router,
+                self._shares,
+                lambda: self._configuration,
+                lambda: self._claims,
+                self._merge_suspicion,
+            ),
         )
-        self._register_peer_messages()
 
     def _make_claims(self) -> ClaimsTask:
         return make_claims_task(
@@ -257,8 +230,14 @@
             self._settings.claim_retention_s,
             self._is_owner_live,
             self._rng,
+            ClaimPeers(self._links.send, self._claim_holder),
         )
 
+    def _claim_holder(self, bucket: str) -> str:
+        if not self._may_act():
+            return ""
+        return bucket_holder(bucket, self._membership.view())
+
     def _front_services(self) -> FrontServices:
         run = RunServices(
             self._timers,
@@ -279,28 +258,6 @@
             is_refusing=lambda: not self._stop.accepts_new(),
         )
 
-    def _register_peer_messages(self) -> None:
-        register = self._dispatch.register
-        register(LegBatch, lambda item: self._gatherer.submit(item.message, item.reply))
-        register(LegResults, lambda item: self._router.on_results(item.message))
-        register(CancelLegs, lambda item: self._gatherer.cancel(item.message.leg_ids))
-        register(FetchObjects, lambda item: self._on_fetch(item.sender, item.message))
-        register(ObjectsReply, lambda item: self._on_objects(item.sender, item.message))
-        register(
-            CompareObjects,
-            lambda item: self._shares.post_compare(item.sender, item.message),
-        )
-        register(Suspicion, lambda item: self._merge_suspicion(item.message))
-        self._dispatch.register_down(self._router.on_channel_down)
-
-    def _on_fetch(self, sender: str, fetch: FetchObjects) -> None:
-        self._configuration.post_fetch(sender, fetch)
-        self._shares.post_fetch(sender, fetch)
-
-    def _on_objects(self, sender: str, reply: ObjectsReply) -> None:
-        self._configuration.post_objects(sender, reply)
-        self._shares.post_objects(sender, reply)
-
     def _build_stop(self) -> None:
         self._stop = StopTask(
             StopServices(
--- a/almondspool/codes.py
+++ b/almondspool/codes.py
@@ -62,6 +62,7 @@
     PEER_REPLAY = 703
     PEER_MALFORMED = 704
     PEER_UNREACHABLE = 705
+    PEER_NOT_HOLDER = 706
 
     LEG_TIMEOUT = 801
     LEG_REFUSED = 802
@@ -124,6 +125,7 @@
     ResultCode.PEER_REPLAY: "The peer message repeats an old sequence number.",
     ResultCode.PEER_MALFORMED: "The peer message cannot be decoded.",
     ResultCode.PEER_UNREACHABLE: "The peer did not answer.",
+    ResultCode.PEER_NOT_HOLDER: "The peer does not hold the duty it was asked for.",
     ResultCode.LEG_TIMEOUT: "The upstream did not answer in time.",
     ResultCode.LEG_REFUSED: "The upstream refused the connection.",
     ResultCode.LEG_CUT_OFF: "The connection closed while the leg ran.",
--- a/almondspool/coordination/claim_bucket.py
+++ b/almondspool/coordination/claim_bucket.py
@@ -54,19 +54,55 @@
         self._content: dict[str, Claim] | None = None
         self._version = 0
         self._attempt: Applied | None = None
-        self._attempt_at = 0.0
         self._doubtful_tokens: set[str] = set()
+        self._remote_tokens: set[str] = set()
+        self._lease_from_by_token: dict[str, float] = {}
         self._failed_reads = 0
 
+    def is_full(self) -> bool:
+        """Return whether no further claim is queued."""
+        return len(self._op_by_token) >= MAX_OPS
+
     def add(self, op: ClaimOp) -> ClaimDecision | None:
         """Queue an ask; return a refusal if the queue is full."""
-        if len(self._op_by_token) >= MAX_OPS and op.state == ClaimState.CLAIMED:
+        if self.is_full() and op.state == ClaimState.CLAIMED:
             detail = f"{MAX_OPS} asks are waiting for claim bucket {self.name}"
             code = ResultCode.NOT_RUN_OVERLOADED
             return ClaimDecision(op.token, code, detail=detail)
         self._op_by_token[op.token] = op
         return None
 
+    def add_remote(self, op: ClaimOp) -> ClaimDecision | None:
+        """Queue an ask of another instance, which alone may close it."""
+        refusal = self.add(op)
+        if refusal is None:
+            self._remote_tokens.add(op.token)
+        return refusal
+
+    def add_rerouted(
+        self, op: ClaimOp, asked_at: float, is_doubtful: bool
+    ) -> ClaimDecision | None:
+        """Queue an own ask that another instance did not decide.
+
+        Args:
+            op: The ask.
+            asked_at: When the other was asked, in monotonic seconds.
+            is_doubtful: Whether the other may have written it, or may yet.
+        """
+        refusal = self.add(op)
+        if refusal is not None and is_doubtful:
+            self._op_by_token[op.token] = op._replace(state=ClaimState.UNSENT)
+        elif refusal is None:
+            self._lease_from_by_token[op.token] = asked_at
+            if is_doubtful:
+                self._doubtful_tokens.add(op.token)
+        return refusal
+
+    def withdraw(self, token: str) -> None:
+        """Drop an ask of another instance that no longer waits here."""
+        if token in self._remote_tokens:
+            self._remove(token)
+
     def abandon(self, token: str) -> None:
         """Give up waiting for a claim; if it took effect it is closed as unsent."""
         op = self._op_by_token.get(token)
@@ -75,7 +111,7 @@
         if token in self._doubtful_tokens or self._is_attempted(token):
             self._op_by_token[token] = op._replace(state=ClaimState.UNSENT)
         else:
-            del self._op_by_token[token]
+            self._remove(token)
 
     def has_work(self) -> bool:
         """Return whether asks are queued."""
@@ -96,7 +132,8 @@
         if not applied.is_changed:
             return ReadBucket(self.name)
         self._attempt = applied
-        self._attempt_at = now
+        for op in applied.ops:
+            self._lease_from_by_token[op.token] = now
         value = encode_bucket(applied.claims_by_request)
         return WriteBucket(self.name, value, self._version)
 
@@ -157,18 +194,15 @@
 
     def _settle(self, applied: Applied) -> tuple[ClaimDecision, ...]:
         settled = []
-        for decision in applied.decisions:
-            op = self._op_by_token.get(decision.token)
-            if op is None:
+        for op, decision in zip(applied.ops, applied.decisions, strict=True):
+            if self._op_by_token.get(op.token) is not op:
+                # Closed while it was written: what replaced it stays queued.
                 continue
-            if decision.is_claimed and op.state != ClaimState.CLAIMED:
-                # Abandoned while it was written: stays queued to be closed.
-                continue
-            del self._op_by_token[decision.token]
-            self._doubtful_tokens.discard(decision.token)
             if decision.is_claimed:
-                send_before = self._attempt_at + SEND_LEASE_S
-                decision = decision._replace(send_before=send_before)
+                # Another instance's ask has no lease here: its asker counts its own.
+                lease_from = self._lease_from_by_token.get(op.token, 0.0)
+                decision = decision._replace(send_before=lease_from + SEND_LEASE_S)
+            self._remove(op.token)
             settled.append(decision)
         return tuple(settled)
 
@@ -179,8 +213,20 @@
                 continue
             refused.append(
                 ClaimDecision(
-                    token, ResultCode.NOT_RUN_PLATFORM_DOWN, detail=str(error)
+                    token,
+                    ResultCode.NOT_RUN_PLATFORM_DOWN,
+                    detail=str(error),
+                    is_doubtful=token in self._doubtful_tokens,
                 )
             )
-            self.abandon(token)
+            if token in self._remote_tokens:
+                self._remove(token)
+            else:
+                self.abandon(token)
         return tuple(refused)
+
+    def _remove(self, token: str) -> None:
+        self._op_by_token.pop(token, None)
+        self._lease_from_by_token.pop(token, None)
+        self._doubtful_tokens.discard(token)
+        self._remote_tokens.discard(token)
--- a/almondspool/coordination/claims.py
+++ b/almondspool/coordination/claims.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -11,6 +10,7 @@
 from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
 from almondspool.protocol.caller import SearchAnswer
+from almondspool.protocol.claims import MAX_ANSWER_BYTES, ClaimOp, ClaimState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -20,21 +20,11 @@
 CLAIM_KIND = "claims"
 BUCKETS = 64
 MAX_BUCKET_BYTES = 900_000
-MAX_ANSWER_BYTES = 4096
 # Largest difference between two instances' clocks that the rules withstand.
 CLOCK_MARGIN_MS = 30_000
 SEND_LEASE_S = 2.0
 
 
-class ClaimState(enum.StrEnum):
-    """What is known of a claimed request."""
-
-    CLAIMED = "claimed"
-    DONE = "done"
-    UNSENT = "unsent"
-    UNKNOWN = "unknown"
-
-
 class Claim(NamedTuple):
     """One request's claim, as stored in its bucket.
 
@@ -57,30 +47,6 @@
     expires_ms: int
 
 
-class ClaimOp(NamedTuple):
-    """One change that an instance asks of a bucket.
-
-    Attributes:
-        token: Unique among all instances; closing repeats the claim's token.
-        request_id: The caller's request id.
-        fingerprint: Digest of the request's content.
-        issued_at_ms: When the caller made the request, in ms since the epoch.
-        owner: The asking instance.
-        incarnation: Its incarnation.
-        state: CLAIMED to claim, any other to close the owner's own claim.
-        answer: The answer to record.
-    """
-
-    token: str
-    request_id: str
-    fingerprint: str
-    issued_at_ms: int
-    owner: str
-    incarnation: int
-    state: ClaimState = ClaimState.CLAIMED
-    answer: bytes = b""
-
-
 class ClaimDecision(NamedTuple):
     """What the asking instance must do.
 
@@ -91,6 +57,7 @@
         answer: The recorded answer of an earlier run, or empty.
         send_before: Monotonic second after which the owner must not send.
         detail: One line for people.
+        is_doubtful: Whether a write that holds the refused ask may still take effect.
     """
 
     token: str
@@ -99,6 +66,7 @@
     answer: bytes = b""
     send_before: float = 0.0
     detail: str = ""
+    is_doubtful: bool = False
 
     def still_valid(self, now: float) -> bool:
         """Return whether the owner may send at a monotonic second."""
@@ -110,11 +78,13 @@
 
     Attributes:
         claims_by_request: The new content.
+        ops: The changes.
         decisions: One decision for each change, in order.
         is_changed: Whether the content must be written.
     """
 
     claims_by_request: dict[str, Claim]
+    ops: tuple[ClaimOp, ...]
     decisions: tuple[ClaimDecision, ...]
     is_changed: bool
 
@@ -242,7 +212,7 @@
                 size += len(op.request_id) + len(msgspec.msgpack.encode(claim))
                 claims_by_request[op.request_id] = claim
                 is_changed = True
-        return Applied(claims_by_request, tuple(decisions), is_changed)
+        return Applied(claims_by_request, ops, tuple(decisions), is_changed)
 
     def _decide(
         self, now_ms: int, op: ClaimOp, present: Claim | None, size: int
@@ -271,7 +241,7 @@
             # The write took effect although its reply was lost.
             return ClaimDecision(op.token, ResultCode.OK, is_claimed=True)
         if present.state == ClaimState.UNSENT:
-            return None
+            return _refuse_closed(op) if _is_own(op, present) else None
         if present.state == ClaimState.DONE:
             return _recorded(op, present)
         if present.state == ClaimState.CLAIMED:
@@ -296,6 +266,12 @@
     )
 
 
+def _refuse_closed(op: ClaimOp) -> ClaimDecision:
+    """Refuse an ask that arrives after its owner has given it up."""
+    detail = f"ask {op.token} was given up by its owner"
+    return ClaimDecision(op.token, ResultCode.NOT_RUN_CLAIM_CLOSED, detail=detail)
+
+
 def _is_own(op: ClaimOp, present: Claim) -> bool:
     return (present.owner, present.incarnation, present.token) == (
         op.owner,
--- a/almondspool/coordination/claims_task.py
+++ b/almondspool/coordination/claims_task.py
@@ -1,9 +1,12 @@
-"""Green threads that carry claims to the platform, one for each busy bucket."""
+"""Carries claims to the holders of their buckets, or to the platform itself.
+
+Each busy bucket has one green thread that writes the asks of all instances together.
+"""
 
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
 from eventlet.event import Event
@@ -11,16 +14,26 @@
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.claim_bucket import ClaimBucket, ReadBucket
+from almondspool.coordination.claim_routes import (
+    ROUTE_WAIT_S,
+    ROUTE_WAIT_SHARE,
+    ClaimRoutes,
+    RemoteAsks,
+    RoutedAsk,
+    is_undecided,
+    not_holder_reply,
+)
 from almondspool.coordination.claims import (
     CLAIM_KIND,
+    SEND_LEASE_S,
     ClaimDecision,
-    ClaimOp,
     ClaimRules,
-    ClaimState,
     bucket_name,
     claim_fingerprint,
 )
 from almondspool.errors import PlatformError
+from almondspool.protocol.claims import ClaimOp, ClaimState
+from almondspool.protocol.peer import ClaimAsk
 
 if TYPE_CHECKING:
     import random
@@ -29,7 +42,9 @@
     from almondspool.coordination.claim_bucket import WriteBucket
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import SearchRequest
+    from almondspool.protocol.peer import ClaimReply
     from almondspool.protocol.platform import PlatformInterface
+    from almondspool.transport.peer_channel import PeerMessage
     from almondspool.transport.timers import TimerService
 
 CLAIM_TIMEOUT_S = 2.0
@@ -38,11 +53,27 @@
 MAX_BACKOFF_S = 5.0
 
 
+class ClaimPeers(NamedTuple):
+    """How an instance reaches the holders of buckets.
+
+    Attributes:
+        send: Queues a message to an instance; False if it cannot be sent.
+        holder_of: Returns the instance that holds a bucket, empty for none.
+    """
+
+    send: Callable[[str, NamedTuple], bool]
+    holder_of: Callable[[str], str]
+
+
+NO_PEERS = ClaimPeers(lambda instance, message: False, lambda bucket: "")
+
+
 class ClaimsTask:
     """Claims non-idempotent requests and records their outcomes.
 
-    Asks of one bucket that arrive while a write is under way share the next write.
-    A bucket's content is kept only while asks of it are queued.
+    An ask goes to the holder of its bucket, and is written here if the holder does
+    not decide it in time. Asks of one bucket that arrive while a write is under way
+    share the next write. A bucket's content is kept only while asks of it are queued.
     """
 
     def __init__(
@@ -54,6 +85,7 @@
         instance: str,
         incarnation: int,
         rng: random.Random,
+        peers: ClaimPeers,
     ) -> None:
         """Use make_claims_task."""
         self._platform = platform
@@ -63,6 +95,9 @@
         self._instance = instance
         self._incarnation = incarnation
         self._rng = rng
+        self._send = peers.send
+        self._routes = ClaimRoutes(instance, peers.holder_of)
+        self._remote_asks = RemoteAsks()
         self._token_numbers = itertools.count(1)
         self._bucket_by_name: dict[str, ClaimBucket] = {}
         self._waiter_by_token: dict[str, Event] = {}
@@ -82,8 +117,7 @@
             before ``send_before`` or not at all, and must call ``record`` at the end.
         """
         op = self._make_op(request)
-        refusal = self._bucket_of(op.request_id).add(op)
-        decision = refusal or self._await(op, timeout_s)
+        decision = self._await(op, timeout_s)
         if decision.is_claimed:
             self._own_op_by_request[op.request_id] = op
         self._log.write(
@@ -103,12 +137,93 @@
         if op is None:
             return
         closing = op._replace(state=state, answer=answer)
-        self._bucket_of(request_id).add(closing)
+        self._place(closing, ROUTE_WAIT_S)
         self._log.write("claim.closed", request=request_id, state=state.value)
 
     def is_idle(self) -> bool:
         """Return whether every claim and outcome has been written."""
-        return not self._bucket_by_name
+        return not self._bucket_by_name and self._routes.is_idle()
+
+    def on_ask(self, item: PeerMessage) -> None:
+        """Take another instance's ask; it is answered once it is decided."""
+        op = item.message.op
+        name = bucket_name(op.request_id)
+        refusal = self._refuse_remote(item.sender, op, name)
+        if refusal:
+            self._log.write(
+                "claim.ask_refused", peer=item.sender, bucket=name, reason=refusal
+            )
+            item.reply(not_holder_reply(op, refusal))
+            return
+        self._remote_asks.add(self._timers.now(), op, name, item.reply)
+        refused = self._bucket_of(op.request_id).add_remote(op)
+        if refused is not None:
+            self._deliver((refused,))
+
+    def on_reply(self, sender: str, reply: ClaimReply) -> None:
+        """Take a holder's reply to an own ask."""
+        routed = self._routes.take_replied(sender, reply)
+        if routed is None:
+            return
+        if is_undecided(reply):
+            self._write_here(routed, reply.code.name.lower(), reply.is_doubtful)
+            return
+        decision = ClaimDecision(
+            reply.token, reply.code, reply.is_claimed, reply.answer, detail=reply.detail
+        )
+        if reply.is_claimed:
+            send_before = routed.asked_at + SEND_LEASE_S
+            decision = decision._replace(send_before=send_before)
+        self._deliver((decision,))
+
+    def on_channel_down(self, instance: str) -> None:
+        """Write what a holder was asked that can no longer answer."""
+        for routed in self._routes.waiting_for(instance):
+            self._give_up_holder(routed.op, "channel_down")
+
+    def _refuse_remote(self, sender: str, op: ClaimOp, name: str) -> str:
+        if op.owner != sender or sender == self._instance:
+            return "foreign_owner"
+        if not self._routes.is_holder(name):
+            return "not_holder"
+        bucket = self._bucket_by_name.get(name)
+        return "queue_full" if bucket is not None and bucket.is_full() else ""
+
+    def _place(self, op: ClaimOp, wait_s: float) -> None:
+        """Ask the bucket's holder, or write here if this instance is it."""
+        now = self._timers.now()
+        holder = self._routes.holder_to_ask(now, bucket_name(op.request_id))
+        if not holder or not self._send(holder, ClaimAsk(op)):
+            self._queue(op)
+            return
+        self._routes.add(now, op, holder)
+        self._timers.call_later(wait_s, lambda: self._give_up_holder(op, "silent"))
+
+    def _queue(self, op: ClaimOp) -> None:
+        refusal = self._bucket_of(op.request_id).add(op)
+        if refusal is not None:
+            self._deliver((refusal,))
+
+    def _give_up_holder(self, op: ClaimOp, reason: str) -> None:
+        routed = self._routes.take(op)
+        if routed is None:
+            return
+        self._routes.avoid(self._timers.now(), routed.holder)
+        self._write_here(routed, reason, is_doubtful=True)
+
+    def _write_here(self, routed: RoutedAsk, reason: str, is_doubtful: bool) -> None:
+        op = routed.op
+        self._log.write(
+            "claim.written_here",
+            request=op.request_id,
+            state=op.state.value,
+            holder=routed.holder,
+            reason=reason,
+        )
+        bucket = self._bucket_of(op.request_id)
+        refusal = bucket.add_rerouted(op, routed.asked_at, is_doubtful)
+        if refusal is not None:
+            self._deliver((refusal,))
 
     def _make_op(self, request: SearchRequest) -> ClaimOp:
         number = next(self._token_numbers)
@@ -132,6 +247,7 @@
     def _await(self, op: ClaimOp, timeout_s: float) -> ClaimDecision:
         waiter = self._waiter_by_token[op.token] = Event()
         handle = self._timers.call_later(timeout_s, lambda: self._time_out(op))
+        self._place(op, min(ROUTE_WAIT_S, timeout_s * ROUTE_WAIT_SHARE))
         decision = waiter.wait()
         handle.cancel()
         return decision
@@ -139,6 +255,7 @@
     def _time_out(self, op: ClaimOp) -> None:
         if op.token not in self._waiter_by_token:
             return
+        self._give_up_holder(op, "silent")
         self._bucket_of(op.request_id).abandon(op.token)
         code = ResultCode.NOT_RUN_PLATFORM_DOWN
         detail = "the platform did not confirm the claim in time"
@@ -146,6 +263,8 @@
 
     def _deliver(self, decisions: tuple[ClaimDecision, ...]) -> None:
         for decision in decisions:
+            if self._remote_asks.answer(decision):
+                continue
             waiter = self._waiter_by_token.pop(decision.token, None)
             if waiter is not None:
                 waiter.send(decision)
@@ -159,12 +278,19 @@
     def _work_off(self, bucket: ClaimBucket) -> None:
         failures = 0
         self._sleep(BATCH_DELAY_S)
-        while step := bucket.next_step(self._timers.now(), self._epoch_ms()):
+        while step := self._next_step(bucket):
             is_done = self._carry_out(bucket, step)
             failures = 0 if is_done else failures + 1
             if failures:
                 self._sleep(self._backoff_s(failures))
 
+    def _next_step(self, bucket: ClaimBucket) -> ReadBucket | WriteBucket | None:
+        now = self._timers.now()
+        for remote in self._remote_asks.pop_expired(now):
+            if remote.bucket in self._bucket_by_name:
+                self._bucket_by_name[remote.bucket].withdraw(remote.op.token)
+        return bucket.next_step(now, self._epoch_ms())
+
     def _carry_out(self, bucket: ClaimBucket, step: ReadBucket | WriteBucket) -> bool:
         """Make one call and deliver what it decides; return whether it succeeded."""
         try:
@@ -225,6 +351,7 @@
     retention_s: float,
     is_owner_live: Callable[[str, int], bool],
     rng: random.Random,
+    peers: ClaimPeers = NO_PEERS,
 ) -> ClaimsTask:
     """Return a claims task of an instance that has started or re-joined.
 
@@ -237,6 +364,7 @@
         retention_s: How long a claim is kept, in seconds.
         is_owner_live: Whether an instance is alive at an incarnation; True for self.
         rng: Spreads retries.
+        peers: Reaches the holders of buckets; by default every bucket is written here.
     """
     rules = ClaimRules(retention_s, is_owner_live)
-    return ClaimsTask(platform, timers, log, rules, instance, incarnation, rng)
+    return ClaimsTask(platform, timers, log, rules, instance, incarnation, rng, peers)
--- a/almondspool/coordination/rendezvous.py
+++ b/almondspool/coordination/rendezvous.py
@@ -27,6 +27,16 @@
     )
 
 
+def first(key: str, candidates: Iterable[str]) -> str:
+    """Return the candidate that holds a key's duty; empty if there is none.
+
+    Args:
+        key: Names the duty.
+        candidates: Names of instances or upstreams.
+    """
+    return min(candidates, key=lambda name: (-weight(key, name), name), default="")
+
+
 def rank_over_zones(key: str, members: Sequence[Member]) -> tuple[str, ...]:
     """Return instances in rank order, the best of each availability zone first.
 
--- /dev/null
+++ b/almondspool/coordination/request_path.py
@@ -0,0 +1,139 @@
+"""Builds the parts that a request goes through behind the front."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from almondspool.coordination.admission_task import make_admission_task
+from almondspool.coordination.backlog_task import make_backlog_task
+from almondspool.coordination.gatherer_task import make_gatherer_task
+from almondspool.coordination.leg_router import LegRouter, LegTransport
+from almondspool.coordination.request_metrics import register_request_metrics
+from almondspool.coordination.share_policy import make_share_settings
+from almondspool.coordination.shares_task import ShareServices, make_shares_task
+
+if TYPE_CHECKING:
+    import random
+
+    from prometheus_client import CollectorRegistry
+
+    from almondspool.coordination.admission_task import AdmissionTask
+    from almondspool.coordination.backlog_task import BacklogTask
+    from almondspool.coordination.gatherer_task import GathererTask
+    from almondspool.coordination.membership_task import MembershipTask
+    from almondspool.coordination.peer_links import PeerLinks
+    from almondspool.coordination.shares_task import SharesTask
+    from almondspool.logs import EventLog
+    from almondspool.protocol.http_upstream import HttpUpstream
+    from almondspool.protocol.platform import PlatformInterface
+    from almondspool.transport.timers import TimerService
+
+
+class PathServices(NamedTuple):
+    """What the parts of the request path use of their instance.
+
+    Attributes:
+        timers: Source of time.
+        log: Event log.
+        registry: Where metrics are registered.
+        platform: Calls to the platform.
+        membership: The membership task.
+        links: Sends messages to peers.
+        upstream: Calls to upstreams.
+        rng: Source of random numbers.
+    """
+
+    timers: TimerService
+    log: EventLog
+    registry: CollectorRegistry
+    platform: PlatformInterface
+    membership: MembershipTask
+    links: PeerLinks
+    upstream: HttpUpstream
+    rng: random.Random
+
+
+class RequestPath(NamedTuple):
+    """The parts of one instance's request path.
+
+    Attributes:
+        gatherer: Runs legs at the upstreams that this instance holds.
+        shares: Connection shares.
+        router: Sends legs to their holders.
+        admission: Admits requests by priority.
+        backlog: Observes the queues.
+    """
+
+    gatherer: GathererTask
+    shares: SharesTask
+    router: LegRouter
+    admission: AdmissionTask
+    backlog: BacklogTask
+
+
+def make_request_path(
+    settings: Any, incarnation: int, services: PathServices
+) -> RequestPath:
+    """Return the request path of an instance, not started.
+
+    Args:
+        settings: The instance's settings.
+        incarnation: The instance's incarnation.
+        services: What the parts use.
+    """
+    timers, log = services.timers, services.log
+    gatherer = make_gatherer_task(
+        services.upstream, timers, log, settings.log_decisions
+    )
+    shares = _make_shares(settings, incarnation, services, gatherer)
+    admission = make_admission_task(
+        timers,
+        log,
+        settings.concurrent_requests,
+        settings.queue_limit,
+        services.rng.getrandbits(32),
+    )
+    backlog = make_backlog_task(gatherer.rows, timers, log, services.registry)
+    register_request_metrics(gatherer, admission, services.registry)
+    return RequestPath(
+        gatherer,
+        shares,
+        _make_router(settings, services, gatherer, shares),
+        admission,
+        backlog,
+    )
+
+
+def _make_shares(
+    settings: Any, incarnation: int, services: PathServices, gatherer: GathererTask
+) -> SharesTask:
+    return make_shares_task(
+        settings.instance,
+        incarnation,
+        make_share_settings(
+            settings.holders_per_upstream, settings.heartbeat_interval_s
+        ),
+        ShareServices(
+            membership=services.membership,
+            platform=services.platform,
+            timers=services.timers,
+            log=services.log,
+            set_grants=gatherer.set_grants,
+            open_connections=services.upstream.open_connections,
+            send_peer=services.links.send,
+        ),
+        services.registry,
+    )
+
+
+def _make_router(
+    settings: Any, services: PathServices, gatherer: GathererTask, shares: SharesTask
+) -> LegRouter:
+    return LegRouter(
+        settings.instance,
+        LegTransport(gatherer.submit, gatherer.cancel, services.links.send),
+        lambda upstream: shares.holders(upstream.upstream_id),
+        services.membership.view,
+        services.log,
+        settings.log_decisions,
+    )
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -9,11 +9,17 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PeerError
+from almondspool.protocol.claims import MAX_ANSWER_BYTES, ClaimOp, ClaimState
 from almondspool.protocol.upstream import Leg, LegResult
 from almondspool.state.members import Member
 
 PROTOCOL_VERSION = 1
 SIGNATURE_BYTES = 32
+MAX_DETAIL_CHARS = 512
+
+_Detail = Annotated[str, msgspec.Meta(max_length=MAX_DETAIL_CHARS)]
+_Token = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_Answer = Annotated[bytes, msgspec.Meta(max_length=MAX_ANSWER_BYTES)]
 
 
 class LegAssignment(NamedTuple):
@@ -168,6 +174,34 @@
     echo: int
 
 
+class ClaimAsk(NamedTuple):
+    """Asks the holder of a claim bucket to commit a change of the sender's."""
+
+    op: ClaimOp
+
+
+class ClaimReply(NamedTuple):
+    """What became of an ask; sent once its write is known to have taken effect.
+
+    Attributes:
+        token: The ask.
+        state: Its state; closing an ask repeats the token of the claim.
+        code: The decision's code, or PEER_NOT_HOLDER.
+        is_claimed: Whether the asker now owns the claim.
+        answer: The recorded answer of an earlier run, or empty.
+        detail: One line for people.
+        is_doubtful: Whether a write that holds a refused ask may still take effect.
+    """
+
+    token: _Token
+    state: ClaimState
+    code: ResultCode
+    is_claimed: bool = False
+    answer: _Answer = b""
+    detail: _Detail = ""
+    is_doubtful: bool = False
+
+
 # Order is the wire form: append only, and raise PROTOCOL_VERSION on other changes.
 MESSAGE_TYPES: tuple[type, ...] = (
     LegBatch,
@@ -182,6 +216,8 @@
     ViewRequest,
     ViewReply,
     CompareObjects,
+    ClaimAsk,
+    ClaimReply,
 )
 _INDEX_BY_TYPE = {kind: index for index, kind in enumerate(MESSAGE_TYPES)}
 _DECODER_BY_INDEX = [msgspec.msgpack.Decoder(kind) for kind in MESSAGE_TYPES]
