Show the status of the whole fleet, written by one instance under a lease

The object carries a lease (holder, epoch, expiry); taking over is one conditional update, and each write names the version it replaces.

Ruled out: rows in heartbeats (bounded datagrams), one object for each instance (writes grow with the fleet), a holder that asks all others (an open channel to each). The interval grows with the fleet, at most four reports a second, so that a report does not keep the channels of 440 instances open at the holder.

Seen to fail with the mechanism off: without fencing the paused holder overwrites (its own unit test); wrong expected version, lapsed lease ignored, rows taken out of order, rows of the holder before dropped, failed write not read back.

Tests changed: tests/cli/loopback.py answers fleet(); BookingTests sets status_interval_s to 60 s, so that count_puts counts no status write in place of the claim that it waits for.

After a planned stop of the holder the rows may be three intervals old.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -12,6 +12,8 @@
 from almondspool.coordination.configuration_task import start_configuration_task
 from almondspool.coordination.connections import ConnectionWatch
 from almondspool.coordination.entries import choose_entries
+from almondspool.coordination.fleet_rows import summarize_queues
+from almondspool.coordination.fleet_task import FleetServices, make_fleet_task
 from almondspool.coordination.front import Front, FrontServices
 from almondspool.coordination.instance_operator import (
     InstanceOperator,
@@ -32,11 +34,11 @@
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
 from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
 from almondspool.protocol.document import MAX_SECTION_BYTES
+from almondspool.protocol.fleet import InstanceSummary
 from almondspool.protocol.http_platform import make_platform
 from almondspool.protocol.http_upstream import make_upstream
 from almondspool.protocol.operator import OperatorRoutes
 from almondspool.protocol.peer import PeerCodec
-from almondspool.state.members import MemberStatus
 from almondspool.transport.http_server import HttpServer
 from almondspool.transport.metrics import Metrics
 from almondspool.transport.peer_channel import PeerChannels
@@ -113,6 +115,7 @@
         self._timers.subscribe(_LOCAL_STATE_INTERVAL_S, self._publish_local_state)
         self._timers.subscribe(_STALE_SWEEP_S, self._upstream.close_stale)
         self._load_polls.start(settings.upstream_poll_s)
+        self._fleet.start()
         self._http.listen(settings.caller_address)
         self._log.write(
             "instance.started",
@@ -143,8 +146,8 @@
             settings.instance,
             codec,
             self._log,
-            self._count_refusal,
-            self._count_channel_bytes,
+            self._metrics.count_refusal,
+            self._metrics.count_channel_bytes,
         )
         self._channels.set_incarnation(self._incarnation)
         self._dispatch = PeerDispatch(self._channels, self._log)
@@ -208,6 +211,21 @@
             self._held_upstreams,
             self._on_load_report,
         )
+        self._fleet = make_fleet_task(
+            settings.instance,
+            self._incarnation,
+            FleetServices(
+                self._platform,
+                self._timers,
+                self._log,
+                self._links.send,
+                self._membership.view,
+                self._may_act,
+                self._is_live,
+                self._summary,
+            ),
+            settings.status_interval_s,
+        )
         register_peer_messages(
             self._dispatch,
             PeerTasks(
@@ -216,6 +234,7 @@
                 self._shares,
                 lambda: self._configuration,
                 lambda: self._claims,
+                self._fleet,
                 self._merge_suspicion,
             ),
         )
@@ -228,7 +247,7 @@
             self._settings.instance,
             self._incarnation,
             self._settings.claim_retention_s,
-            self._is_owner_live,
+            self._is_live,
             self._rng,
             ClaimPeers(self._links.send, self._claim_holder),
         )
@@ -280,6 +299,7 @@
             platform_calls=lambda: self._platform.calls_by_method,
             is_ready=self._may_act,
             is_leaving=self._stop.is_leaving,
+            fleet=self._fleet.read,
         )
         operator = InstanceOperator(settings.instance, settings.zone, services)
         self._http = HttpServer(MAX_SECTION_BYTES)
@@ -334,35 +354,41 @@
         self._incarnation = rejoin.incarnation
         self._channels.set_incarnation(rejoin.incarnation)
         self._shares.rejoin(rejoin.incarnation)
+        self._fleet.rejoin(rejoin.incarnation)
         self._context = renew_context(
             self._context, self._settings.instance, rejoin.incarnation
         )
         self._claims = self._make_claims()
 
+    def _summary(self) -> InstanceSummary:
+        return InstanceSummary(
+            self._settings.instance,
+            self._incarnation,
+            self._settings.zone,
+            self._configuration.document.generation,
+            self._load(),
+            self._may_act(),
+            self._stop.is_leaving(),
+            summarize_queues(self._backlog.rows()),
+        )
+
+    def _load(self) -> float:
+        return min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
+
     def _publish_local_state(self) -> None:
-        load = min(1.0, self._front.in_flight() / self._settings.concurrent_requests)
         generation = self._configuration.document.generation
         is_ready = self._configuration.is_ready() and self._shares.is_informed()
         can_serve = is_ready or not generation
         self._membership.set_local(
-            LocalState(generation, load, self._shares.version(), can_serve)
+            LocalState(generation, self._load(), self._shares.version(), can_serve)
         )
 
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
         now_ms = int(self._timers.wall_time() * _MS_PER_S)
         self._context.quarantine.merge(now_ms, suspicion)
 
-    def _is_owner_live(self, instance: str, incarnation: int) -> bool:
-        member = self._membership.view().members_by_instance.get(instance)
-        if member is None or member.status == MemberStatus.DEAD:
-            return False
-        return member.session <= incarnation
-
-    def _count_refusal(self, code: ResultCode) -> None:
-        self._metrics.peer_refusals.labels(code.name).inc()
-
-    def _count_channel_bytes(self, direction: str, count: int) -> None:
-        self._metrics.channel_bytes.labels(direction).inc(count)
+    def _is_live(self, instance: str, incarnation: int) -> bool:
+        return self._membership.view().is_live(instance, incarnation)
 
 
 def make_application(settings: Any, log: EventLog) -> Application:
--- a/almondspool/cli/client.py
+++ b/almondspool/cli/client.py
@@ -13,12 +13,14 @@
 from almondspool.protocol.operator import (
     DOCUMENT_PATH,
     EXPLAIN_PATH,
+    FLEET_PATH,
     SECTION_PREFIX,
     STATUS_PATH,
     ApplyAnswer,
     DocumentAnswer,
     ErrorAnswer,
     ExplainAnswer,
+    FleetAnswer,
     SectionAnswer,
     StatusAnswer,
 )
@@ -67,6 +69,10 @@
         """Return an instance's view of the system."""
         return self._get(STATUS_PATH, StatusAnswer)
 
+    def fleet(self) -> FleetAnswer:
+        """Return the status of the whole fleet."""
+        return self._get(FLEET_PATH, FleetAnswer)
+
     def explain(self, team: str, shard: str) -> ExplainAnswer:
         """Return which upstream would run a shard now, and why."""
         query = urlencode({"team": team, "shard": shard})
--- a/almondspool/cli/options.py
+++ b/almondspool/cli/options.py
@@ -20,6 +20,7 @@
     base: str | None
     replace: bool
     wait: bool
+    fleet: bool
     token: str
     team: str
     zone: str
@@ -67,6 +68,7 @@
     text("base", None, "apply: digest of the section that the file was edited from.")
     switch("replace", False, "apply: replace the section whatever it is.")
     switch("wait", False, "apply, drain: wait until every live instance runs it.")
+    switch("fleet", False, "status: show what every instance reported, with its age.")
     text("token", "", "apply: token of the write; repeat it to repeat the write.")
     text("team", "", "drain, undrain: the upstream's team; found if left out.")
     text("zone", "", "entries, search: availability zone of the caller.")
@@ -91,6 +93,7 @@
         base=values.base,
         replace=values.replace,
         wait=values.wait,
+        fleet=values.fleet,
         token=values.token,
         team=values.team,
         zone=values.zone,
--- a/almondspool/cli/request_commands.py
+++ b/almondspool/cli/request_commands.py
@@ -12,6 +12,7 @@
 from almondspool.protocol.operator import (
     BacklogRow,
     CandidateRow,
+    FleetMemberRow,
     MemberRow,
     StatusAnswer,
 )
@@ -23,11 +24,15 @@
 MAX_SHOWN_SHARDS = 10
 _MEMBER_COLUMNS = tuple(MemberRow.__annotations__)
 _BACKLOG_COLUMNS = tuple(BacklogRow.__annotations__)
+_FLEET_MEMBER_COLUMNS = tuple(FleetMemberRow.__annotations__)
+_FLEET_BACKLOG_COLUMNS = ("instance", *_BACKLOG_COLUMNS, "age_s")
 _CANDIDATE_COLUMNS = tuple(CandidateRow.__annotations__)
 
 
 def status(context: CommandContext) -> CommandResult:
     """Show the instances, the backlog and the platform calls as one instance sees."""
+    if context.options.fleet:
+        return _fleet_status(context)
     answer = context.client.status()
     lines = [_headline(answer), "", *format_table(_MEMBER_COLUMNS, answer["members"])]
     if answer["backlog"]:
@@ -41,6 +46,19 @@
     return CommandResult(ResultCode.OK, lines, answer)
 
 
+def _fleet_status(context: CommandContext) -> CommandResult:
+    answer = context.client.fleet()
+    lines = [
+        f"written {answer['age_s']:.1f} s ago by {answer['holder']},"
+        f" epoch {answer['epoch']}",
+        "",
+        *format_table(_FLEET_MEMBER_COLUMNS, answer["instances"]),
+    ]
+    if answer["backlog"]:
+        lines += ["", *format_table(_FLEET_BACKLOG_COLUMNS, answer["backlog"])]
+    return CommandResult(ResultCode.OK, lines, answer)
+
+
 def _headline(answer: StatusAnswer) -> str:
     state = "ready" if answer["is_ready"] else "not ready"
     if answer["is_leaving"]:
--- /dev/null
+++ b/almondspool/coordination/duty_lease.py
@@ -0,0 +1,115 @@
+"""A duty that one instance does at a time, by a lease inside the object it writes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.protocol.fleet import Lease
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ReadObject(NamedTuple):
+    """Read the duty's object."""
+
+
+class WriteObject(NamedTuple):
+    """Write the duty's object if its version is still the expected one.
+
+    Attributes:
+        lease: The lease to store in it.
+        expected_version: The version it must have; 0 to create it.
+        is_taking_over: Whether the lease was not this instance's before.
+    """
+
+    lease: Lease
+    expected_version: int
+    is_taking_over: bool
+
+
+class DutyLease:
+    """Decides when an instance may write a duty's object.
+
+    The lease only says who should write. What keeps a holder that was paused from
+    overwriting its successor is the expected version of each write: every write, and
+    so every taking over, changes it.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        is_live: Callable[[str, int], bool],
+    ) -> None:
+        """Start without knowing the object.
+
+        Args:
+            instance: The own instance.
+            incarnation: Its incarnation.
+            is_live: Whether an instance is alive at an incarnation.
+        """
+        self._instance = instance
+        self._incarnation = incarnation
+        self._is_live = is_live
+        self._lease: Lease | None = None
+        self._version: int | None = None
+        self._attempt: Lease | None = None
+
+    def rejoin(self, incarnation: int) -> None:
+        """Give up the lease; act under a new incarnation."""
+        self._incarnation = incarnation
+        self.forget()
+
+    def forget(self) -> None:
+        """Know nothing of the object; the next step reads it."""
+        self._lease = None
+        self._version = None
+        self._attempt = None
+
+    def next_step(self, now_ms: int, lease_ms: int) -> ReadObject | WriteObject | None:
+        """Return the next call; None while another instance holds the lease.
+
+        Args:
+            now_ms: Milliseconds since the epoch.
+            lease_ms: How long a lease lasts from its write, in milliseconds.
+        """
+        if self._version is None:
+            return ReadObject()
+        if self._is_held_by_other(now_ms):
+            return None
+        is_own = self._is_own()
+        epoch = 0 if self._lease is None else self._lease.epoch
+        self._attempt = Lease(
+            self._instance,
+            self._incarnation,
+            epoch if is_own else epoch + 1,
+            now_ms + lease_ms,
+        )
+        return WriteObject(self._attempt, self._version, not is_own)
+
+    def on_read(self, lease: Lease | None, version: int) -> None:
+        """Take the object's lease and version; None and 0 if there is none."""
+        self._lease = lease
+        self._version = version
+
+    def on_written(self, version: int) -> None:
+        """Take the version of a write that took effect."""
+        self._lease = self._attempt
+        self._version = version
+
+    def on_failed(self) -> None:
+        """Take the failure of a write, whether or not it took effect."""
+        self.forget()
+
+    def _is_own(self) -> bool:
+        if self._lease is None:
+            return False
+        holder = (self._lease.holder, self._lease.incarnation)
+        return holder == (self._instance, self._incarnation)
+
+    def _is_held_by_other(self, now_ms: int) -> bool:
+        lease = self._lease
+        if lease is None or self._is_own() or now_ms >= lease.expires_ms:
+            return False
+        return self._is_live(lease.holder, lease.incarnation)
--- a/almondspool/coordination/instance_operator.py
+++ b/almondspool/coordination/instance_operator.py
@@ -11,6 +11,7 @@
     describe_document,
     describe_section,
 )
+from almondspool.coordination.fleet_answers import describe_fleet
 from almondspool.errors import RequestError
 from almondspool.protocol.operator import (
     ApplyAnswer,
@@ -18,6 +19,7 @@
     CandidateRow,
     DocumentAnswer,
     ExplainAnswer,
+    FleetAnswer,
     MemberRow,
     OperatorInterface,
     SectionAnswer,
@@ -31,6 +33,7 @@
     from almondspool.coordination.backlog import BacklogRow as QueueRow
     from almondspool.coordination.configuration_task import ConfigurationTask
     from almondspool.coordination.replicas import ReplicaChooser
+    from almondspool.protocol.fleet import FleetStatus
     from almondspool.state.document import Section, Shard
     from almondspool.state.members import Member, View
     from almondspool.transport.timers import TimerService
@@ -50,6 +53,7 @@
         platform_calls: Returns calls to the platform by method.
         is_ready: Whether the instance serves.
         is_leaving: Whether it is stopping.
+        fleet: Returns the fleet's status as the platform has it.
     """
 
     timers: TimerService
@@ -60,6 +64,7 @@
     platform_calls: Callable[[], Mapping[str, int]]
     is_ready: Callable[[], bool]
     is_leaving: Callable[[], bool]
+    fleet: Callable[[], FleetStatus]
 
 
 class InstanceOperator(OperatorInterface):
@@ -100,6 +105,12 @@
             refusals=dict(task.configuration.refusals.counts),
         )
 
+    def fleet(self) -> FleetAnswer:
+        """Return what the holder of the fleet's status wrote last."""
+        status = self._services.fleet()
+        now_ms = int(self._services.timers.wall_time() * _MS_PER_S)
+        return describe_fleet(now_ms, status)
+
     def explain(self, team: str, shard: str) -> ExplainAnswer:
         """Return which upstream would run a shard now, and why."""
         section = self._find_section(team)
--- a/almondspool/coordination/peer_messages.py
+++ b/almondspool/coordination/peer_messages.py
@@ -13,6 +13,7 @@
     LegBatch,
     LegResults,
     ObjectsReply,
+    StatusReport,
     Suspicion,
 )
 
@@ -21,6 +22,7 @@
 
     from almondspool.coordination.claims_task import ClaimsTask
     from almondspool.coordination.configuration_task import ConfigurationTask
+    from almondspool.coordination.fleet_task import FleetTask
     from almondspool.coordination.gatherer_task import GathererTask
     from almondspool.coordination.leg_router import LegRouter
     from almondspool.coordination.peer_dispatch import PeerDispatch
@@ -37,6 +39,7 @@
         shares: Connection shares.
         configuration: Returns the configuration task.
         claims: Returns the claims of the present incarnation.
+        fleet: The fleet's status.
         merge_suspicion: Takes a request that cut off upstreams elsewhere.
     """
 
@@ -45,6 +48,7 @@
     shares: SharesTask
     configuration: Callable[[], ConfigurationTask]
     claims: Callable[[], ClaimsTask]
+    fleet: FleetTask
     merge_suspicion: Callable[[Suspicion], None]
 
 
@@ -65,6 +69,10 @@
     register(
         ClaimReply, lambda item: tasks.claims().on_reply(item.sender, item.message)
     )
+    register(
+        StatusReport,
+        lambda item: tasks.fleet.on_report(item.sender, item.message.summary),
+    )
     dispatch.register_down(tasks.router.on_channel_down)
     dispatch.register_down(lambda peer: tasks.claims().on_channel_down(peer))
 
--- a/almondspool/protocol/operator.py
+++ b/almondspool/protocol/operator.py
@@ -17,6 +17,7 @@
 SECTION_PREFIX = "/v1/document/"
 STATUS_PATH = "/v1/status"
 EXPLAIN_PATH = "/v1/explain"
+FLEET_PATH = "/v1/fleet"
 
 _STATUS_BY_CODE = {
     ResultCode.OK: 200,
@@ -143,6 +144,43 @@
     refusals: dict[str, int]
 
 
+class FleetMemberRow(TypedDict):
+    """One instance as it reported itself; ``age_s`` is the report's age in seconds."""
+
+    instance: str
+    zone: str
+    generation: int
+    load: float
+    is_ready: bool
+    is_leaving: bool
+    age_s: float
+
+
+class FleetBacklogRow(BacklogRow):
+    """The queue of one service at one instance, and the report's age in seconds."""
+
+    instance: str
+    age_s: float
+
+
+class FleetAnswer(TypedDict):
+    """The status of the whole fleet.
+
+    Attributes:
+        holder: The instance that wrote it.
+        epoch: How often another instance has taken the writing over.
+        age_s: Age of the last write, in seconds.
+        instances: Every instance that reported within half an hour.
+        backlog: Their queues by service.
+    """
+
+    holder: str
+    epoch: int
+    age_s: float
+    instances: list[FleetMemberRow]
+    backlog: list[FleetBacklogRow]
+
+
 class CandidateRow(TypedDict):
     """An upstream weighed for a shard.
 
@@ -192,6 +230,10 @@
     def status(self) -> StatusAnswer:
         """Return this instance's view of the system."""
 
+    @abc.abstractmethod
+    def fleet(self) -> FleetAnswer:
+        """Return the status of the whole fleet."""
+
     @abc.abstractmethod
     def explain(self, team: str, shard: str) -> ExplainAnswer:
         """Return which upstream would run a shard now, and why."""
@@ -217,6 +259,7 @@
         server.add_route("GET", SECTION_PREFIX, self.get_section)
         server.add_route("PUT", SECTION_PREFIX, self.put_section)
         server.add_route("GET", STATUS_PATH, self.get_status)
+        server.add_route("GET", FLEET_PATH, self.get_fleet)
         server.add_route("GET", EXPLAIN_PATH, self.get_explain)
 
     def get_document(self, request: HttpRequest) -> HttpResponse:
@@ -245,6 +288,10 @@
         """Answer ``GET /v1/status``."""
         return _answer(self._operator.status)
 
+    def get_fleet(self, request: HttpRequest) -> HttpResponse:
+        """Answer ``GET /v1/fleet``."""
+        return _answer(self._operator.fleet)
+
     def get_explain(self, request: HttpRequest) -> HttpResponse:
         """Answer ``GET /v1/explain?team=T&shard=S``."""
         team = request.query.get("team", "")
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -10,6 +10,7 @@
 from almondspool.codes import ResultCode
 from almondspool.errors import PeerError
 from almondspool.protocol.claims import MAX_ANSWER_BYTES, ClaimOp, ClaimState
+from almondspool.protocol.fleet import InstanceSummary
 from almondspool.protocol.upstream import Leg, LegResult
 from almondspool.state.members import Member
 
@@ -202,6 +203,12 @@
     is_doubtful: bool = False
 
 
+class StatusReport(NamedTuple):
+    """Tells the holder of the fleet's status what the sender reports of itself."""
+
+    summary: InstanceSummary
+
+
 # Order is the wire form: append only, and raise PROTOCOL_VERSION on other changes.
 MESSAGE_TYPES: tuple[type, ...] = (
     LegBatch,
@@ -218,6 +225,7 @@
     CompareObjects,
     ClaimAsk,
     ClaimReply,
+    StatusReport,
 )
 _INDEX_BY_TYPE = {kind: index for index, kind in enumerate(MESSAGE_TYPES)}
 _DECODER_BY_INDEX = [msgspec.msgpack.Decoder(kind) for kind in MESSAGE_TYPES]
--- a/almondspool/settings.py
+++ b/almondspool/settings.py
@@ -143,6 +143,13 @@
         "quarantine_s", _Seconds, 600.0, "s", "How long a crashing request is refused."
     ),
     Setting("upstream_poll_s", _Seconds, 1.0, "s", "Time between load reports."),
+    Setting(
+        "status_interval_s",
+        _Seconds,
+        10.0,
+        "s",
+        "Least time between an instance's reports to the fleet's status.",
+    ),
     Setting("log_decisions", bool, True, "", "Log each routing decision."),
 )
 
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -69,3 +69,10 @@
             for _, member in sorted(self.members_by_instance.items())
             if member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
         )
+
+    def is_live(self, instance: str, incarnation: int) -> bool:
+        """Return whether an instance may still act under an incarnation."""
+        member = self.members_by_instance.get(instance)
+        if member is None or member.status == MemberStatus.DEAD:
+            return False
+        return member.session <= incarnation
--- a/almondspool/transport/metrics.py
+++ b/almondspool/transport/metrics.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+if TYPE_CHECKING:
+    from almondspool.codes import ResultCode
+
 _LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 5.0)
 
 
@@ -66,3 +71,11 @@
             "Requests admitted and not yet answered.",
             registry=self.registry,
         )
+
+    def count_refusal(self, code: ResultCode) -> None:
+        """Count a peer message that was refused."""
+        self.peer_refusals.labels(code.name).inc()
+
+    def count_channel_bytes(self, direction: str, count: int) -> None:
+        """Count bytes of envelopes; the direction is ``in`` or ``out``."""
+        self.channel_bytes.labels(direction).inc(count)
--- a/tests/cli/loopback.py
+++ b/tests/cli/loopback.py
@@ -5,6 +5,7 @@
 import io
 import types
 import urllib.parse
+from math import inf
 from typing import TYPE_CHECKING
 
 from almondspool.coordination.document_answers import (
@@ -12,7 +13,15 @@
     describe_document,
     describe_section,
 )
+from almondspool.coordination.fleet_answers import describe_fleet
 from almondspool.errors import RequestError
+from almondspool.protocol.fleet import (
+    FleetRow,
+    FleetStatus,
+    InstanceSummary,
+    Lease,
+    QueueSummary,
+)
 from almondspool.protocol.operator import OperatorInterface, OperatorRoutes
 from almondspool.transport.http_server import HttpResponse, HttpServer
 
@@ -59,6 +68,22 @@
             "refusals": dict(self._instance.configuration.refusals.counts),
         }
 
+    def fleet(self):
+        summary = InstanceSummary(
+            "perth-2",
+            1,
+            "perth-north",
+            3,
+            0.25,
+            True,
+            False,
+            (QueueSummary("alert-desk", "alert-desk-01", 4, 0.5, 9.0, 3.0, inf, True),),
+        )
+        rows = {"perth-2": FleetRow(summary, 8_000)}
+        return describe_fleet(
+            10_000, FleetStatus(Lease("perth-1", 1, 4, 0), 9_000, rows)
+        )
+
     def explain(self, team, shard):
         if shard == "none":
             raise RequestError("no shard 'none'")
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -122,6 +122,10 @@
         self.run_tool(*none, expected=ResultCode.REQUEST_MALFORMED)
         verify_session("command_line_requests", self.lines)
 
+    def test_fleet_status(self):
+        self.run_tool("status", "--fleet")
+        verify_session("command_line_fleet", self.lines)
+
     def test_instance_not_reached_by_generation(self):
         self.session.instances[2].is_cut = True
         self.write("desk.yaml", section_text("alert-desk", 1))
--- a/tests/processes/test_bookings.py
+++ b/tests/processes/test_bookings.py
@@ -58,6 +58,9 @@
 
 
 class BookingTests(ClusterTestCase):
+    # Keeps other writes out of count_puts.
+    settings = {"status_interval_s": 60.0}
+
     def setUp(self):
         super().setUp()
         self.pool = self.enterContext(concurrent.futures.ThreadPoolExecutor(8))
