Keep the holders of claim buckets while the serving members stay

Tried and not taken: a holder's cap on platform calls that grows with the buckets it holds. At 440 instances the least cap of one call a second already exceeds the fleet's 300, so the bonus would have raised the excess from 440 to about 548 calls a second.

The test of who holds a bucket asks ClaimHolders in place of bucket_holder, with the same members and the same expectations.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from almondspool.coordination.claim_routes import bucket_holder
+from almondspool.coordination.claim_routes import ClaimHolders
 from almondspool.coordination.claims_task import ClaimPeers, make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
 from almondspool.coordination.connections import ConnectionWatch
@@ -167,6 +167,7 @@
             self._log,
             self._metrics.registry,
         )
+        self._claim_holders = ClaimHolders(self._membership.view)
         self._links = PeerLinks(
             settings.instance, self._channels, self._membership.view
         )
@@ -255,7 +256,7 @@
     def _claim_holder(self, bucket: str) -> str:
         if not self._may_act():
             return ""
-        return bucket_holder(bucket, self._membership.view())
+        return self._claim_holders.holder_of(bucket)
 
     def _front_services(self) -> FrontServices:
         run = RunServices(
--- a/almondspool/coordination/claim_routes.py
+++ b/almondspool/coordination/claim_routes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
+from almondspool.coordination.claims import BUCKET_NAMES
 from almondspool.coordination.rendezvous import first
 from almondspool.protocol.peer import MAX_DETAIL_CHARS, ClaimReply
 
@@ -181,11 +182,34 @@
     return reply.code in (ResultCode.PEER_NOT_HOLDER, ResultCode.NOT_RUN_PLATFORM_DOWN)
 
 
-def bucket_holder(bucket: str, view: View) -> str:
-    """Return the instance that writes a claim bucket for all; empty for none.
+class ClaimHolders:
+    """Who holds each claim bucket, ranked anew when the serving members change."""
 
-    Args:
-        bucket: The bucket's name.
-        view: The present membership.
-    """
-    return first(f"claims/{bucket}", (each.instance for each in view.serving()))
+    def __init__(self, view: Callable[[], View]) -> None:
+        """Rank the members of a view.
+
+        Args:
+            view: Returns the present membership; the same object while unchanged.
+        """
+        self._view = view
+        self._ranked_view: View | None = None
+        self._names: tuple[str, ...] = ()
+        self._holder_by_bucket: dict[str, str] = {}
+
+    def holder_of(self, bucket: str) -> str:
+        """Return the instance that writes a bucket for all; empty for none."""
+        self._refresh()
+        return self._holder_by_bucket.get(bucket, "")
+
+    def _refresh(self) -> None:
+        view = self._view()
+        if view is self._ranked_view:
+            return
+        self._ranked_view = view
+        names = tuple(member.instance for member in view.serving())
+        if names == self._names:
+            return
+        self._names = names
+        self._holder_by_bucket = {
+            bucket: first(f"claims/{bucket}", names) for bucket in BUCKET_NAMES
+        }
--- a/almondspool/coordination/claims.py
+++ b/almondspool/coordination/claims.py
@@ -19,6 +19,7 @@
 
 CLAIM_KIND = "claims"
 BUCKETS = 64
+BUCKET_NAMES = tuple(f"bucket-{number:02d}" for number in range(BUCKETS))
 MAX_BUCKET_BYTES = 900_000
 # Largest difference between two instances' clocks that the rules withstand.
 CLOCK_MARGIN_MS = 30_000
@@ -91,7 +92,7 @@
 
 def bucket_name(request_id: str) -> str:
     """Return the name of the bucket object that holds a request's claim."""
-    return f"bucket-{xxhash.xxh3_64_intdigest(request_id.encode()) % BUCKETS:02d}"
+    return BUCKET_NAMES[xxhash.xxh3_64_intdigest(request_id.encode()) % BUCKETS]
 
 
 def claim_fingerprint(request: SearchRequest) -> str:
--- a/tests/coordination/test_claim_routes.py
+++ b/tests/coordination/test_claim_routes.py
@@ -9,8 +9,8 @@
 from almondspool.coordination import claim_bucket, claims
 from almondspool.coordination.claim_routes import (
     ROUTE_WAIT_S,
+    ClaimHolders,
     ClaimRoutes,
-    bucket_holder,
     make_reply,
 )
 from almondspool.coordination.claims import ClaimState, bucket_name, decode_bucket
@@ -262,11 +262,15 @@
             Member("i-2", 1, "a", "", "", MemberStatus.LEAVING),
             Member("i-3", 1, "a", "", "", ready=False),
         ]
-        view = View({member.instance: member for member in members})
-        self.assertEqual("", bucket_holder(BUCKET, view))
-        members.append(Member("i-4", 1, "a", "", ""))
-        view = View({member.instance: member for member in members})
-        self.assertEqual("i-4", bucket_holder(BUCKET, view))
+        view = view_of(members)
+        holders = ClaimHolders(lambda: view)
+        self.assertEqual("", holders.holder_of(BUCKET))
+        view = view_of([*members, Member("i-4", 1, "a", "", "")])
+        self.assertEqual("i-4", holders.holder_of(BUCKET))
+
+
+def view_of(members):
+    return View({member.instance: member for member in members})
 
 
 class _Found:
