List lost instances last when most of them look dead

A caller whose list came from the instance that was cut off got that instance alone, each time anew, and every search there was refused for want of holders, for 30 s and until the cut ended.

Ruled out: a caller of the tests that turns to another known address by itself: it would hide that real callers keep the list they are given. Listing the dead always: callers would try addresses that an ordinary loss has emptied.

Conclusion: an instance that holds more than half of its view for dead lists up to three of those last; a truly dead one costs its caller a refused connection.

--- a/almondspool/coordination/entries.py
+++ b/almondspool/coordination/entries.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.protocol.caller import Entry, EntryList
+from almondspool.state.members import MemberStatus
 
 if TYPE_CHECKING:
     import random
@@ -14,6 +15,7 @@
 
 MAX_ENTRIES = 6
 MAX_NEAR_ENTRIES = 4
+MAX_LOST_ENTRIES = 3
 # A near instance above this load has no advantage over those of other zones.
 NEAR_LOAD_LIMIT = 0.85
 # Keeps a fully loaded instance in the list, as reported load may be old.
@@ -28,7 +30,9 @@
     """Return addresses in an order that differs from caller to caller.
 
     The order is a random one with weights by free capacity, so that callers spread
-    over all instances, also when the first of their list goes.
+    over all instances, also when the first of their list goes. An instance that holds
+    most of the members for dead may itself be the one that is cut off: it lists some of
+    those last, so that its callers find the way out.
 
     Args:
         view: The membership.
@@ -43,6 +47,9 @@
     near_order = _weighted_shuffle(near, rng)
     far_order = _weighted_shuffle(far, rng)
     order = near_order[:MAX_NEAR_ENTRIES] + far_order + near_order[MAX_NEAR_ENTRIES:]
+    if _may_be_cut_off(view):
+        lost = _weighted_shuffle(_dead(view), rng)[:MAX_LOST_ENTRIES]
+        order = order[: MAX_ENTRIES - len(lost)] + lost
     jittered_s = ttl_s * rng.uniform(1 - TTL_JITTER, 1 + TTL_JITTER)
     return EntryList(
         tuple(
@@ -58,6 +65,16 @@
     return ttl_s * (1 + TTL_JITTER)
 
 
+def _may_be_cut_off(view: View) -> bool:
+    dead = len(_dead(view))
+    return 2 * dead > len(view.members_by_instance)
+
+
+def _dead(view: View) -> list[Member]:
+    members = view.members_by_instance.values()
+    return [member for member in members if member.status == MemberStatus.DEAD]
+
+
 def _is_near(member: Member, zone: str) -> bool:
     return member.zone == zone and member.load < NEAR_LOAD_LIMIT
 
--- a/tests/coordination/test_entries.py
+++ b/tests/coordination/test_entries.py
@@ -76,6 +76,20 @@
         self.assertEqual({"perth-4", "perth-7"}, set(seconds))
         self.assertLess(max(seconds.values()), 2 * min(seconds.values()))
 
+    def test_an_instance_cut_off_lists_the_lost_ones_last(self):
+        dead = {"status": MemberStatus.DEAD}
+        view = make_view(3, perth_2=dead, perth_3=dead)
+        for seed in range(20):
+            order = names(view, seed)
+            self.assertEqual("perth-1", order[0])
+            self.assertEqual({"perth-2", "perth-3"}, set(order[1:]))
+
+    def test_a_minority_that_died_is_not_listed(self):
+        dead = {"status": MemberStatus.DEAD}
+        view = make_view(9, perth_2=dead, perth_3=dead, perth_4=dead, perth_5=dead)
+        for seed in range(20):
+            self.assertEqual(5, len(names(view, seed)))
+
     def test_loaded_instance_is_chosen_less(self):
         view = make_view(9, perth_1={"load": 0.8})
         firsts = collections.Counter(names(view, seed)[0] for seed in range(600))
