Run a suspect request's legs alone in their exchanges

Cause: the gatherer put a suspect's leg into one exchange with legs of other requests, so a crash or a broken reply took these down too and made their requests suspect. LegAssignment now carries a mark, which the gatherer heeds as it does for legs that run at most once. Legs of a suspect request and probes after a cut-off carry it. The messages between instances change: instances of older builds refuse them.

A suspect ran on one upstream at a time. A request that crashes what it runs on loses no protection by that: its first leg is alone. One that crashes only the searchers of some services can crash one in each service of a volley; it could do the same before it was first seen.

Ruled out: keeping equal legs of a suspect apart. They join one run, which means fewer crashes, not more.

Tests: in test_gatherer a suspect's leg shares no exchange; without the mark it shares one with the two legs beside it. test_suspect_run (new) fails if the run drops the mark. test_a_harmless_suspect_sweep_ends_whole_and_is_cleared fails on the code before.

--- a/almondspool/coordination/cut_offs.py
+++ b/almondspool/coordination/cut_offs.py
@@ -14,8 +14,10 @@
 import collections
 from typing import TYPE_CHECKING
 
+from almondspool.coordination.quarantine import Verdict
+
 if TYPE_CHECKING:
-    from almondspool.coordination.quarantine import Quarantine, Verdict
+    from almondspool.coordination.quarantine import Quarantine
     from almondspool.coordination.shard_run import OpenLeg, ShardRun
     from almondspool.protocol.peer import Suspicion
 
@@ -27,6 +29,7 @@
 
     Attributes:
         suspicion: Message for peers once an upstream was cut off, or None.
+        is_suspect: Whether the request may have cut off an upstream before it began.
     """
 
     def __init__(self, quarantine: Quarantine, digest: str) -> None:
@@ -38,6 +41,8 @@
         self._proven_services: set[str] = set()
         self._probes: list[ShardRun] = []
         self._probes_at_once = 1
+        self._legs_at_once = 1
+        self.is_suspect = False
         self.suspicion: Suspicion | None = None
 
     @property
@@ -50,6 +55,33 @@
         """Return whether each service that was cut off has answered a probe."""
         return self._cut_off_services <= self._proven_services
 
+    @property
+    def is_careful(self) -> bool:
+        """Return whether the request may crash what it runs on."""
+        return self.is_suspect or self.seen
+
+    def begin(self, now_ms: int) -> Verdict:
+        """Return how the request may run, and run it so."""
+        verdict = self.verdict(now_ms)
+        self.is_suspect = verdict == Verdict.SUSPECT
+        return verdict
+
+    def begin_again(self) -> None:
+        """Run the request on a newer snapshot, with care if it is not proven."""
+        self.drop_held()
+        self.is_suspect = self.is_suspect or not self.is_proven
+
+    def may_send(self, in_flight: int) -> bool:
+        """Return whether a further leg may be sent beside those in flight.
+
+        A suspect request begins with one leg; each answer doubles the legs at once.
+        """
+        return not self.is_suspect or in_flight < self._legs_at_once
+
+    def runs_alone(self, run: ShardRun) -> bool:
+        """Return whether a shard's leg must not share an exchange with others."""
+        return self.is_suspect or run in self._probes
+
     def verdict(self, now_ms: int) -> Verdict:
         """Return how the request may run from now on."""
         return self._quarantine.verdict(now_ms, self._digest)
@@ -107,6 +139,7 @@
 
     def release(self, run: ShardRun) -> tuple[ShardRun, ...]:
         """Note an answer; return the held shards that it sets free."""
+        self._legs_at_once *= PROBE_GROWTH
         if run not in self._probes:
             return ()
         self._probes.remove(run)
--- a/almondspool/coordination/gatherer.py
+++ b/almondspool/coordination/gatherer.py
@@ -168,7 +168,7 @@
         sender: object,
         actions: list[Action],
     ) -> Lane | None:
-        upstream_id, leg = assignment
+        upstream_id, leg, _ = assignment
         if leg.leg_id in self._runs_by_leg_id:
             return None
         self._totals["legs"] += 1
@@ -192,12 +192,15 @@
         return lane
 
     def _new_run(self, now: float, assignment: LegAssignment, priority: int) -> Run:
-        upstream_id, leg = assignment
+        upstream_id, leg, is_alone = assignment
         key = None
         if leg.idempotent:
             terms = tuple(sorted(leg.query.items()))
             key = (upstream_id, leg.snapshot, leg.shard, leg.team, terms)
-        return Run(leg, upstream_id, priority, now + leg.deadline_ms / 1000, key)
+        # What runs at most once must not share the fate of other legs' replies.
+        is_alone = is_alone or not leg.idempotent
+        expires_at = now + leg.deadline_ms / 1000
+        return Run(leg, upstream_id, priority, expires_at, key, is_alone)
 
     def _join(self, now: float, lane: Lane, run: Run) -> bool:
         equal = self._runs_by_key.get(run.key) if run.key is not None else None
@@ -208,6 +211,7 @@
             return False
         if not equal.exchange_id:
             equal.expires_at = max(equal.expires_at, run.expires_at)
+            equal.is_alone = equal.is_alone or run.is_alone
             lane.raise_priority(now, equal, run.priority)
         equal.sharers.extend(run.sharers)
         self._runs_by_leg_id[run.leg.leg_id] = equal
@@ -238,12 +242,11 @@
             if run.expires_at - now <= shortest_s:
                 self._fail_expired(run, actions)
                 continue
-            if not run.leg.idempotent and runs:
-                # It must not share the fate of other legs' replies.
+            if run.is_alone and runs:
                 lane.hold(run)
                 break
             runs.append(run)
-            if not run.leg.idempotent:
+            if run.is_alone:
                 break
         return runs
 
--- a/almondspool/coordination/lane.py
+++ b/almondspool/coordination/lane.py
@@ -33,12 +33,14 @@
         expires_at: The latest deadline of its legs, in monotonic seconds.
         sharers: The legs that get its result.
         key: Identity of equal work; None for a non-idempotent leg.
+        is_alone: Whether no other run may share its exchange.
         exchange_id: The exchange that carries it; 0 while it waits.
     """
 
     __slots__ = (
         "exchange_id",
         "expires_at",
+        "is_alone",
         "key",
         "leg",
         "priority",
@@ -53,6 +55,7 @@
         priority: int,
         expires_at: float,
         key: tuple | None,
+        is_alone: bool,
     ) -> None:
         """Start waiting without sharers."""
         self.leg = leg
@@ -60,6 +63,7 @@
         self.priority = priority
         self.expires_at = expires_at
         self.key = key
+        self.is_alone = is_alone
         self.sharers: list[Sharer] = []
         self.exchange_id = 0
 
--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -150,7 +150,7 @@
         pairs = [
             (
                 self._upstreams_by_id[send.upstream_id],
-                LegAssignment(send.upstream_id, send.leg),
+                LegAssignment(send.upstream_id, send.leg, send.is_alone),
             )
             for send in sends
         ]
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search.py
@@ -83,7 +83,6 @@
         self._unsettled = 0
         self._wakes = WakeQueue()
         self._snapshot = 0
-        self._is_suspect = False
         self._is_restarted = False
         self._has_run = False
         self._is_finished = False
@@ -93,13 +92,12 @@
     def start(self, now: float) -> tuple[Action, ...]:
         """Send the first legs, or refuse the request."""
         section = self._section
-        verdict = self._cut_offs.verdict(self._epoch_ms(now))
+        verdict = self._cut_offs.begin(self._epoch_ms(now))
         if verdict == Verdict.QUARANTINED:
             self._refuse(now, ResultCode.NOT_RUN_QUARANTINED)
         elif section is None or not section.snapshots_by_id:
             self._refuse(now, ResultCode.NOT_RUN_NO_CONFIGURATION)
         else:
-            self._is_suspect = verdict == Verdict.SUSPECT
             self._begin(now, section)
         return self._take_actions(now)
 
@@ -164,8 +162,7 @@
         return actions
 
     def _send_pending(self, now: float) -> None:
-        # A suspect request runs on one upstream at a time.
-        while not (self._is_suspect and self._run_by_leg):
+        while self._cut_offs.may_send(len(self._run_by_leg)):
             if self._pending:
                 run, reason = self._pending.popleft()
             else:
@@ -212,7 +209,8 @@
         self._run_by_leg[leg.leg_id] = run
         self._context.chooser.begin(now, choice.upstream_id)
         reason = f"{reason}:{choice.reason}"
-        action = SendLeg(choice.upstream_id, leg, reason, choice.candidates)
+        is_alone = self._cut_offs.runs_alone(run)
+        action = SendLeg(choice.upstream_id, leg, reason, choice.candidates, is_alone)
         self._actions.append(action)
         if self._may_hedge(run):
             run.hedge_delay_s = self._context.chooser.hedge_delay_s(
@@ -222,7 +220,7 @@
             self._wake_at(run.hedge_at, run)
 
     def _may_hedge(self, run: ShardRun) -> bool:
-        is_careful = self._is_suspect or self._cut_offs.seen
+        is_careful = self._cut_offs.is_careful
         return self._request.idempotent and not is_careful and not run.is_hedged
 
     def _wake_at(self, due: float, run: ShardRun) -> None:
@@ -277,7 +275,7 @@
     def _may_retry(self, now: float, run: ShardRun, code: ResultCode) -> bool:
         if code == ResultCode.LEG_SUSPECT or not has_attempts_left(run):
             return False
-        may_run_twice = self._request.idempotent and not self._is_suspect
+        may_run_twice = self._request.idempotent and not self._cut_offs.is_suspect
         return self._deadline.may_send(now) and (may_run_twice or not run.may_have_run)
 
     def _on_cut_off(self, now: float, run: ShardRun, leg: OpenLeg) -> None:
@@ -310,8 +308,7 @@
         )
         self._close_all(now, "snapshot_gone")
         self._pending.clear()
-        self._cut_offs.drop_held()
-        self._is_suspect = self._is_suspect or not self._cut_offs.is_proven
+        self._cut_offs.begin_again()
         self._wakes.clear()
         self._begin(now, section)
         return True
--- a/almondspool/coordination/search_actions.py
+++ b/almondspool/coordination/search_actions.py
@@ -19,12 +19,14 @@
         leg: The leg; its deadline leaves time for the way back.
         reason: Why now and why this upstream.
         candidates: What was weighed.
+        is_alone: Whether the leg must not share an exchange with other legs.
     """
 
     upstream_id: str
     leg: Leg
     reason: str
     candidates: tuple[Candidate, ...]
+    is_alone: bool = False
 
 
 class CancelLeg(NamedTuple):
--- a/almondspool/protocol/peer.py
+++ b/almondspool/protocol/peer.py
@@ -26,10 +26,17 @@
 
 
 class LegAssignment(NamedTuple):
-    """A leg and the upstream that should run it."""
+    """A leg and the upstream that should run it.
+
+    Attributes:
+        upstream_id: The upstream.
+        leg: The leg.
+        is_alone: Whether it must not share an exchange with other legs.
+    """
 
     upstream_id: str
     leg: Leg
+    is_alone: bool = False
 
 
 class LegBatch(NamedTuple):
--- a/tests/coordination/test_gatherer.py
+++ b/tests/coordination/test_gatherer.py
@@ -68,6 +68,28 @@
         counts = session.gatherer.counts()
         self.assertEqual((4, 4, 0), (counts.runs_sent, counts.exchanges, counts.shared))
 
+    def exchange_of_suspect(self, is_alone=True):
+        """Return the legs that share the exchange of a leg sent alone."""
+        session = GathererSession({"searcher-1": 4}, slots=4)
+        busy = [make_leg(f"busy-{number}", f"b{number}") for number in range(4)]
+        session.submit("searcher-1", *busy)
+        session.submit("searcher-1", make_leg("before", "s1"))
+        session.submit("searcher-1", make_leg("suspect", "s2"), is_alone=is_alone)
+        # All places are free at once, so that the legs that wait can share.
+        session.cancel(*[leg.leg_id for leg in busy])
+        session.submit("searcher-1", make_leg("after", "s3"))
+        session.timers.advance(0.200)
+        self.assertEqual(7, len(session.results_by_leg_id))
+        [shared] = [legs for legs in session.exchanges if "suspect" in legs]
+        return shared
+
+    def test_a_suspect_leg_is_alone_in_its_exchange(self):
+        self.assertEqual(["suspect"], self.exchange_of_suspect())
+
+    def test_without_the_mark_it_shares_an_exchange(self):
+        shared = self.exchange_of_suspect(is_alone=False)
+        self.assertEqual(["before", "suspect", "after"], shared)
+
     def short_and_long(self):
         session = GathererSession({"searcher-1": 2}, service_s=0.2)
         session.submit("searcher-1", make_leg("long"), make_leg("short", "s2", 30))
--- a/tests/coordination/test_lost_replicas.py
+++ b/tests/coordination/test_lost_replicas.py
@@ -8,6 +8,7 @@
 from almondspool.codes import ResultCode
 from almondspool.coordination import cut_offs, leg_permits
 from almondspool.coordination.budget import ExtraLegBudget
+from almondspool.coordination.quarantine import Verdict, fingerprint
 from almondspool.coordination.shard_run import ShardRun
 from tests.coordination.search_bench import (
     Reply,
@@ -142,12 +143,34 @@
         self.assertEqual(["first"] * 6 + ["probe_after_cut_off"], reasons)
 
 
+class SuspectSweepTests(testtools.TestCase):
+    def test_a_harmless_suspect_sweep_ends_whole_and_is_cleared(self):
+        bench = SearchBench(make_section(services=SERVICES))
+        digest = fingerprint(make_request())
+        now_ms = int(bench.timers.wall_time() * 1000)
+        bench.context.quarantine.note_cut_off(now_ms, digest, "s-lost")
+        self.assertEqual(ResultCode.OK, bench.run().code)
+        verdict = bench.context.quarantine.verdict(now_ms, digest)
+        self.assertEqual(Verdict.CLEAR, verdict)
+
+    def test_a_suspect_that_crashes_the_next_upstream_is_not_sent_again(self):
+        bench = SearchBench(make_section(services=SERVICES))
+        digest = fingerprint(make_request())
+        now_ms = int(bench.timers.wall_time() * 1000)
+        bench.context.quarantine.note_cut_off(now_ms, digest, "s-lost")
+        lose_replicas(bench, CUT_OFF, "abc")
+        bench.run()
+        self.assertEqual(1, len(bench.sent))
+
+
 class ProbeTests(testtools.TestCase):
     def test_a_crashing_search_is_probed_once(self):
         bench = SearchBench(make_section(services=SERVICES))
         lose_replicas(bench, CUT_OFF, "abc")
         bench.run()
         self.assertEqual(SERVICES + 1, len(bench.sent))
+        alone = [action.is_alone for action in bench.sent]
+        self.assertEqual([False] * SERVICES + [True], alone)
 
     def test_each_answer_doubles_the_probes(self):
         bench = SearchBench(make_section(services=SERVICES))
--- /dev/null
+++ b/tests/coordination/test_suspect_run.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import testtools
+
+from almondspool.codes import ResultCode
+from almondspool.coordination.quarantine import fingerprint
+from almondspool.coordination.request_run import RequestRun, RunServices
+from almondspool.coordination.search import make_session
+from almondspool.logs import EventLog
+from almondspool.protocol.upstream import LegResult
+from almondspool.transport.metrics import Metrics
+from tests.coordination.search_bench import SearchBench, make_request
+
+
+class AnsweringRouter:
+    """Answers each leg at once and keeps what it was given."""
+
+    def __init__(self):
+        self.assignments = []
+
+    def send(self, priority, pairs, deliver):
+        for _, assignment in pairs:
+            self.assignments.append(assignment)
+            leg = assignment.leg
+            deliver(LegResult(leg.leg_id, ResultCode.OK, leg.snapshot, leg.shard))
+
+
+class SuspectRunTests(testtools.TestCase):
+    def run_request(self, is_suspect):
+        """Run a search of two shards; return its answer and the legs' marks."""
+        bench = SearchBench()
+        now, wall_time = bench.timers.now(), bench.timers.wall_time()
+        request = make_request()
+        if is_suspect:
+            digest = fingerprint(request)
+            bench.context.quarantine.note_cut_off(int(wall_time * 1000), digest, "s9")
+        session = make_session(
+            bench.context, request, lambda: bench.section, 1, now, wall_time
+        )
+        router = AnsweringRouter()
+        services = RunServices(
+            bench.timers,
+            router,
+            EventLog(lambda line: None),
+            Metrics(),
+            lambda suspicion: None,
+            True,
+        )
+        run = RequestRun(services, request, session, lambda: bench.section, 0)
+        answer = run.run()
+        return answer.code, [item.is_alone for item in router.assignments]
+
+    def test_the_legs_of_a_suspect_are_marked_to_run_alone(self):
+        self.assertEqual((ResultCode.OK, [True, True]), self.run_request(True))
+
+    def test_other_legs_may_share_an_exchange(self):
+        self.assertEqual((ResultCode.OK, [False, False]), self.run_request(False))
