Tell a reply that was cut off from a crash of the upstream

Cause: any connection that closed within a leg counted as a crash, so two upstreams that cut off replies made a popular request quarantined for quarantine_s.

A crash closes every connection of the process. After a cut, the exchange now asks /v1/health over an idle connection that was opened before the legs were sent; any answer shows that the upstream runs on, and the legs end with the new code LEG_REPLY_CUT_OFF (816). It pauses the replica as before, but makes no request suspect, and its retry draws on the credit without a loan. No connection is opened for it; it takes at most 50 ms, and only after a cut. Without such a connection the cut counts as a crash, so this mends what happens at everyday rates and not an instance with a single connection to each upstream.

Ruled out: the next connection being accepted, since a restart may be quicker; the load report, which has no start time and can mislead.

Tests: test_a_reply_cut_off_by_an_upstream_that_runs_on_is_no_crash fails on the code before; its counterparts keep the crash and the single connection.

--- a/almondspool/codes.py
+++ b/almondspool/codes.py
@@ -80,6 +80,7 @@
     LEG_NO_HOLDER = 813
     LEG_FAILED = 814
     LEG_CONNECTION_SILENT = 815
+    LEG_REPLY_CUT_OFF = 816
 
 
 DESCRIPTION_BY_CODE: dict[ResultCode, str] = {
@@ -145,6 +146,9 @@
     ResultCode.LEG_CONNECTION_SILENT: (
         "No answer on an old connection while newer ones answer."
     ),
+    ResultCode.LEG_REPLY_CUT_OFF: (
+        "The connection closed while the leg ran, but the upstream runs on."
+    ),
 }
 
 
--- a/almondspool/coordination/replicas.py
+++ b/almondspool/coordination/replicas.py
@@ -39,7 +39,12 @@
 HEDGE_SIBLING_FACTOR = 2.0
 
 _UNREACHABLE_CODES = frozenset(
-    {ResultCode.LEG_REFUSED, ResultCode.LEG_CUT_OFF, ResultCode.LEG_NO_HOLDER}
+    {
+        ResultCode.LEG_REFUSED,
+        ResultCode.LEG_CUT_OFF,
+        ResultCode.LEG_REPLY_CUT_OFF,
+        ResultCode.LEG_NO_HOLDER,
+    }
 )
 # A timeout can be the fault of one silent connection, so it pauses nothing.
 _FAILURE_CODES = frozenset(
--- a/almondspool/protocol/http_exchange.py
+++ b/almondspool/protocol/http_exchange.py
@@ -27,6 +27,7 @@
 READ_BYTES = 64 * 1024
 MAX_CONTROL_BYTES = 4096
 TRAILER_TIMEOUT_S = 0.5
+SURVIVAL_TIMEOUT_S = 0.05
 # A close on a connection used more lately than this is no keep-alive timeout.
 MIN_STALE_IDLE_S = 1.0
 
@@ -85,6 +86,7 @@
     Attributes:
         whole: Whether the reply ended properly, so that the connection can be reused.
         abandoned: Whether the request may still run, since its time was up.
+        has_answer: Whether any part of a reply came.
     """
 
     def __init__(
@@ -108,7 +110,7 @@
         self._judge = judge
         self._overdue = overdue
         self._sent_at = 0.0
-        self._has_answer = False
+        self.has_answer = False
 
     def run_legs(self, reader: ReplyReader) -> Iterator[LegResult]:
         """Send the reader's open legs and yield each result; exactly one for each.
@@ -120,9 +122,37 @@
         failure = self._connect()
         if failure is None:
             failure = yield from self._run(reader)
+        if failure is not None and failure.code is ResultCode.LEG_CUT_OFF:
+            failure = self._judge_cut_off(failure)
         if failure is not None:
             yield from reader.fail(failure)
 
+    def _judge_cut_off(self, failure: Failure) -> Failure:
+        """Tell a reply that was cut off from a crash of the upstream.
+
+        A crash closes every connection: one that is older than the legs and answers
+        after the cut shows that the upstream runs on.
+        """
+        connection = self._pool.take_idle_before(self._sent_at)
+        if connection is None:
+            return failure
+        probe = HttpExchange(
+            self._upstream_id,
+            self._pool,
+            connection,
+            min(self._end, self._clock() + SURVIVAL_TIMEOUT_S),
+            self._clock,
+            self._judge,
+            self._overdue,
+        )
+        try:
+            probe.control("GET", "/v1/health", None)
+        finally:
+            self._pool.release(connection, probe.whole, probe.abandoned)
+        if not probe.has_answer:
+            return failure
+        return failure._replace(code=ResultCode.LEG_REPLY_CUT_OFF)
+
     def control(self, method: str, path: str, body: bytes | None) -> bytes | None:
         """Return the body of a 200 reply to a small request, or None."""
         if self._connect() is not None:
@@ -194,7 +224,7 @@
         connection.request(method, path, body, _HEADERS, preload_content=False)
         connection.timeout = self._remaining()
         response = connection.getresponse()
-        self._has_answer = True
+        self.has_answer = True
         serial = self._connection.serial
         retired = self._judge.on_answer(self._clock(), self._upstream_id, serial)
         if retired:
@@ -226,7 +256,7 @@
 
     def _timed_out(self, detail: str) -> Failure:
         self.abandoned = True
-        if self._has_answer:
+        if self.has_answer:
             return Failure(ResultCode.LEG_TIMEOUT, detail, True)
         serial = self._connection.serial
         retired = self._judge.on_timeout(
--- a/almondspool/transport/http_pool.py
+++ b/almondspool/transport/http_pool.py
@@ -149,6 +149,18 @@
                     raise self._busy_error()
                 self._changed.wait(min([remaining, *self._linger_waits_s()]))
 
+    def take_idle_before(self, opened_before: float) -> PooledConnection | None:
+        """Return an idle connection opened before a monotonic second, or None."""
+        with self._changed:
+            for connection in tuple(self._idle):
+                if connection.opened_at >= opened_before:
+                    continue
+                self._idle.remove(connection)
+                if not self._is_stale(connection):
+                    return self._use(connection)
+                connection.http.close()
+        return None
+
     def release(
         self, connection: PooledConnection, reusable: bool, abandoned: bool = False
     ) -> None:
--- a/tests/coordination/test_lost_replicas.py
+++ b/tests/coordination/test_lost_replicas.py
@@ -163,6 +163,22 @@
         self.assertEqual(1, len(bench.sent))
 
 
+class BrokenReplyTests(testtools.TestCase):
+    def repeat(self, code):
+        """Return the codes of a request whose two only upstreams cut it off."""
+        bench = SearchBench(make_section(services=2, replicas=1))
+        lose_replicas(bench, Reply(0.002, code))
+        return [bench.run(make_request(request_id=f"r-{n}")).code for n in range(4)]
+
+    def test_cut_replies_of_upstreams_that_run_on_quarantine_nothing(self):
+        codes = self.repeat(ResultCode.LEG_REPLY_CUT_OFF)
+        self.assertEqual([ResultCode.PARTIAL] * 4, codes)
+
+    def test_crashes_do(self):
+        codes = self.repeat(ResultCode.LEG_CUT_OFF)
+        self.assertEqual(ResultCode.NOT_RUN_QUARANTINED, codes[-1])
+
+
 class ProbeTests(testtools.TestCase):
     def test_a_crashing_search_is_probed_once(self):
         bench = SearchBench(make_section(services=SERVICES))
--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import threading
 import time
 
@@ -107,6 +108,57 @@
             first = ok if name != "no HTTP at all" else malformed
             self.assertEqual({"a": first, "b": expected}, seen, name)
 
+    def cut_off_beside(self, is_crash):
+        """Return the code of a leg cut off while a connection was idle.
+
+        Args:
+            is_crash: Whether that connection is closed with it.
+        """
+        gate = threading.Barrier(2)
+
+        def script(connection, body, nth):
+            if not body:
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                return True
+            leg_id = body["legs"][0]["leg_id"]
+            if leg_id != "cut":
+                gate.wait(5)
+                connection.sendall(whole(line(leg_id)))
+                return True
+            connection.sendall(HEAD + chunk(line(leg_id))[:20])
+            if is_crash:
+                for each in server.connections:
+                    each.shutdown(socket.SHUT_RDWR)
+            return False
+
+        server = self.serve(script)
+        self.open_two_connections(server)
+        [result] = self.http.run(server.upstream, (make_leg("cut"),), 5.0)
+        self.assertTrue(result.was_run)
+        return result.code, len(server.connections)
+
+    def open_two_connections(self, server):
+        legs = [make_leg("a"), make_leg("b")]
+        threads = [
+            threading.Thread(target=self.run_legs, args=[server, leg]) for leg in legs
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(5)
+
+    def test_a_reply_cut_off_by_an_upstream_that_runs_on_is_no_crash(self):
+        code, connections = self.cut_off_beside(is_crash=False)
+        self.assertEqual((ResultCode.LEG_REPLY_CUT_OFF, 2), (code, connections))
+
+    def test_a_crash_closes_the_other_connections_too(self):
+        code, connections = self.cut_off_beside(is_crash=True)
+        self.assertEqual((ResultCode.LEG_CUT_OFF, 2), (code, connections))
+
+    def test_a_cut_off_without_an_older_connection_may_be_a_crash(self):
+        cut = self.run_reply(HEAD, chunk(line("a"))[:20], legs=("a",), close=True)
+        self.assertEqual({"a": (ResultCode.LEG_CUT_OFF, True)}, cut)
+
     def test_doubled_and_strange_lines_are_counted_and_change_nothing(self):
         a = line("a")
         seen = self.run_reply(whole(a, line("a", snapshot=9), line("z"), line("b")))
