Prove connection limits with most of a small fleet frozen

Cause: limits with more than half of the instances frozen at once were unproved.

The variant dead_shares_forgotten, which gives away the shares of the dead at once, must exceed one.

A stale share counts until its holder begins a new session, in which it holds no connection.

--- a/tests/processes/test_connection_limits.py
+++ b/tests/processes/test_connection_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from unittest import mock
 
 from almondspool.standins.deployments import PERTH_ZONES, PLANS_BY_NAME, Plan, TeamPlan
@@ -9,7 +10,13 @@
 from almondspool.standins.records import SUMP_ALARMS
 from tests.processes.caller import Load, make_search
 from tests.processes.checks import beyond_limit, wrong_answers
-from tests.processes.support import TEAM, ClusterTestCase, wait_in_force, wait_until
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    statuses,
+    wait_in_force,
+    wait_until,
+)
 
 CONNECTIONS = 4
 ANSWERS = 25
@@ -52,12 +59,55 @@
     wait_until(lambda: load.count() >= enough, f"{ANSWERS} answers are there")
 
 
+@contextlib.contextmanager
+def most_frozen(cluster):
+    """Freeze more than half of the instances at once under load, then resume them.
+
+    Yields the load when the others hold the frozen ones for dead.
+    """
+    names = tuple(cluster.instances_by_name)
+    frozen = names[: len(names) // 2 + 1]
+    survivors = names[len(frozen) :]
+    slow = Fault(FaultKind.DELAY, delay_ms=LEG_DELAY_MS)
+    cluster.searcher_controls()[0].set_faults([slow])
+    with Load(cluster, make_short_search, CALLERS) as load:
+        wait_for_more(load)
+        for name in frozen:
+            cluster.freeze(name)
+        try:
+            wait_until(lambda: are_dead(cluster, frozen, survivors), "they are dead")
+            yield load
+        finally:
+            for name in frozen:
+                cluster.resume(name)
+        wait_for_more(load)
+
+
+def are_dead(cluster, names, survivors):
+    """Return whether each survivor thinks that instances are past their lease."""
+    seen = [
+        member["status"]
+        for status in statuses(cluster, survivors).values()
+        for member in status["members"]
+        if member["instance"] in names
+    ]
+    return seen == ["dead"] * len(names) * len(survivors)
+
+
 class TightTestCase(ClusterTestCase):
     @classmethod
     def setUpClass(cls):
         cls.enterClassContext(mock.patch.dict(PLANS_BY_NAME, demo=TIGHT))
         super().setUpClass()
 
+    def freeze_most(self):
+        """Freeze most instances, resume them and check the limits and the answers."""
+        with most_frozen(self.cluster) as load:
+            wait_for_more(load)
+        wait_in_force(self.cluster)
+        self.assertEqual([], beyond_limit(self.cluster))
+        self.assertEqual([], wrong_answers(self.cluster, load.attempts))
+
 
 class ConnectionLimitTests(TightTestCase):
     def test_limit_holds_through_faults(self):
@@ -66,6 +116,24 @@
         self.assertEqual([], beyond_limit(self.cluster))
         self.assertEqual([], wrong_answers(self.cluster, attempts))
 
+    def test_limit_holds_while_most_are_frozen(self):
+        self.freeze_most()
+
+
+class FiveInstancesTests(TightTestCase):
+    instances = 5
+
+    def test_limit_holds_while_most_are_frozen(self):
+        self.freeze_most()
+
+
+class DeadSharesForgottenTests(TightTestCase):
+    variant = "dead_shares_forgotten"
+
+    def test_connections_beyond_the_limit_are_found(self):
+        with most_frozen(self.cluster):
+            wait_until(lambda: beyond_limit(self.cluster), "a limit is exceeded")
+
 
 class UnsharedLimitTests(TightTestCase):
     variant = "unshared_limit"
