Confirm a document at the platform before a lone instance serves by it

Cause: an instance that restarts cut off from all peers, under stale reads, was ready by whatever manifest the platform showed. Seen over processes before the change: "perth-north-1: 2 after 3".

A new instance now is ready when a peer that serves runs no higher generation, or when the platform has taken the manifest that was read, written back unchanged on condition of its version. A stale read fails the condition. Weighed and ruled out: versions of an own record against those of a list, which needs the platform to tell a stale read's version truly; several reads, which may all be stale.

Cost: none for a start beside a serving peer; else one read and one write, repeated every 2 s until one succeeds. All of three restarting together make at most three writes. Ready instances don't look at their peers any more.

Tests: a golden session and a process test, which failed first; the variant links_reads_believed must serve a lower generation. test_fails_first_without_ peers_heard recorded the fault as it was and becomes test_fails_first_without_confirmation beside test_stale_platform_without_peers. The sessions ask is_ready at each tick, as the daemon does, and make_stale waits out the start first: perth-3 would else confirm what it runs.

The zone of test_cuts now has two instances of five, each side of the cut must hold the other for dead, and the lone restart shares the cluster of the one-way cuts.

--- a/almondspool/coordination/configuration.py
+++ b/almondspool/coordination/configuration.py
@@ -7,11 +7,13 @@
 from almondspool.coordination.configuration_actions import (
     Action,
     AdoptDocument,
+    ConfirmManifest,
     LogEvent,
     ReadPlatform,
     SendMessage,
 )
 from almondspool.coordination.manifest_candidates import Candidate, ManifestCandidates
+from almondspool.coordination.readiness import Readiness
 from almondspool.coordination.refusals import Refusals
 from almondspool.coordination.rendezvous import rank
 from almondspool.coordination.section_fetches import (
@@ -89,9 +91,7 @@
         self.sections = SectionStore()
         self._instance = instance
         self._rng = rng
-        self._ready_from = started_at + start_wait_s
-        self._is_ready = False
-        self._was_platform_heard = False
+        self._readiness = Readiness(started_at + start_wait_s)
         self._value = b""
         self._view = View({})
         self._highest = 0
@@ -102,25 +102,22 @@
     def is_ready(self, now: float) -> bool:
         """Return whether the instance may serve by its document.
 
-        A new instance waits until the platform or a peer was heard and no peer is
-        known to run a higher generation, lest it serve by an outdated document. It
-        is also ready if it then knows that there is no document yet.
+        A new instance waits until its document is confirmed, by a peer that serves or
+        by a conditional write at the platform, and no peer is known to run a higher
+        generation. It is also ready if it then knows that there is no document yet.
         """
-        if not self._is_ready:
-            peers = self._peers()
-            heard = self._was_platform_heard or bool(peers)
-            behind = any(m.generation > self.document.generation for m in peers)
-            self._is_ready = heard and not behind and now >= self._ready_from
-        return self._is_ready
+        if self._readiness.is_settled:
+            return True
+        return self._readiness.is_ready(self.document.generation, self._peers(), now)
 
     def on_platform_manifest(self, value: bytes, now: float) -> list[Action]:
         """Take the manifest as read from, or watched at, the platform."""
-        self._was_platform_heard = True
+        self._readiness.platform_heard()
         return self._take_manifest(value, PLATFORM) + self._advance(now)
 
     def on_platform_without_manifest(self) -> list[Action]:
         """Take note that the platform has no manifest."""
-        self._was_platform_heard = True
+        self._readiness.platform_heard()
         if self.manifest is None:
             return []
         return self.refusals.refuse(
@@ -184,7 +181,24 @@
 
     def on_tick(self, now: float) -> list[Action]:
         """Ask again for what did not come."""
-        return self._chase(now) + self._plan_fetches(now)
+        return self._chase(now) + self._plan_fetches(now) + self._confirm(now)
+
+    def on_manifest_confirmed(self, value: bytes, now: float) -> list[Action]:
+        """Take the manifest that the platform had at a conditional write."""
+        actions = self.on_platform_manifest(value, now)
+        try:
+            generation = decode_manifest(value).generation
+        except DocumentError:
+            return actions + self.on_manifest_unconfirmed("it is not valid", now)
+        self._readiness.confirmed(generation, now)
+        fields = {"generation": generation, "running": self.document.generation}
+        return [*actions, LogEvent("configuration.confirmed", fields)]
+
+    def on_manifest_unconfirmed(self, reason: str, now: float) -> list[Action]:
+        """Take note that a conditional write of the manifest did not succeed."""
+        self._readiness.confirm_failed(now)
+        fields = {"running": self.document.generation, "reason": reason}
+        return [LogEvent("configuration.unconfirmed", fields)]
 
     def _take_manifest(self, value: bytes, source: str) -> list[Action]:
         try:
@@ -339,6 +353,13 @@
             if member.generation >= generation
         )
 
+    def _confirm(self, now: float) -> list[Action]:
+        if self._readiness.is_settled:
+            return []
+        generation, peers = self.document.generation, self._peers()
+        is_due = self._readiness.begin_confirming(generation, peers, now)
+        return [ConfirmManifest()] if is_due else []
+
     def _chase(self, now: float) -> list[Action]:
         """Ask a peer that runs a higher generation for its manifest."""
         if self._highest <= self.document.generation or now < self._chase_due:
--- a/almondspool/coordination/configuration_actions.py
+++ b/almondspool/coordination/configuration_actions.py
@@ -23,6 +23,10 @@
     names: tuple[str, ...]
 
 
+class ConfirmManifest(NamedTuple):
+    """Read the platform's manifest and write it back on condition of its version."""
+
+
 class AdoptDocument(NamedTuple):
     """Run this document from now on."""
 
@@ -36,4 +40,4 @@
     fields: dict[str, object]
 
 
-Action = SendMessage | ReadPlatform | AdoptDocument | LogEvent
+Action = SendMessage | ReadPlatform | ConfirmManifest | AdoptDocument | LogEvent
--- a/almondspool/coordination/configuration_task.py
+++ b/almondspool/coordination/configuration_task.py
@@ -14,10 +14,12 @@
 from almondspool.coordination.configuration_actions import (
     Action,
     AdoptDocument,
+    ConfirmManifest,
     LogEvent,
     ReadPlatform,
     SendMessage,
 )
+from almondspool.coordination.manifest_confirmation import read_current_manifest
 from almondspool.coordination.manifest_watch import ManifestWatch
 from almondspool.protocol.manifest import MANIFEST_KIND, SECTION_KIND
 
@@ -62,6 +64,18 @@
     value: bytes | None
 
 
+class ManifestConfirmed(NamedTuple):
+    """A conditional write of the manifest ended.
+
+    Attributes:
+        value: The manifest that is current; None if that was not found out.
+        reason: Why it was not.
+    """
+
+    value: bytes | None
+    reason: str = ""
+
+
 class SectionRead(NamedTuple):
     """A section was read from the platform; None if that failed."""
 
@@ -78,6 +92,7 @@
     | PeerFetch
     | ViewChanged
     | ManifestRead
+    | ManifestConfirmed
     | SectionRead
     | AcceptedSection
     | Tick
@@ -206,6 +221,10 @@
                 return configuration.on_platform_without_manifest()
             case ManifestRead(value):
                 return configuration.on_platform_manifest(value, now)
+            case ManifestConfirmed(None, reason):
+                return configuration.on_manifest_unconfirmed(reason, now)
+            case ManifestConfirmed(value):
+                return configuration.on_manifest_confirmed(value, now)
             case SectionRead(name, None):
                 return configuration.on_platform_failed((name,), now)
             case SectionRead(name, value):
@@ -229,11 +248,20 @@
             case ReadPlatform(kind, names):
                 for name in names:
                     self._readers.spawn_n(self._read, kind, name)
+            case ConfirmManifest():
+                self._readers.spawn_n(self._confirm)
             case AdoptDocument(document):
                 self._on_document(document)
             case LogEvent(event, fields):
                 self._log.write(event, **fields)
 
+    def _confirm(self) -> None:
+        result = read_current_manifest(self._platform)
+        if isinstance(result, Success):
+            self._inbox.put(ManifestConfirmed(result.unwrap()))
+        else:
+            self._inbox.put(ManifestConfirmed(None, str(result.failure())))
+
     def _read(self, kind: str, name: str) -> None:
         result = self._platform.get(kind, name)
         value = result.unwrap().value if isinstance(result, Success) else None
--- a/tests/configuration_session.py
+++ b/tests/configuration_session.py
@@ -10,10 +10,12 @@
 from almondspool.coordination.configuration import Configuration
 from almondspool.coordination.configuration_actions import (
     AdoptDocument,
+    ConfirmManifest,
     LogEvent,
     ReadPlatform,
     SendMessage,
 )
+from almondspool.coordination.manifest_confirmation import read_current_manifest
 from almondspool.logs import format_event
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME
 from almondspool.protocol.peer import FetchObjects
@@ -88,11 +90,21 @@
             case ReadPlatform(kind, names):
                 for name in names:
                     self.read(kind, name)
+            case ConfirmManifest():
+                self.confirm()
             case AdoptDocument(document):
                 self.generations.append(document.generation)
             case LogEvent(event, fields):
                 self.session.note(f"{self.name} {format_event(event, **fields)}")
 
+    def confirm(self):
+        result = read_current_manifest(self.session.platform)
+        if isinstance(result, Success):
+            self.run("on_manifest_confirmed", result.unwrap(), self.now())
+        else:
+            reason = str(result.failure())
+            self.run("on_manifest_unconfirmed", reason, self.now())
+
     def read(self, kind: str, name: str):
         result = self.session.platform.get(kind, name)
         if isinstance(result, Success):
@@ -146,6 +158,8 @@
     def tick(self):
         self.share_views()
         for each in self.instances:
+            # The daemon asks several times a second.
+            each.configuration.is_ready(each.now())
             each.run("on_tick", each.now())
 
     def share_views(self):
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -9,8 +9,9 @@
     configuration as configuration_module,
     section_store as section_store_module,
 )
-from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration import START_WAIT_S, Configuration
 from almondspool.coordination.configuration_actions import AdoptDocument, SendMessage
+from almondspool.coordination.readiness import Readiness
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.manifest import (
     MANIFEST_KIND,
@@ -60,6 +61,7 @@
 
     def make_stale(self):
         """Accept generation 2 past perth-3; the platform then reads as before it."""
+        self.session.pause(START_WAIT_S)
         self.session.note("perth-3 is cut off from its peers")
         self.third.is_cut = True
         before = dict(self.platform.objects)
@@ -132,13 +134,38 @@
         self.assert_in_force(2, 2, 2)
         self.assertTrue(self.third.configuration.is_ready(self.third.now()))
 
-    def test_fails_first_without_peers_heard(self):
-        """By the platform's word alone a restarted instance serves what was undone."""
+    def restart_alone_with_stale_reads(self):
         self.make_stale()
-        self.patch(Configuration, "_peers", lambda self: ())
+        self.session.note("perth-2 is cut off from its peers")
+        self.second.is_cut = True
         self.second.restart()
         self.second.poll()
+        self.session.pause(6.0)
+
+    def test_stale_platform_without_peers(self):
+        self.restart_alone_with_stale_reads()
+        self.assertFalse(self.second.configuration.is_ready(self.second.now()))
+        self.assertEqual(1, self.second.configuration.document.generation)
+        self.session.note("the platform's reads are current again")
+        self.platform.stale_objects = None
+        self.verify("configuration_stale_platform_alone")
+        self.assertTrue(self.second.configuration.is_ready(self.second.now()))
+        self.assertEqual(2, self.second.configuration.document.generation)
+
+    def test_all_restart_at_once(self):
+        for each in self.session.instances:
+            each.restart()
+            each.poll()
+        puts = self.platform.calls["put"]
         self.session.pause(3.0)
+        for each in self.session.instances:
+            self.assertTrue(each.configuration.is_ready(each.now()))
+        self.assertLessEqual(self.platform.calls["put"] - puts, 3)
+
+    def test_fails_first_without_confirmation(self):
+        """By the platform's word alone a restarted instance serves what was undone."""
+        self.patch(Readiness, "_is_known", lambda self, generation, peers: True)
+        self.restart_alone_with_stale_reads()
         self.assertTrue(self.second.configuration.is_ready(self.second.now()))
         self.assertEqual(1, self.second.configuration.document.generation)
 
--- a/tests/coordination/test_configuration_ready.py
+++ b/tests/coordination/test_configuration_ready.py
@@ -5,6 +5,8 @@
 import testtools
 
 from almondspool.coordination.configuration import START_WAIT_S, Configuration
+from almondspool.coordination.readiness import CONFIRM_RETRY_S, Readiness
+from almondspool.state.members import Member
 
 
 class ReadyWithoutDocumentTests(testtools.TestCase):
@@ -14,3 +16,39 @@
         configuration.on_platform_without_manifest()
         self.assertFalse(configuration.is_ready(START_WAIT_S - 0.1))
         self.assertTrue(configuration.is_ready(START_WAIT_S))
+
+
+class ReadyAmongPeersTests(testtools.TestCase):
+    def is_ready(self, *peers, generation=3):
+        return Readiness(0.0).is_ready(generation, peers, 1.0)
+
+    def test_only_a_peer_that_serves_a_document_confirms(self):
+        self.assertTrue(self.is_ready(make_peer(3, ready=True)))
+        self.assertTrue(self.is_ready(make_peer(2, ready=True)))
+        self.assertFalse(self.is_ready(make_peer(3, ready=False)))
+        self.assertFalse(self.is_ready(make_peer(0, ready=True)))
+
+    def test_peer_that_is_ahead_holds_back(self):
+        ahead, level = make_peer(4, ready=False), make_peer(3, ready=True)
+        self.assertFalse(self.is_ready(ahead, level))
+
+    def test_confirmed_generation_must_run_here(self):
+        readiness = Readiness(0.0)
+        readiness.confirmed(4, 0.0)
+        self.assertFalse(readiness.is_ready(3, (), 1.0))
+        self.assertTrue(readiness.is_ready(4, (), 1.0))
+
+    def test_one_attempt_to_confirm_at_a_time(self):
+        readiness = Readiness(0.0)
+        self.assertFalse(readiness.begin_confirming(0, (), 0.0))
+        self.assertTrue(readiness.begin_confirming(3, (), 0.0))
+        self.assertFalse(readiness.begin_confirming(3, (), 100.0))
+        readiness.confirm_failed(100.0)
+        self.assertFalse(readiness.begin_confirming(3, (), 100.0))
+        self.assertTrue(readiness.begin_confirming(3, (), 100.0 + CONFIRM_RETRY_S))
+
+
+def make_peer(generation, *, ready):
+    return Member(
+        "perth-2", 1, "perth-south", "", "", generation=generation, ready=ready
+    )
--- a/tests/processes/test_cuts.py
+++ b/tests/processes/test_cuts.py
@@ -5,6 +5,8 @@
 import concurrent.futures
 from typing import ClassVar
 
+from almondspool.protocol.http_platform import make_platform
+from almondspool.protocol.manifest import MANIFEST_KIND, SECTION_KIND
 from almondspool.standins.faults import Fault, FaultKind
 from almondspool.standins.launcher import PLATFORM
 from tests.processes.caller import Load, make_booking, make_search, post
@@ -18,18 +20,25 @@
     TEAM,
     ClusterTestCase,
     apply_text,
-    is_dead,
+    generations,
     is_whole,
+    log_of,
     statuses,
     wait_in_force,
     wait_until,
 )
 from tests.processes.test_configuration import GenerationWatch, edited
-from tests.processes.test_connection_limits import CALLERS, TightTestCase
+from tests.processes.test_connection_limits import (
+    CALLERS,
+    TightTestCase,
+    are_dead,
+)
 
 ANSWERS = 25
 BOOKINGS = 6
 SEARCHES = 4
+UNCONFIRMED = 2
+TIMEOUT_S = 5.0
 DEADLINE_MS = 1000
 SHARDS = tuple(f"{TEAM}-0{service}/0" for service in (1, 2))
 
@@ -89,8 +98,17 @@
         wait_until(lambda: are_all_alive(self.cluster), "every view has healed")
         wait_until(lambda: is_whole(self.cluster), "answers are whole again")
 
+    def restart_alone(self):
+        """Restart an instance without peers, under reads from before a section."""
+        platform = make_platform(self.cluster.platform_address, TIMEOUT_S)
+        stale_version = platform.list(MANIFEST_KIND).unwrap().version
+        generation = apply_text(self.cluster, TEAM, edited(self.cluster))["generation"]
+        wait_in_force(self.cluster, generation)
+        restart_alone_under_stale_reads(self.cluster, self.names[0], stale_version)
+        return generation
+
 
-class OneWayTests(LinkTestCase):
+class LinkTests(LinkTestCase):
     def test_one_way_cut_between_two_instances(self):
         first, second, _ = self.names
         with Load(self.cluster, make_short_search) as load:
@@ -120,6 +138,15 @@
             self.wait_until_healed()
         self.assert_true(load, attempts)
 
+    def test_restart_alone_under_stale_reads(self):
+        generation = self.restart_alone()
+        address = self.cluster.instances_by_name[self.names[0]].caller_address
+        self.assertTrue(post(address, make_search(0)).is_not_run())
+        self.cluster.platform.clear_faults()
+        self.cluster.wait_ready(self.names[0])
+        self.assertEqual(generation, generations(self.cluster)[self.names[0]])
+        self.wait_until_healed()
+
 
 def book_on_both_sides(cluster, *names):
     """Send the same bookings to several instances at once; return the attempts."""
@@ -135,24 +162,33 @@
 
 
 class ZoneTestCase(LinkTestCase, TightTestCase):
+    instances = 5
+
     def setUp(self):
         super().setUp()
-        self.cut_off, *self.others = self.names
+        zone = self.cluster.instances_by_name[self.names[0]].zone
+        self.zone = zone
+        self.cut_off = [name for name in self.names if name.startswith(zone)]
+        self.others = [name for name in self.names if name not in self.cut_off]
 
     def cut_zone(self, *others):
-        """Cut an instance off from others and from its zone's searchers."""
-        zone = self.cluster.instances_by_name[self.cut_off].zone
+        """Cut the instances of a zone off from others, and lose its searchers."""
         faults = [
             Fault(FaultKind.FREEZE, upstream_id)
-            for upstream_id in searchers_of(self.cluster, zone)
+            for upstream_id in searchers_of(self.cluster, self.zone)
         ]
         self.cluster.searcher_controls()[0].set_faults(faults)
-        self.cluster.cut([self.cut_off], [*self.others, *others])
+        self.cluster.cut(self.cut_off, [*self.others, *others])
 
     def wait_until_dead(self):
-        wait_until(
-            lambda: is_dead(self.cluster, self.cut_off), "the cut-off one is dead"
-        )
+        for names, survivors in (
+            (self.cut_off, self.others),
+            (self.others, self.cut_off),
+        ):
+            wait_until(
+                lambda n=names, s=survivors: are_dead(self.cluster, n, s),
+                "each side holds the other for dead",
+            )
 
     def apply_elsewhere(self):
         """Accept a section on the other side; return its generation."""
@@ -165,11 +201,11 @@
         wait_in_force(self.cluster, generation)
 
     def book(self):
-        return book_on_both_sides(self.cluster, self.cut_off, self.others[0])
+        return book_on_both_sides(self.cluster, self.cut_off[0], self.others[0])
 
     def search_cut_off(self):
         """Search at the cut-off instance, which no caller would choose."""
-        address = self.cluster.instances_by_name[self.cut_off].caller_address
+        address = self.cluster.instances_by_name[self.cut_off[0]].caller_address
         return [post(address, make_short_search(number)) for number in range(SEARCHES)]
 
 
@@ -211,6 +247,35 @@
         self.assert_true(load, attempts)
 
 
+def restart_alone_under_stale_reads(cluster, name, stale_version):
+    """Restart an instance cut off from all peers; return when it serves or refuses."""
+    faults = [
+        Fault(FaultKind.STALE_READ, kind, version=stale_version)
+        for kind in (MANIFEST_KIND, SECTION_KIND)
+    ]
+    cluster.platform.set_faults(faults)
+    cluster.cut([name], [other for other in cluster.instances_by_name if other != name])
+    cluster.kill(name)
+    cluster.restart(name, "/healthz")
+
+    def is_settled():
+        attempts = log_of(cluster, name).count("event=configuration.unconfirmed")
+        return attempts >= UNCONFIRMED or statuses(cluster, [name])[name]["is_ready"]
+
+    wait_until(is_settled, "it serves, or has tried to confirm its document")
+
+
+class ReadsBelievedTests(LinkTestCase):
+    variant = "links_reads_believed"
+
+    def assert_sound(self):
+        """A generation that falls is what this class looks for."""
+
+    def test_stale_document_is_found(self):
+        self.restart_alone()
+        wait_until(lambda: self.watch.falls, "a generation has fallen")
+
+
 class ClaimsIgnoredTests(ZoneTestCase):
     variant = "links_claims_ignored"
 
@@ -226,6 +291,8 @@
 
 class DeadSharesForgottenTests(ZoneTestCase):
     variant = "links_dead_shares_forgotten"
+    # An instance that is alone takes the whole limit.
+    instances = 3
 
     def assert_sound(self):
         """Connections beyond the limit are what this class looks for."""
--- /dev/null
+++ b/tests/processes/variants/links_reads_believed.py
@@ -0,0 +1,11 @@
+"""Serves by whatever document the platform's reads show, without confirmation."""
+
+from __future__ import annotations
+
+from almondspool.coordination.readiness import Readiness
+from almondspool.standins import links
+
+Readiness._is_known = lambda readiness, generation, peers: True
+
+if __name__ == "__main__":
+    links.run()
