--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -124,7 +124,7 @@
         self._membership.start(settings.heartbeat_interval_s)
         self._timers.subscribe(_LOCAL_STATE_INTERVAL_S, self._publish_local_state)
         self._timers.subscribe(_STALE_SWEEP_S, self._upstream.close_stale)
-        self._load_polls.start(settings.upstream_poll_s)
+        self._load_polls.start()
         self._http.listen(settings.caller_address)
         self._log.write(
             "instance.started",
@@ -186,7 +186,11 @@
     def _build_request_path(self) -> None:
         settings = self._settings
         self._gatherer = make_gatherer_task(
-            self._upstream, self._timers, self._log, settings.log_decisions
+            self._upstream,
+            self._timers,
+            self._log,
+            settings.log_decisions,
+            lambda upstream_id, report: self._load_polls.on_reply(upstream_id, report),
         )
         self._shares = make_shares_task(
             settings.instance,
@@ -234,10 +238,13 @@
         self._claims = self._make_claims()
         self._front = Front(settings.instance, self._front_services())
         self._load_polls = LoadPollTask(
+            settings.instance,
             self._upstream,
             self._timers,
             self._held_upstreams,
+            self._shares.holders,
             self._on_load_report,
+            settings.upstream_poll_s,
         )
         self._backlog = make_backlog_task(
             self._gatherer.rows, self._timers, self._log, self._metrics.registry
@@ -267,6 +274,7 @@
             self._metrics,
             self._links.send_all,
             self._settings.log_decisions,
+            self._note_load,
         )
         return FrontServices(
             run=run,
@@ -353,8 +361,11 @@
             if upstream_id in upstreams_by_id
         }
 
-    def _on_load_report(self, upstream_id: str, report: LoadReport) -> None:
+    def _note_load(self, upstream_id: str, report: LoadReport) -> None:
         self._context.chooser.note_report(self._timers.now(), upstream_id, report)
+
+    def _on_load_report(self, upstream_id: str, report: LoadReport) -> None:
+        self._note_load(upstream_id, report)
         self._backlog.on_load(upstream_id, report)
 
     def _on_document(self, document: Document) -> None:
--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/gatherer_task.py
@@ -22,11 +22,16 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from almondspool.logs import EventLog
-    from almondspool.protocol.upstream import LegResult, UpstreamInterface
+    from almondspool.protocol.upstream import (
+        LegResult,
+        LoadReport,
+        UpstreamInterface,
+    )
     from almondspool.state.document import Document, Upstream
     from almondspool.transport.timers import TimerService
 
     Reply = Callable[[LegResults], None]
+    OnReply = Callable[[str, LoadReport | None], None]
 
 EXPIRY_INTERVAL_S = 0.02
 
@@ -43,6 +48,7 @@
         timers: TimerService,
         log: EventLog,
         log_decisions: bool = True,
+        on_reply: OnReply | None = None,
     ) -> None:
         """Start without a document or grants.
 
@@ -51,11 +57,13 @@
             timers: The time and the hub's turns.
             log: Takes one event for each exchange, failed leg and cancellation.
             log_decisions: Whether to write these events.
+            on_reply: Takes the upstream of each reply and the report it brought.
         """
         self._upstream = upstream
         self._timers = timers
         self._log = log
         self._log_decisions = log_decisions
+        self._on_reply = on_reply or _ignore_reply
         self._gatherer = Gatherer()
         self._upstreams_by_id: dict[str, Upstream] = {}
         self._grants_by_id: dict[str, int] = {}
@@ -130,6 +138,8 @@
         try:
             upstream = self._upstreams_by_id[action.upstream_id]
             for result in self._upstream.run(upstream, action.legs, action.timeout_s):
+                if result.load is not None or result.code is ResultCode.OK:
+                    self._on_reply(action.upstream_id, result.load)
                 self._perform(self._gatherer.on_result(now(), exchange_id, result))
         except Exception as error:
             # The exchange must end, or its place among the connections is lost.
@@ -207,6 +217,11 @@
     timers: TimerService,
     log: EventLog,
     log_decisions: bool = True,
+    on_reply: OnReply | None = None,
 ) -> GathererTask:
     """Return a gatherer task without document or grants."""
-    return GathererTask(upstream, timers, log, log_decisions)
+    return GathererTask(upstream, timers, log, log_decisions, on_reply)
+
+
+def _ignore_reply(upstream_id: str, report: LoadReport | None) -> None:
+    pass
--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/request_run.py
@@ -25,7 +25,7 @@
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import SearchAnswer, SearchRequest
     from almondspool.protocol.peer import Suspicion
-    from almondspool.protocol.upstream import LegResult
+    from almondspool.protocol.upstream import LegResult, LoadReport
     from almondspool.state.document import Section, Upstream
     from almondspool.transport.metrics import Metrics
     from almondspool.transport.timers import TimerService
@@ -46,6 +46,7 @@
         metrics: Leg counters.
         share_suspicion: Tells all instances of a crashed upstream.
         log_decisions: Whether each routing decision gets a line.
+        note_load: Takes an upstream's id and the report that came with a result.
     """
 
     timers: TimerService
@@ -54,6 +55,7 @@
     metrics: Metrics
     share_suspicion: Callable[[Suspicion], None]
     log_decisions: bool
+    note_load: Callable[[str, LoadReport], None]
 
 
 class RequestRun:
@@ -101,6 +103,8 @@
         if result is None:
             return self._session.on_timer(now)
         self._services.metrics.leg_results.labels(result.code.name).inc()
+        if result.load is not None:
+            self._services.note_load(result.upstream_id, result.load)
         return self._session.on_result(now, result)
 
     def _next_result(self) -> LegResult | None:
--- a/almondspool/protocol/leg_codec.py
+++ b/almondspool/protocol/leg_codec.py
@@ -33,6 +33,13 @@
     fields: dict[str, str]
 
 
+class _LoadBody(msgspec.Struct):
+    running: int
+    queued: int
+    draining: bool = False
+    warmth: float = 1.0
+
+
 class _ResultBody(msgspec.Struct):
     leg_id: str
     status: str
@@ -41,13 +48,7 @@
     records: list[_RecordBody] = []
     detail: str = ""
     was_run: bool = True
-
-
-class _LoadBody(msgspec.Struct):
-    running: int
-    queued: int
-    draining: bool = False
-    warmth: float = 1.0
+    load: _LoadBody | None = None
 
 
 _ENCODER = msgspec.json.Encoder()
@@ -68,10 +69,13 @@
 def decode_load(body: bytes) -> LoadReport | None:
     """Return an upstream's load report, or None if it is malformed."""
     try:
-        report = _LOAD_DECODER.decode(body)
+        return _load_report(_LOAD_DECODER.decode(body))
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    return LoadReport(report.running, report.queued, report.draining, report.warmth)
+
+
+def _load_report(body: _LoadBody) -> LoadReport:
+    return LoadReport(body.running, body.queued, body.draining, body.warmth)
 
 
 class Failure(NamedTuple):
@@ -194,6 +198,7 @@
             self._upstream_id,
             body.detail,
             body.was_run or code is ResultCode.OK,
+            _load_report(body.load) if body.load is not None else None,
         )
 
     def _failed(self, leg: Leg, failure: Failure) -> LegResult:
--- a/almondspool/protocol/upstream.py
+++ b/almondspool/protocol/upstream.py
@@ -38,6 +38,22 @@
     idempotent: bool = True
 
 
+class LoadReport(NamedTuple):
+    """An upstream's own report; it can lag or mislead.
+
+    Attributes:
+        running: Legs in its slots.
+        queued: Legs waiting.
+        draining: Whether it asks for no new work.
+        warmth: 0.0 just started to 1.0 warm.
+    """
+
+    running: int
+    queued: int
+    draining: bool
+    warmth: float
+
+
 class LegResult(NamedTuple):
     """What one upstream replied to one leg.
 
@@ -50,6 +66,7 @@
         upstream_id: Who ran it.
         detail: One line for people.
         was_run: Whether the upstream may have run the leg.
+        load: The upstream's load report of that moment, if the reply brought one.
     """
 
     leg_id: str
@@ -60,22 +77,7 @@
     upstream_id: str = ""
     detail: str = ""
     was_run: bool = True
-
-
-class LoadReport(NamedTuple):
-    """An upstream's own report; it can lag or mislead.
-
-    Attributes:
-        running: Legs in its slots.
-        queued: Legs waiting.
-        draining: Whether it asks for no new work.
-        warmth: 0.0 just started to 1.0 warm.
-    """
-
-    running: int
-    queued: int
-    draining: bool
-    warmth: float
+    load: LoadReport | None = None
 
 
 class UpstreamInterface(abc.ABC):
--- a/almondspool/standins/leg_runs.py
+++ b/almondspool/standins/leg_runs.py
@@ -62,6 +62,7 @@
     records: list[WireRecord] = []
     detail: str = ""
     was_run: bool = False
+    load: dict[str, object] | None = None
 
 
 class LegEntry(msgspec.Struct):
--- a/almondspool/standins/searcher.py
+++ b/almondspool/standins/searcher.py
@@ -181,15 +181,15 @@
                 self.runner.cancel(body.leg_ids)
                 return json_response({})
             case "GET", ("v1", "load"):
-                return self._load()
+                return json_response(self._load())
             case "GET", ("v1", "health"):
                 return self._health()
         return json_response({"error": "no such path"}, 404)
 
-    def _load(self) -> Response:
+    def _load(self) -> dict[str, object]:
         lie = self._faults.take(FaultKind.LIE_LOAD, self._settings.upstream_id)
         if lie is not None:
-            return json_response(_load_value(lie.running, lie.queued, False, 1.0))
+            return _load_value(lie.running, lie.queued, False, 1.0)
         age_s = time.monotonic() - self._load_reported
         if age_s >= self._settings.load_lag_s:
             runner = self.runner
@@ -197,7 +197,7 @@
                 runner.running, runner.queued, runner.draining, runner.warmth()
             )
             self._load_reported = time.monotonic()
-        return json_response(self._load_report)
+        return self._load_report
 
     def _health(self) -> Response:
         lie = self._faults.take(FaultKind.LIE_HEALTH, self._settings.upstream_id)
@@ -226,6 +226,7 @@
             if result is None:
                 raise DropConnection
             self._faults.wait_while_frozen(request.connection, upstream_id)
+            result.load = self._load()
             yield from self._encode(result)
 
     def _encode(self, result: WireResult) -> Iterator[bytes]:
--- a/tests/coordination/test_gatherer_task.py
+++ b/tests/coordination/test_gatherer_task.py
@@ -11,7 +11,7 @@
 from almondspool.coordination.gatherer_task import make_gatherer_task
 from almondspool.coordination.request_metrics import register_request_metrics
 from almondspool.logs import EventLog
-from almondspool.protocol.upstream import LegResult, UpstreamInterface
+from almondspool.protocol.upstream import LegResult, LoadReport, UpstreamInterface
 from almondspool.state.document import Document, Priority, Section, Upstream
 from almondspool.transport.metrics import Metrics
 from almondspool.transport.timers import EventletTimers
@@ -22,6 +22,7 @@
     def __init__(self):
         self.grants = {}
         self.cancelled = []
+        self.load_by_shard = {}
         self.gate = eventlet.Event()
 
     def set_grants(self, connections_by_upstream_id):
@@ -33,7 +34,8 @@
                 raise ValueError("stub is broken")
             if leg.shard == "gated":
                 self.gate.wait()
-            yield LegResult(leg.leg_id, ResultCode.OK, 7, leg.shard)
+            load = self.load_by_shard.get(leg.shard)
+            yield LegResult(leg.leg_id, ResultCode.OK, 7, leg.shard, load=load)
 
     def cancel(self, upstream, leg_ids):
         self.cancelled.append((upstream.upstream_id, leg_ids))
@@ -60,7 +62,13 @@
         self.upstream = StubUpstream()
         self.lines = []
         log = EventLog(self.lines.append)
-        self.task = make_gatherer_task(self.upstream, EventletTimers(), log)
+        self.reports = []
+        self.task = make_gatherer_task(
+            self.upstream,
+            EventletTimers(),
+            log,
+            on_reply=lambda upstream_id, load: self.reports.append((upstream_id, load)),
+        )
         self.task.set_grants({"u1": 2, "unknown": 2})
         self.task.set_document(make_document("u1"))
         self.replies = []
@@ -81,6 +89,13 @@
         self.assertEqual(1, len(self.replies))
         self.assertEqual({"u1": 2}, self.upstream.grants)
 
+    def test_each_reply_is_told_with_its_load_report(self):
+        report = LoadReport(1, 2, False, 1.0)
+        self.upstream.load_by_shard = {"s0": report}
+        self.submit(make_leg("l0", "s0"), make_leg("l1", "s1"))
+        self.settle(2)
+        self.assertEqual([("u1", report), ("u1", None)], self.reports)
+
     def test_an_exchange_that_breaks_frees_its_connection(self):
         for number in range(3):
             self.submit(make_leg(f"l{number}", "broken", idempotent=False))
--- a/tests/coordination/test_request_run.py
+++ b/tests/coordination/test_request_run.py
@@ -46,6 +46,7 @@
     def setUp(self):
         super().setUp()
         self.notes = []
+        self.reports = []
         self.metrics = Metrics()
 
     def run_request(self, log_decisions):
@@ -57,6 +58,7 @@
             self.metrics,
             self.notes.append,
             log_decisions,
+            lambda upstream_id, report: self.reports.append((upstream_id, report)),
         )
         section = make_section(services=SHARDS)
         context = make_context("i-1", 1, "perth-north", 0.05, 600.0, random.Random(1))
--- a/tests/protocol/test_leg_codec.py
+++ b/tests/protocol/test_leg_codec.py
@@ -6,6 +6,7 @@
 from almondspool.codes import ResultCode
 from almondspool.protocol import leg_codec
 from almondspool.protocol.leg_codec import ReplyReader
+from almondspool.protocol.upstream import LoadReport
 from tests.protocol.raw_server import line, make_leg
 
 LEG_IDS = ("a", "b", "c")
@@ -52,6 +53,12 @@
             codes = [item.code for item in self.read(data, [size])]
             self.assertEqual([ResultCode.OK] * 3, codes)
 
+    def test_a_result_brings_the_report_of_its_line(self):
+        report = b'"load":{"running":2,"queued":1,"draining":true,"warmth":0.5}}'
+        data = line("a")[:-2] + b"," + report + b"\n" + line("b") + line("c")
+        loads = [item.load for item in self.read(data, [64])]
+        self.assertEqual([LoadReport(2, 1, True, 0.5), None, None], loads)
+
     def test_malformed_load_reports_are_none(self):
         for body in (b"", b"{}", b'{"running":"x","queued":1}', b"\xff"):
             self.assertIsNone(leg_codec.decode_load(body))
