--- a/almondspool/coordination/request_path.py
+++ b/almondspool/coordination/request_path.py
@@ -19,7 +19,7 @@
 
     from almondspool.coordination.admission_task import AdmissionTask
     from almondspool.coordination.backlog_task import BacklogTask
-    from almondspool.coordination.gatherer_task import GathererTask
+    from almondspool.coordination.gatherer_task import GathererTask, OnReply
     from almondspool.coordination.membership_task import MembershipTask
     from almondspool.coordination.peer_links import PeerLinks
     from almondspool.coordination.shares_task import SharesTask
@@ -40,6 +40,7 @@
         membership: The membership task.
         links: Sends messages to peers.
         upstream: Calls to upstreams.
+        on_reply: Takes the upstream of each reply and the report it brought.
         rng: Source of random numbers.
     """
 
@@ -50,6 +51,7 @@
     membership: MembershipTask
     links: PeerLinks
     upstream: HttpUpstream
+    on_reply: OnReply
     rng: random.Random
 
 
@@ -83,7 +85,7 @@
     """
     timers, log = services.timers, services.log
     gatherer = make_gatherer_task(
-        services.upstream, timers, log, settings.log_decisions
+        services.upstream, timers, log, settings.log_decisions, services.on_reply
     )
     shares = _make_shares(settings, incarnation, services, gatherer)
     admission = make_admission_task(
