--- a/almondspool/coordination/holder_ranking.py
+++ b/almondspool/coordination/holder_ranking.py
@@ -15,6 +15,8 @@
 
 # Candidates kept beyond those needed: so many may go before all are ranked again.
 SPARE = 5
+# Pairs of upstream and candidate that are weighed before others get a turn.
+PAIRS_PER_TURN = 10_000
 
 
 class _Ranked(NamedTuple):
@@ -26,7 +28,8 @@
     """The best candidates of each upstream, kept up to date as candidates change.
 
     For each upstream it keeps the beginning of two rankings: of the instances in the
-    upstream's availability zone and of all others.
+    upstream's availability zone and of all others. What cannot be ranked in one turn
+    is pending until take_turn() was called often enough.
     """
 
     def __init__(self, needed: int) -> None:
@@ -41,6 +44,7 @@
         self._zone_by_instance: dict[str, str] = {}
         self._near_by_id: dict[str, list[_Ranked]] = {}
         self._far_by_id: dict[str, list[_Ranked]] = {}
+        self._pending_by_id: dict[str, Upstream] = {}
 
     def candidates(self) -> int:
         """Return how many instances may hold connections."""
@@ -53,10 +57,14 @@
         for upstream_id in former.keys() - upstreams_by_id.keys():
             del self._near_by_id[upstream_id]
             del self._far_by_id[upstream_id]
+            self._pending_by_id.pop(upstream_id, None)
         for upstream_id, upstream in upstreams_by_id.items():
             known = former.get(upstream_id)
             if known is None or known.zone != upstream.zone:
-                self._rank(upstream)
+                self._near_by_id[upstream_id] = []
+                self._far_by_id[upstream_id] = []
+                self._pending_by_id[upstream_id] = upstream
+        self.take_turn()
 
     def set_candidates(self, zone_by_instance: Mapping[str, str]) -> bool:
         """Replace the instances that may hold connections; return if they changed."""
@@ -67,14 +75,34 @@
         if not gone and not new:
             return False
         staying = collections.Counter(zone for _, zone in former.items() - gone)
-        for upstream in self._upstreams_by_id.values():
-            self._remove(upstream, {instance for instance, _ in gone})
-            if self._is_short(upstream, staying):
-                self._rank(upstream)
+        gone_names = {instance for instance, _ in gone}
+        are_many = len(new) > SPARE
+        for upstream_id, upstream in self._upstreams_by_id.items():
+            self._remove(upstream, gone_names)
+            if upstream_id in self._pending_by_id:
+                continue
+            if are_many or self._is_short(upstream, staying):
+                self._pending_by_id[upstream_id] = upstream
             else:
                 self._add(upstream, new, staying)
+        self.take_turn()
         return True
 
+    def is_pending(self, upstream_id: str) -> bool:
+        """Return whether an upstream is still to be ranked."""
+        return upstream_id in self._pending_by_id
+
+    def has_pending(self) -> bool:
+        """Return whether any upstream is still to be ranked."""
+        return bool(self._pending_by_id)
+
+    def take_turn(self) -> None:
+        """Rank some pending upstreams."""
+        count = max(1, PAIRS_PER_TURN // max(1, self.candidates()))
+        for upstream in tuple(self._pending_by_id.values())[:count]:
+            self._rank(upstream)
+            del self._pending_by_id[upstream.upstream_id]
+
     def pick(self, upstream_id: str, count: int) -> tuple[str, ...]:
         """Return the holders by rank: one in the zone, one elsewhere, then others."""
         near = self._near_by_id.get(upstream_id, [])
--- a/almondspool/coordination/share_policy.py
+++ b/almondspool/coordination/share_policy.py
@@ -71,18 +71,30 @@
         self._upstreams_by_id: dict[str, Upstream] = {}
         self._settled_at_by_upstream_id: dict[str, tuple[bool, float]] = {}
         self._in_place_at_by_upstream_id: dict[str, float] = {}
+        self._is_stale = False
         self.wanted_ids: frozenset[str] = frozenset()
 
     def set_upstreams(self, upstreams_by_id: Mapping[str, Upstream]) -> None:
         """Take the upstreams of the document in force."""
         self._upstreams_by_id = dict(upstreams_by_id)
         self._ranking.set_upstreams(upstreams_by_id)
-        self._rank()
+        self._is_stale = True
+        self._want()
 
     def set_candidates(self, zone_by_instance: Mapping[str, str]) -> None:
         """Take the instances that may hold connections, with their zones."""
         if self._ranking.set_candidates(zone_by_instance):
-            self._rank()
+            self._is_stale = True
+            self._want()
+
+    def is_ranking(self) -> bool:
+        """Return whether take_turn() is to be called."""
+        return self._is_stale
+
+    def take_turn(self) -> None:
+        """Rank some more upstreams, as many as may be done at a time."""
+        self._ranking.take_turn()
+        self._want()
 
     def restart(self) -> None:
         """Let every ranking settle again."""
@@ -125,7 +137,10 @@
             return 0
         return own
 
-    def _rank(self) -> None:
+    def _want(self) -> None:
+        if self._ranking.has_pending():
+            return
+        self._is_stale = False
         self.wanted_ids = frozenset(
             upstream_id
             for upstream_id, upstream in self._upstreams_by_id.items()
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -144,6 +144,14 @@
         self._upstream_ids = frozenset(upstreams_by_id)
         self._policy.set_upstreams(upstreams_by_id)
 
+    def is_ranking(self) -> bool:
+        """Return whether rank_some() is to be called before the next tick."""
+        return self._policy.is_ranking()
+
+    def rank_some(self) -> None:
+        """Rank some more upstreams, as many as may be done at a time."""
+        self._policy.take_turn()
+
     def set_view(self, view: View, listed: frozenset[str], may_act: bool) -> None:
         """Take the membership.
 
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -101,6 +101,7 @@
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._ticks: TimerHandle | None = None
         self._given_back: event.Event | None = None
+        self._is_ranking = False
 
     def start(self) -> None:
         """Begin to take shares as soon as the membership may act."""
@@ -210,6 +211,9 @@
         wall_ms = int(services.timers.wall_time() * 1000)
         self._execute(shares.tick(services.timers.now(), wall_ms))
         self._compare(services.timers.now())
+        if shares.is_ranking() and not self._is_ranking:
+            self._is_ranking = True
+            self._inbox.put(self._rank_some)
         if self._given_back is not None and shares.is_given_back():
             done, self._given_back = self._given_back, None
             done.send(None)
@@ -218,6 +222,16 @@
         self._shares.set_upstreams(upstreams_by_id)
         self._tick()
 
+    def _rank_some(self) -> None:
+        """Rank for one turn, after other green threads have had theirs."""
+        eventlet.sleep(0)
+        self._shares.rank_some()
+        if self._shares.is_ranking():
+            self._inbox.put(self._rank_some)
+            return
+        self._is_ranking = False
+        self._tick()
+
     def _execute(self, actions: Sequence[Action]) -> None:
         changed = False
         for action in actions:
--- a/tests/coordination/test_shares.py
+++ b/tests/coordination/test_shares.py
@@ -7,10 +7,12 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import share_plan
+from almondspool.coordination import holder_ranking, share_plan
 from almondspool.coordination.holder_ranking import HolderRanking
 from almondspool.coordination.share_actions import CloseAll
 from almondspool.coordination.share_bucket import ShareBucket
+from almondspool.coordination.share_plan import ShareContext
+from almondspool.coordination.share_policy import SharePolicy, ShareSettings
 from almondspool.errors import PlatformError
 from almondspool.protocol.shares import bucket_of, decode_bucket, encode_bucket
 from almondspool.state.members import MemberStatus
@@ -245,3 +247,53 @@
             fresh.set_upstreams(upstreams)
             for key in upstreams:
                 self.assertEqual(fresh.pick(key, 3), ranking.pick(key, 3))
+
+    def test_long_ranking_is_cut_into_turns(self):
+        self.patch(holder_ranking, "PAIRS_PER_TURN", 100)
+        upstreams = {f"desk-{n}": make_upstream(25, f"desk-{n}") for n in range(30)}
+        candidates = {f"perth-{n}": ZONES[n % 3] for n in range(20)}
+        ranking = HolderRanking(3)
+        ranking.set_candidates(candidates)
+        ranking.set_upstreams(upstreams)
+        self.assertEqual(25, self.pending(ranking, upstreams))
+        gone = [f"perth-{n}" for n in range(10)]
+        for name in gone:
+            del candidates[name]
+        candidates |= {f"hills-{n}": ZONES[n % 3] for n in range(10)}
+        ranking.set_candidates(candidates)
+        picked = {name for key in upstreams for name in ranking.pick(key, 3)}
+        self.assertEqual(set(), picked.intersection(gone))
+        turns = 0
+        while ranking.has_pending():
+            before = self.pending(ranking, upstreams)
+            ranking.take_turn()
+            self.assertTrue(before - self.pending(ranking, upstreams) <= 5)
+            turns += 1
+        self.assertEqual(5, turns)
+        fresh = HolderRanking(3)
+        self.patch(holder_ranking, "PAIRS_PER_TURN", 10_000)
+        fresh.set_candidates(candidates)
+        fresh.set_upstreams(upstreams)
+        for key in upstreams:
+            self.assertEqual(fresh.pick(key, 3), ranking.pick(key, 3))
+
+    def test_shares_stay_until_their_upstream_is_ranked(self):
+        self.patch(holder_ranking, "PAIRS_PER_TURN", 1)
+        upstreams = {f"desk-{n}": make_upstream(25, f"desk-{n}") for n in range(3)}
+        policy = SharePolicy("perth-1", ShareSettings())
+        policy.set_candidates({f"perth-{n}": ZONES[n % 3] for n in range(3)})
+        policy.set_upstreams(upstreams)
+        context = ShareContext("perth-1", 1, {}, frozenset(), 0, 600_000)
+        crowded = UpstreamShares((Share("perth-1", 1, 13), Share("perth-9", 1, 12)))
+
+        def desire(now):
+            return policy.desire("desk-2", crowded, context, now)
+
+        self.assertTrue(policy.is_ranking())
+        self.assertEqual([13, 13], [desire(100.0), desire(200.0)])
+        while policy.is_ranking():
+            policy.take_turn()
+        self.assertTrue(min(desire(300.0), desire(400.0)) < 13)
+
+    def pending(self, ranking, upstreams):
+        return sum(ranking.is_pending(key) for key in upstreams)
--- a/tests/coordination/test_shares_task.py
+++ b/tests/coordination/test_shares_task.py
@@ -4,6 +4,7 @@
 import prometheus_client
 import testtools
 
+from almondspool.coordination import holder_ranking
 from almondspool.coordination.share_policy import ShareSettings
 from almondspool.coordination.shares_task import ShareServices, make_shares_task
 from almondspool.logs import EventLog
@@ -112,6 +113,23 @@
         for task in self.tasks_by_instance.values():
             self.assertEqual(set(granted), set(task.holders("desk-1")))
 
+    def test_others_run_while_many_upstreams_are_ranked(self):
+        self.patch(holder_ranking, "PAIRS_PER_TURN", 1)
+        self.start(3)
+        self.run_for(5)
+        task = self.tasks_by_instance["perth-1"]
+        upstreams = [UPSTREAM._replace(upstream_id=f"desk-{n}") for n in range(1, 21)]
+        task.set_upstreams({each.upstream_id: each for each in upstreams})
+        eventlet.sleep(0)
+        turns = 0
+        while task._shares.is_ranking():
+            turns += 1
+            eventlet.sleep(0)
+        self.assertTrue(turns >= 18, turns)
+        self.run_for(20)
+        held = self.grants_by_instance["perth-1"]
+        self.assertTrue(len(held) >= 2, held)
+
     def test_give_back_waits_for_open_connections(self):
         self.start(1)
         self.run_for(10)
