--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -76,7 +76,7 @@
         self._timers = EventletTimers()
         self._metrics = Metrics()
         self._events = Events()
-        self._incarnation = int(self._timers.wall_time() * _MS_PER_S)
+        self._incarnation = self._epoch_ms()
         self._build_transport()
         self._build_request_path()
         self._build_stop()
@@ -228,7 +228,7 @@
                 self._links.send,
                 self._membership.view,
                 self._may_act,
-                self._is_live,
+                self._membership.is_live,
                 self._summary,
             ),
             settings.status_interval_s,
@@ -254,15 +254,13 @@
             self._settings.instance,
             self._incarnation,
             self._settings.claim_retention_s,
-            self._is_live,
+            self._membership.is_live,
             self._rng,
             ClaimPeers(self._links.send, self._claim_holder),
         )
 
     def _claim_holder(self, bucket: str) -> str:
-        if not self._may_act():
-            return ""
-        return self._claim_holders.holder_of(bucket)
+        return self._claim_holders.holder_of(bucket) if self._may_act() else ""
 
     def _front_services(self) -> FrontServices:
         run = RunServices(
@@ -331,12 +329,8 @@
         )
 
     def _held_upstreams(self) -> dict[str, Upstream]:
-        upstreams_by_id = self._configuration.document.upstreams_by_id()
-        return {
-            upstream_id: upstreams_by_id[upstream_id]
-            for upstream_id in self._shares.allowed_by_upstream_id()
-            if upstream_id in upstreams_by_id
-        }
+        held = self._shares.allowed_by_upstream_id()
+        return self._configuration.document.upstreams_among(held)
 
     def _note_load(self, upstream_id: str, report: LoadReport) -> None:
         self._context.chooser.note_report(self._timers.now(), upstream_id, report)
@@ -395,11 +389,10 @@
         )
 
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
-        now_ms = int(self._timers.wall_time() * _MS_PER_S)
-        self._context.quarantine.merge(now_ms, suspicion)
+        self._context.quarantine.merge(self._epoch_ms(), suspicion)
 
-    def _is_live(self, instance: str, incarnation: int) -> bool:
-        return self._membership.view().is_live(instance, incarnation)
+    def _epoch_ms(self) -> int:
+        return int(self._timers.wall_time() * _MS_PER_S)
 
 
 def make_application(settings: Any, log: EventLog) -> Application:
--- a/almondspool/coordination/membership_task.py
+++ b/almondspool/coordination/membership_task.py
@@ -123,6 +123,10 @@
         """Return the own record."""
         return self._membership.own
 
+    def is_live(self, instance: str, incarnation: int) -> bool:
+        """Return whether an instance may still act under an incarnation."""
+        return self.view().is_live(instance, incarnation)
+
     def may_act(self) -> bool:
         """Return whether this instance may act on its view and leases now."""
         return self._membership.may_act(self._timers.now())
--- a/almondspool/state/document.py
+++ b/almondspool/state/document.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 class Priority(enum.IntEnum):
@@ -103,5 +106,14 @@
             for upstream_id, upstream in section.upstreams_by_id.items()
         }
 
+    def upstreams_among(self, upstream_ids: Iterable[str]) -> dict[str, Upstream]:
+        """Return those of the given upstreams that the document has, by id."""
+        upstreams_by_id = self.upstreams_by_id()
+        return {
+            upstream_id: upstreams_by_id[upstream_id]
+            for upstream_id in upstream_ids
+            if upstream_id in upstreams_by_id
+        }
+
 
 EMPTY_DOCUMENT = Document(0, {})
