Run the test modules with processes side by side

A group that ends without an outcome counts as a failure. Verdict, counts and known failures are as before; a run of named tests stays in one process.

Ruled out: a parallel runner from the registry, since the failures passed over are known by test id and clusters need their ranges.

Time before and after follow with the first whole run.

--- a/almondspool/standins/ports.py
+++ b/almondspool/standins/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import socket
 
@@ -11,6 +12,8 @@
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 PORT_ATTEMPTS = 100
+# Clusters that start side by side are given ranges of their own: "FIRST-LAST".
+PORTS_VARIABLE = "ALMONDSPOOL_PORTS"
 
 
 def loopback_address(port: int) -> str:
@@ -23,15 +26,30 @@
     return f"{LOOPBACK.rpartition('.')[0]}.{number + 1}"
 
 
+def format_ports(ports: range) -> str:
+    """Return a value of PORTS_VARIABLE that allows these ports only."""
+    return f"{ports.start}-{ports.stop - 1}"
+
+
+def allowed_ports() -> range:
+    """Return the ports that PORTS_VARIABLE allows, by default all of the range."""
+    value = os.environ.get(PORTS_VARIABLE, "")
+    if not value:
+        return range(LOWEST_PORT, HIGHEST_PORT)
+    first, _, last = value.partition("-")
+    return range(int(first), int(last) + 1)
+
+
 def free_ports(count: int) -> range:
     """Return consecutive ports that are free for TCP and UDP.
 
     Raises:
         OSError: When none were found.
     """
+    allowed = allowed_ports()
     chooser = random.SystemRandom()
     for _ in range(PORT_ATTEMPTS):
-        start = chooser.randrange(LOWEST_PORT, HIGHEST_PORT - count)
+        start = chooser.randrange(allowed.start, allowed.stop - count)
         ports = range(start, start + count)
         if all(_is_free(port) for port in ports):
             return ports
--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -6,7 +6,8 @@
 
 import testtools
 
-from tools.run_tests import report
+from tools.parallel_tests import Outcome, outcome_of, run_jobs
+from tools.run_tests import ROOT, plan_jobs, report
 
 
 class Cases:
@@ -33,7 +34,9 @@
         unittest.TestSuite(map(load, cases)).run(result)
         output = io.StringIO()
         with contextlib.redirect_stdout(output):
-            code = report(result, {test_id: f"{test_id} | why" for test_id in known})
+            code = report(
+                outcome_of(result), {test_id: f"{test_id} | why" for test_id in known}
+            )
         return code, output.getvalue().splitlines()
 
     def test_counts_of_passed_and_failed(self):
@@ -54,3 +57,31 @@
     def last(self, *cases):
         code, lines = self.report(*cases)
         return code, lines[-1]
+
+
+class JobTests(testtools.TestCase):
+    def test_every_module_is_planned_once(self):
+        planned = [name for names in plan_jobs() for name in names]
+        found = [path.stem for path in (ROOT / "tests").rglob("test_*.py")]
+        self.assertEqual(len(set(planned)), len(planned))
+        self.assertEqual(sorted(found), sorted(name.split(".")[-1] for name in planned))
+
+    def run_quietly(self, *jobs):
+        with contextlib.redirect_stdout(io.StringIO()):
+            return run_jobs(jobs, workers=2)
+
+    def test_outcomes_of_all_jobs_are_added_up(self):
+        outcome = self.run_quietly(["tests.test_codes"], ["tests.test_logs"])
+        single = self.run_quietly(["tests.test_codes", "tests.test_logs"])
+        self.assertEqual(single, outcome)
+        self.assertGreater(outcome.passed, 1)
+        self.assertEqual((), outcome.failed_ids)
+
+    def test_a_job_that_cannot_run_is_a_failure(self):
+        outcome = self.run_quietly(["tests.absent"])
+        self.assertEqual(1, len(outcome.failed_ids))
+
+    def test_a_job_that_ends_without_an_outcome_is_a_failure(self):
+        outcome = self.run_quietly(["tests.tools.exiting"])
+        failed_ids = ("tests.tools.exiting: ended with 3",)
+        self.assertEqual(Outcome(0, 0, failed_ids), outcome)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,8 +6,12 @@
 import sys
 import unittest
 
+from tools.parallel_tests import Outcome, outcome_of, run_jobs, write_outcome
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
+PROCESS_TESTS = "tests/processes"
+OUTCOME_FLAG = "--outcome="
 
 
 def load_known_red(path: pathlib.Path = KNOWN_RED_PATH) -> dict[str, str]:
@@ -25,44 +29,59 @@
     """Run the tests named in argv, or all of them, and print the counts.
 
     Args:
-        argv: Dotted test names; empty for discovery.
+        argv: Dotted test names, run in this process; empty for all tests, which run
+            side by side. ``--outcome=PATH`` writes the outcome there.
 
     Returns:
         The exit code: 0 when no test failed but those known to.
     """
-    loader = unittest.TestLoader()
-    if argv:
-        suite = loader.loadTestsFromNames(argv)
-    else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    return report(result, load_known_red())
+    names = [name for name in argv if not name.startswith(OUTCOME_FLAG)]
+    outcome = run_named(names) if names else run_jobs(plan_jobs())
+    for path in argv:
+        if path.startswith(OUTCOME_FLAG):
+            write_outcome(pathlib.Path(path.removeprefix(OUTCOME_FLAG)), outcome)
+    return report(outcome, load_known_red())
+
+
+def run_named(names: list[str]) -> Outcome:
+    """Run tests in this process."""
+    suite = unittest.TestLoader().loadTestsFromNames(names)
+    return outcome_of(unittest.TextTestRunner(verbosity=1).run(suite))
+
+
+def plan_jobs(root: pathlib.Path = ROOT) -> list[tuple[str, ...]]:
+    """Return the test modules in groups that can run side by side.
+
+    Each module with processes is a group of its own, all others are one.
+    """
+    paths = sorted((root / "tests").rglob("test_*.py"))
+    slow = [path for path in paths if path.parent == root / PROCESS_TESTS]
+    quick = [path for path in paths if path not in slow]
+    groups = [quick, *([path] for path in slow)]
+    return [tuple(_dotted(root, path) for path in group) for group in groups if group]
+
+
+def _dotted(root: pathlib.Path, path: pathlib.Path) -> str:
+    return ".".join(path.relative_to(root).with_suffix("").parts)
 
 
-def report(result: unittest.TestResult, known_red_by_id: dict[str, str]) -> int:
+def report(outcome: Outcome, known_red_by_id: dict[str, str]) -> int:
     """Print the closing counts of a run.
 
     Args:
-        result: The finished run.
+        outcome: What the tests came to.
         known_red_by_id: Lines of KNOWN-RED.txt by test id.
 
     Returns:
         0 when every failure is a known one, else 1.
     """
-    failed_ids = {test.id() for test, _ in result.failures + result.errors}
-    failed_ids |= {test.id() for test in result.unexpectedSuccesses}
+    failed_ids = set(outcome.failed_ids)
     red = failed_ids & known_red_by_id.keys()
     for test_id in sorted(red):
         print(f"known red: {known_red_by_id[test_id]}")
     failed = len(failed_ids - red)
-    ran_and_failed = {
-        test.id()
-        for test, _ in result.failures + result.errors
-        if isinstance(test, unittest.TestCase)
-    }
-    passed = result.testsRun - len(ran_and_failed) - len(result.skipped)
-    print(f"known red passed over: {len(red)}, skipped: {len(result.skipped)}")
-    print(f"{passed} passed, {failed} failed")
+    print(f"known red passed over: {len(red)}, skipped: {outcome.skipped}")
+    print(f"{outcome.passed} passed, {failed} failed")
     return 0 if failed == 0 else 1
 
 
