Tell a booking whose claim timed out when to come back

Cause: a claim given up on after its own time-out was answered with 0.5 s to come back, also when the calls before it had told how long a claim takes. Change: the refusal carries the foretold time, as one given at once does. Seen to fail first: the new assertion on retry times in test_slow_platform.

--- a/almondspool/coordination/claims_task.py
+++ b/almondspool/coordination/claims_task.py
@@ -269,9 +269,13 @@
             return
         self._give_up_holder(op, "silent")
         self._bucket_of(op.request_id).abandon(op.token)
-        code = ResultCode.NOT_RUN_PLATFORM_DOWN
-        detail = "the platform did not confirm the claim in time"
-        self._deliver((ClaimDecision(op.token, code, detail=detail),))
+        refusal = ClaimDecision(
+            op.token,
+            ResultCode.NOT_RUN_PLATFORM_DOWN,
+            detail="the platform did not confirm the claim in time",
+            retry_after_s=self._pace.expected_s(self._timers.now()),
+        )
+        self._deliver((refusal,))
 
     def _deliver(self, decisions: tuple[ClaimDecision, ...]) -> None:
         for decision in decisions:
--- a/tests/coordination/test_slow_platform.py
+++ b/tests/coordination/test_slow_platform.py
@@ -104,6 +104,7 @@
         )
         self.bookings = 0
         self.waits_by_code = {}
+        self.retries_s = []
         self.start_membership()
 
     def start_membership(self):
@@ -164,6 +165,8 @@
         asked_at = self.now()
         decision = self.claims.claim(request, CLAIM_TIMEOUT_S)
         waited_s = self.now() - asked_at
+        if not decision.is_claimed:
+            self.retries_s.append(decision.retry_after_s)
         self.waits_by_code.setdefault(decision.code.name, []).append(waited_s)
 
     def book_for(self, duration_s):
@@ -203,6 +206,7 @@
         verify_session("platform_slow", session.lines)
         self.assertTrue(session.membership.may_act(session.now()))
         self.assertTrue(session.claims.is_idle())
+        self.assertGreater(min(session.retries_s), 0.0)
         refused = session.waits_by_code[REFUSED]
         self.assertGreater(sum(each < STEP_S for each in refused), len(refused) / 2)
         self.assertLess(max(refused), CLAIM_TIMEOUT_S + 2 * STEP_S)
