--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -5,9 +5,6 @@
 import concurrent.futures
 import contextlib
 import itertools
-import threading
-
-import yaml
 
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.http_platform import make_platform
@@ -22,6 +19,7 @@
 )
 from almondspool.standins.faults import Fault, FaultKind
 from tests.processes.caller import make_search, post
+from tests.processes.generations import GenerationWatch, edited
 from tests.processes.support import (
     TEAM,
     ClusterTestCase,
@@ -47,58 +45,6 @@
 RACES = 5
 
 
-def edited(cluster, team=TEAM):
-    """Return a text of a section that no earlier one equals."""
-    section = yaml.safe_load(cluster.deployment.section_texts_by_team[team])
-    section["deadline_ms"] = next(NUMBERS)
-    return yaml.safe_dump(section, sort_keys=False)
-
-
-class GenerationWatch:
-    """Samples what each instance runs until the end of a with block.
-
-    Attributes:
-        falls: What fell, across restarts too.
-    """
-
-    def __init__(self, cluster):
-        self.falls = []
-        self._cluster = cluster
-        self._highest_by_name = {}
-        self._is_stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def __enter__(self):
-        self._thread.start()
-        return self
-
-    def __exit__(self, *error):
-        self._is_stopped.set()
-        self._thread.join()
-
-    def wait_for(self, generation):
-        """Wait until every instance was seen to run a generation, or a later one."""
-        names = self._cluster.instances_by_name
-
-        def is_seen():
-            seen = self._highest_by_name.copy()
-            return all(seen.get(name, 0) >= generation for name in names)
-
-        wait_until(is_seen, f"generation {generation} is seen everywhere")
-
-    def _run(self):
-        while not self._is_stopped.wait(0.02):
-            for name, status in statuses(self._cluster).items():
-                if status["is_ready"]:
-                    self._note(name, status["generation"])
-
-    def _note(self, name, generation):
-        highest = self._highest_by_name.get(name, 0)
-        if generation < highest:
-            self.falls.append(f"{name}: {generation} after {highest}")
-        self._highest_by_name[name] = max(highest, generation)
-
-
 def restart_under_stale_reads(cluster):
     """Apply sections and restart an instance whose reads are stale."""
     name = next(iter(cluster.instances_by_name))
--- a/tests/processes/test_cuts.py
+++ b/tests/processes/test_cuts.py
@@ -17,6 +17,7 @@
     run_though_refused,
     wrong_answers,
 )
+from tests.processes.generations import GenerationWatch, edited
 from tests.processes.support import (
     TEAM,
     ClusterTestCase,
@@ -28,7 +29,6 @@
     wait_in_force,
     wait_until,
 )
-from tests.processes.test_configuration import GenerationWatch, edited
 from tests.processes.test_connection_limits import (
     CALLERS,
     TightTestCase,
--- a/tests/processes/test_fault_pairs.py
+++ b/tests/processes/test_fault_pairs.py
@@ -18,6 +18,7 @@
     run_though_refused,
     wrong_answers,
 )
+from tests.processes.generations import GenerationWatch
 from tests.processes.support import (
     TEAM,
     ClusterTestCase,
@@ -29,7 +30,6 @@
     wait_until,
     with_snapshots,
 )
-from tests.processes.test_configuration import GenerationWatch
 
 SEED = 3
 ANSWERS = 15
--- a/tests/processes/test_slow_platform.py
+++ b/tests/processes/test_slow_platform.py
@@ -12,6 +12,7 @@
     run_though_refused,
     wrong_answers,
 )
+from tests.processes.generations import edited
 from tests.processes.support import (
     TEAM,
     ClusterTestCase,
@@ -21,7 +22,6 @@
     wait_in_force,
     wait_until,
 )
-from tests.processes.test_configuration import edited
 
 # Longer than a caller waits for a search, and than two calls fit into a booking.
 SLOW_MS = 8000.0
