--- /dev/null
+++ b/bench/role_cost.py
@@ -0,0 +1,159 @@
+"""Processor time and sizes of the small roles, at several sizes of the fleet.
+
+Run as ``python -m bench.role_cost``. Prints, for each number of instances, what one
+entry look-up, one write of the fleet's status and one message of it cost, and what a
+member's record takes; then the cost of one command of the command-line tool.
+"""
+
+from __future__ import annotations
+
+import random
+import resource
+import subprocess
+import sys
+import time
+import tracemalloc
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.entries import choose_entries
+from almondspool.coordination.member_table import MemberTable
+from almondspool.protocol.fleet import (
+    FleetRow,
+    FleetStatus,
+    InstanceSummary,
+    Lease,
+    QueueSummary,
+    encode_fleet,
+)
+from almondspool.state.members import Member, View
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+US_PER_S = 1e6
+KIB = 1024
+SIZES = (9, 81, 440)
+ROUNDS = 50
+QUEUES = 10
+ZONES = 8
+TTL_S = 5.0
+COMMAND = (sys.executable, "-W", "ignore", "-m", "almondspool.cli", "--help")
+
+
+class RoleCosts(NamedTuple):
+    """What the roles cost at one size of the fleet.
+
+    Attributes:
+        instances: Size of the fleet.
+        look_up_us: Processor time of one entry look-up, in microseconds.
+        status_us: Processor time of encoding the fleet's status, in microseconds.
+        status_bytes: Size of the stored status.
+        record_bytes: Memory of one member's record in the table.
+    """
+
+    instances: int
+    look_up_us: float
+    status_us: float
+    status_bytes: int
+    record_bytes: float
+
+
+def measure(instances: int) -> RoleCosts:
+    """Return the costs at one size of the fleet."""
+    members = [_member(number) for number in range(instances)]
+    view = View({member.instance: member for member in members})
+    rng = random.Random(1)
+    look_up_s = _processor_s(
+        lambda: choose_entries(view, members[0], members[0].zone, TTL_S, rng)
+    )
+    status = _status(members)
+    return RoleCosts(
+        instances,
+        look_up_s * US_PER_S,
+        _processor_s(lambda: encode_fleet(status)) * US_PER_S,
+        len(encode_fleet(status)),
+        _record_bytes(instances),
+    )
+
+
+def measure_command() -> tuple[float, float]:
+    """Return processor seconds and peak resident MiB of one command."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run(COMMAND, check=False, capture_output=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent_s = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+    return spent_s, after.ru_maxrss / KIB
+
+
+def _member(number: int) -> Member:
+    return Member(
+        f"zone-{number % ZONES}-{number}",
+        1_700_000_000_000 + number,
+        f"zone-{number % ZONES}",
+        f"10.0.{number // 250}.{number % 250}:7101",
+        f"10.0.{number // 250}.{number % 250}:7201",
+        session=1_700_000_000_000 + number,
+        ready=True,
+    )
+
+
+def _status(members: list[Member]) -> FleetStatus:
+    queues = tuple(
+        QueueSummary("alert-desk", f"service-{number}", 3, 0.2, 40.1, 41.7, 0.1, False)
+        for number in range(QUEUES)
+    )
+    rows_by_instance = {
+        member.instance: FleetRow(
+            InstanceSummary(
+                member.instance,
+                member.incarnation,
+                member.zone,
+                7,
+                0.25,
+                True,
+                False,
+                queues,
+            ),
+            1_700_000_000_000,
+        )
+        for member in members
+    }
+    lease = Lease(members[0].instance, members[0].incarnation, 3, 1_700_000_000_000)
+    return FleetStatus(lease, 1_700_000_000_000, rows_by_instance)
+
+
+def _record_bytes(instances: int) -> float:
+    tracemalloc.start()
+    table = MemberTable(_member(0))
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(1, instances):
+        table.put(_member(number), 0.0)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / (instances - 1)
+
+
+def _processor_s(work: Callable[[], object]) -> float:
+    work()
+    started = time.process_time()
+    for _ in range(ROUNDS):
+        work()
+    return (time.process_time() - started) / ROUNDS
+
+
+def main() -> None:
+    """Print the costs."""
+    print("| instances | look-up us | status us | status bytes | record bytes |")
+    print("|---|---|---|---|---|")
+    for size in SIZES:
+        costs = measure(size)
+        print(
+            f"| {costs.instances} | {costs.look_up_us:.0f} | {costs.status_us:.0f}"
+            f" | {costs.status_bytes} | {costs.record_bytes:.0f} |"
+        )
+    spent_s, resident_mib = measure_command()
+    print(f"one command: {spent_s:.2f} s of a core, {resident_mib:.0f} MiB resident")
+
+
+if __name__ == "__main__":
+    main()
