Serve by one piece what stood in several places

Cause: read anew, the change had written again what the project had: milliseconds since the epoch in five places and a sleep on the timers in four; the operators' row of a queue for one instance and for the fleet; the holder of a duty as the first of a whole ranking; a measurement of processor time in two benchmarks; bookings posted at once in two process tests. The shares also described the former view anew at each change.

Now TimerService has epoch_ms and sleep, backlog_answers makes the row for both, first() names the holder, bench.processor_time measures, post_at_once posts, and the shares keep the standings of the view that they hold. Left as they are: the wire form of a leg in the stand-in beside the daemon's record, since a stand-in must not read with the code that it tests, and answers that only copy fields of the same names.

Ruled out: a change of behaviour.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from almondspool.coordination.backlog_answers import backlog_rows
 from almondspool.coordination.claim_routes import ClaimHolders
 from almondspool.coordination.claims_task import ClaimPeers, make_claims_task
 from almondspool.coordination.configuration_task import start_configuration_task
@@ -18,7 +19,6 @@
 from almondspool.coordination.instance_operator import (
     InstanceOperator,
     OperatorServices,
-    backlog_rows,
 )
 from almondspool.coordination.load_poll_task import LoadPollTask
 from almondspool.coordination.membership_task import LocalState, make_membership_task
@@ -58,7 +58,6 @@
 
 _LOCAL_STATE_INTERVAL_S = 0.5
 _STALE_SWEEP_S = 5.0
-_MS_PER_S = 1000
 
 
 class Application:
@@ -76,7 +75,7 @@
         self._timers = EventletTimers()
         self._metrics = Metrics()
         self._events = Events()
-        self._incarnation = self._epoch_ms()
+        self._incarnation = self._timers.epoch_ms()
         self._build_transport()
         self._build_request_path()
         self._build_stop()
@@ -389,10 +388,7 @@
         )
 
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
-        self._context.quarantine.merge(self._epoch_ms(), suspicion)
-
-    def _epoch_ms(self) -> int:
-        return int(self._timers.wall_time() * _MS_PER_S)
+        self._context.quarantine.merge(self._timers.epoch_ms(), suspicion)
 
 
 def make_application(settings: Any, log: EventLog) -> Application:
--- a/almondspool/coordination/claims_task.py
+++ b/almondspool/coordination/claims_task.py
@@ -293,19 +293,19 @@
 
     def _work_off(self, bucket: ClaimBucket) -> None:
         failures = 0
-        self._sleep(BATCH_DELAY_S)
+        self._timers.sleep(BATCH_DELAY_S)
         while step := self._next_step(bucket):
             is_done = self._carry_out(bucket, step)
             failures = 0 if is_done else failures + 1
             if failures:
-                self._sleep(self._backoff_s(failures))
+                self._timers.sleep(self._backoff_s(failures))
 
     def _next_step(self, bucket: ClaimBucket) -> ReadBucket | WriteBucket | None:
         now = self._timers.now()
         for remote in self._remote_asks.pop_expired(now):
             if remote.bucket in self._bucket_by_name:
                 self._bucket_by_name[remote.bucket].withdraw(remote.op.token)
-        return bucket.next_step(now, self._epoch_ms())
+        return bucket.next_step(now, self._timers.epoch_ms())
 
     def _carry_out(self, bucket: ClaimBucket, step: ReadBucket | WriteBucket) -> bool:
         """Make one call and deliver what it decides; return whether it succeeded."""
@@ -335,9 +335,9 @@
     def _read(self, bucket: ClaimBucket) -> tuple[ClaimDecision, ...]:
         result = self._platform.get(CLAIM_KIND, bucket.name)
         if is_successful(result):
-            return bucket.on_read(self._epoch_ms(), result.unwrap())
+            return bucket.on_read(self._timers.epoch_ms(), result.unwrap())
         if result.failure().code == ResultCode.PLATFORM_NOT_FOUND:
-            return bucket.on_read(self._epoch_ms(), None)
+            return bucket.on_read(self._timers.epoch_ms(), None)
         raise result.failure()
 
     def _write(
@@ -354,14 +354,6 @@
         longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(failures, 16))
         return longest * (0.5 + self._rng.random() / 2)
 
-    def _sleep(self, duration_s: float) -> None:
-        woken = Event()
-        self._timers.call_later(duration_s, woken.send)
-        woken.wait()
-
-    def _epoch_ms(self) -> int:
-        return int(self._timers.wall_time() * 1000)
-
 
 def make_claims_task(
     platform: PlatformInterface,
--- a/almondspool/coordination/fleet_answers.py
+++ b/almondspool/coordination/fleet_answers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
+from almondspool.coordination.backlog_answers import backlog_row
 from almondspool.protocol.operator import FleetAnswer, FleetBacklogRow, FleetMemberRow
 
 if TYPE_CHECKING:
@@ -48,17 +48,9 @@
 
 
 def _backlog_row(now_ms: int, row: FleetRow, queue: QueueSummary) -> FleetBacklogRow:
-    drain_s = queue.time_to_drain_s
     return FleetBacklogRow(
+        **backlog_row(queue),
         instance=row.summary.instance,
-        team=queue.team,
-        service=queue.service,
-        queued=queue.length,
-        oldest_ms=queue.oldest_age_s * _MS_PER_S,
-        arrivals_per_s=queue.arrivals_per_s,
-        served_per_s=queue.served_per_s,
-        drain_s=drain_s if math.isfinite(drain_s) else -1.0,
-        is_warning=queue.warning,
         age_s=_age_s(now_ms, row.reported_at_ms),
     )
 
--- a/almondspool/coordination/fleet_task.py
+++ b/almondspool/coordination/fleet_task.py
@@ -99,7 +99,7 @@
     def on_report(self, sender: str, summary: InstanceSummary) -> None:
         """Take a peer's report of itself."""
         if summary.instance == sender:
-            self._rows.take(self._now_ms(), summary)
+            self._rows.take(self._services.timers.epoch_ms(), summary)
 
     def read(self) -> FleetStatus:
         """Return the status as the platform has it.
@@ -137,7 +137,7 @@
         if not holder or (now < self._report_due and not is_news):
             return
         if holder == self._instance:
-            self._rows.take(self._now_ms(), summary)
+            self._rows.take(self._services.timers.epoch_ms(), summary)
         elif not self._services.send(holder, StatusReport(summary)):
             return
         self._report_due = now + period_s
@@ -147,10 +147,10 @@
         self._write_due = self._services.timers.now() + period_s
         try:
             lease_ms = int(LEASE_INTERVALS * period_s * _MS_PER_S)
-            step = self._lease.next_step(self._now_ms(), lease_ms)
+            step = self._lease.next_step(self._services.timers.epoch_ms(), lease_ms)
             if isinstance(step, ReadObject):
                 self._take_object()
-                step = self._lease.next_step(self._now_ms(), lease_ms)
+                step = self._lease.next_step(self._services.timers.epoch_ms(), lease_ms)
             if step is None:
                 # Read anew next time: the other holder renews its lease.
                 self._lease.forget()
@@ -184,7 +184,7 @@
         self._lease.on_read(status.lease, version)
 
     def _put(self, step: WriteObject) -> None:
-        now_ms = self._now_ms()
+        now_ms = self._services.timers.epoch_ms()
         rows_by_instance = dict(self._rows.rows_by_instance(now_ms))
         status = FleetStatus(step.lease, now_ms, rows_by_instance)
         result = self._services.platform.put(
@@ -201,9 +201,6 @@
             rows=len(rows_by_instance),
         )
 
-    def _now_ms(self) -> int:
-        return int(self._services.timers.wall_time() * _MS_PER_S)
-
 
 def make_fleet_task(
     instance: str,
--- a/almondspool/coordination/instance_operator.py
+++ b/almondspool/coordination/instance_operator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
@@ -28,9 +27,8 @@
 from almondspool.state.members import MemberStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Mapping
 
-    from almondspool.coordination.backlog import BacklogRow as QueueRow
     from almondspool.coordination.configuration_task import ConfigurationTask
     from almondspool.coordination.replicas import ReplicaChooser
     from almondspool.protocol.fleet import FleetStatus
@@ -108,8 +106,7 @@
     def fleet(self) -> FleetAnswer:
         """Return what the holder of the fleet's status wrote last."""
         status = self._services.fleet()
-        now_ms = int(self._services.timers.wall_time() * _MS_PER_S)
-        return describe_fleet(now_ms, status)
+        return describe_fleet(self._services.timers.epoch_ms(), status)
 
     def explain(self, team: str, shard: str) -> ExplainAnswer:
         """Return which upstream would run a shard now, and why."""
@@ -146,31 +143,6 @@
         return sections_by_team[team]
 
 
-def backlog_rows(queues: Iterable[QueueRow]) -> list[BacklogRow]:
-    """Return the rows of the operators' status; times that never come are -1.
-
-    Args:
-        queues: The backlog monitor's rows.
-    """
-    return [
-        BacklogRow(
-            team=queue.team,
-            service=queue.service,
-            queued=queue.length,
-            oldest_ms=queue.oldest_age_s * _MS_PER_S,
-            arrivals_per_s=queue.arrivals_per_s,
-            served_per_s=queue.served_per_s,
-            drain_s=_finite(queue.time_to_drain_s),
-            is_warning=queue.warning,
-        )
-        for queue in queues
-    ]
-
-
-def _finite(duration_s: float) -> float:
-    return duration_s if math.isfinite(duration_s) else -1.0
-
-
 def _member_row(member: Member) -> MemberRow:
     return MemberRow(
         instance=member.instance,
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership.py
@@ -18,7 +18,7 @@
     Rejoin,
 )
 from almondspool.coordination.member_table import MemberTable
-from almondspool.coordination.rendezvous import rank
+from almondspool.coordination.rendezvous import first
 from almondspool.protocol.peer import (
     Heartbeat,
     ProbeReply,
@@ -326,7 +326,7 @@
         present = [member.instance for member in self.view().present()]
         if instance in self._listings.listed or not present:
             return []
-        is_duty = rank(instance, present)[0] == self.own.instance
+        is_duty = first(instance, present) == self.own.instance
         return [DeleteRecord(instance)] if is_duty else []
 
     def _platform_calls(self, now: float) -> list[Action]:
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares.py
@@ -67,6 +67,7 @@
         }
         self._upstream_ids: frozenset[str] = frozenset()
         self._view = View({})
+        self._standings = self._view.standings()
         self._listed: frozenset[str] = frozenset()
         self._may_act = False
         self._giving_back = False
@@ -171,8 +172,10 @@
         self._may_act = may_act
         if view is self._view:
             return
-        if view.standings() != self._view.standings():
+        standings = view.standings()
+        if standings != self._standings:
             self._quiet_ticks = 0
+        self._standings = standings
         self._view = view
         self._policy.set_candidates(
             {member.instance: member.zone for member in view.present() if member.ready}
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares_task.py
@@ -208,8 +208,8 @@
         shares.set_view(membership.view(), membership.listed(), membership.may_act())
         for upstream_id in shares.closing():
             shares.connections_open(upstream_id, services.open_connections(upstream_id))
-        wall_ms = int(services.timers.wall_time() * 1000)
-        self._execute(shares.tick(services.timers.now(), wall_ms))
+        timers = services.timers
+        self._execute(shares.tick(timers.now(), timers.epoch_ms()))
         self._compare(services.timers.now())
         if shares.is_ranking() and not self._is_ranking:
             self._is_ranking = True
--- a/almondspool/transport/timers.py
+++ b/almondspool/transport/timers.py
@@ -9,10 +9,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
+from eventlet.event import Event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+_MS_PER_S = 1000
+
 
 class TimerHandle(abc.ABC):
     """A subscription that can be cancelled."""
@@ -33,6 +36,16 @@
     def wall_time(self) -> float:
         """Return seconds since the Unix epoch."""
 
+    def epoch_ms(self) -> int:
+        """Return whole milliseconds since the Unix epoch."""
+        return int(self.wall_time() * _MS_PER_S)
+
+    def sleep(self, duration_s: float) -> None:
+        """Block the calling green thread for a duration in seconds."""
+        woken = Event()
+        self.call_later(duration_s, woken.send)
+        woken.wait()
+
     @abc.abstractmethod
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
         """Call back once after a delay in seconds."""
--- a/bench/claim_writes.py
+++ b/bench/claim_writes.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
-from eventlet.event import Event
 from returns.result import Failure, Result, Success
 
 from almondspool.codes import ResultCode
@@ -100,7 +99,7 @@
 
     def _wait(self, what: str) -> None:
         self.counts[what] += 1
-        _sleep(self._timers, CALL_S)
+        self._timers.sleep(CALL_S)
 
 
 class _Fleet:
@@ -120,7 +119,7 @@
         if not task.claim(request).is_claimed:
             return
         self.durations_ms.append((self.timers.now() - started) * 1000)
-        _sleep(self.timers, RUN_S)
+        self.timers.sleep(RUN_S)
         task.record(request.request_id, ClaimState.DONE)
 
     def _make_task(self, name: str) -> ClaimsTask:
@@ -211,16 +210,10 @@
         "alert-desk",
         shard="shard-0",
         idempotent=False,
-        issued_at_ms=int(timers.wall_time() * 1000),
+        issued_at_ms=timers.epoch_ms(),
     )
 
 
-def _sleep(timers: VirtualTimers, duration_s: float) -> None:
-    woken = Event()
-    timers.call_later(duration_s, woken.send)
-    woken.wait()
-
-
 def main() -> None:
     """Print the calls as a table."""
     print("| claims/s | instances | holder | writes | conflicts | reads | p99 ms |")
--- a/bench/leg_cost.py
+++ b/bench/leg_cost.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import random
-import time
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from almondspool.codes import ResultCode
 from almondspool.coordination.connections import ConnectionWatch
@@ -29,9 +28,7 @@
     Upstream,
 )
 from almondspool.transport.timers import EventletTimers
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from bench.processor_time import processor_s
 
 US_PER_S = 1e6
 SHARDS = 630
@@ -70,8 +67,8 @@
     section = _wide_section()
     rng = random.Random(1)
     context = make_context("perth-1", 1, "perth-north", 0.05, 600.0, rng)
-    seconds = _processor_s(lambda: _run_session(section, context), QUERIES)
-    return Cost("decide a query", SHARDS, seconds / QUERIES / SHARDS * US_PER_S)
+    seconds = processor_s(lambda: _run_session(section, context), QUERIES)
+    return Cost("decide a query", SHARDS, seconds / SHARDS * US_PER_S)
 
 
 def measure_codec(legs: int) -> Cost:
@@ -84,8 +81,8 @@
         codec.decode(codec.encode("perth-1", 1, 1, (batch,)))
         codec.decode(codec.encode("perth-2", 1, 1, (results,)))
 
-    seconds = _processor_s(relay, CODEC_ROUNDS)
-    return Cost("peer codec", legs, seconds / CODEC_ROUNDS / legs * US_PER_S)
+    seconds = processor_s(relay, CODEC_ROUNDS)
+    return Cost("peer codec", legs, seconds / legs * US_PER_S)
 
 
 def measure_exchanges() -> list[Cost]:
@@ -98,23 +95,15 @@
         costs = []
         for legs in (1, 4, 16):
             parts = tuple(_leg(f"leg-{n}", shard) for n in range(legs))
-            seconds = _processor_s(
+            seconds = processor_s(
                 lambda parts=parts: list(client.run(upstream, parts, 10.0)), EXCHANGES
             )
-            us_per_leg = seconds / EXCHANGES / legs * US_PER_S
+            us_per_leg = seconds / legs * US_PER_S
             costs.append(Cost("HTTP exchange, client side", legs, us_per_leg))
         sweep.cancel()
         return costs
 
 
-def _processor_s(work: Callable[[], object], rounds: int) -> float:
-    work()
-    started = time.process_time()
-    for _ in range(rounds):
-        work()
-    return time.process_time() - started
-
-
 def _run_session(section: Section, context: object) -> None:
     request = SearchRequest("r-1", "alert-desk", deadline_ms=DEADLINE_MS)
     session = make_session(context, request, lambda: section, 1, 0.0, 0.0)
--- a/bench/role_cost.py
+++ b/bench/role_cost.py
@@ -11,9 +11,8 @@
 import resource
 import subprocess
 import sys
-import time
 import tracemalloc
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from almondspool.coordination.entries import choose_entries
 from almondspool.coordination.member_table import MemberTable
@@ -26,9 +25,7 @@
     encode_fleet,
 )
 from almondspool.state.members import Member, View
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from bench.processor_time import processor_s
 
 US_PER_S = 1e6
 KIB = 1024
@@ -63,14 +60,14 @@
     members = [_member(number) for number in range(instances)]
     view = View({member.instance: member for member in members})
     rng = random.Random(1)
-    look_up_s = _processor_s(
-        lambda: choose_entries(view, members[0], members[0].zone, TTL_S, rng)
+    look_up_s = processor_s(
+        lambda: choose_entries(view, members[0], members[0].zone, TTL_S, rng), ROUNDS
     )
     status = _status(members)
     return RoleCosts(
         instances,
         look_up_s * US_PER_S,
-        _processor_s(lambda: encode_fleet(status)) * US_PER_S,
+        processor_s(lambda: encode_fleet(status), ROUNDS) * US_PER_S,
         len(encode_fleet(status)),
         _record_bytes(instances),
     )
@@ -133,14 +130,6 @@
     return (after - before) / (instances - 1)
 
 
-def _processor_s(work: Callable[[], object]) -> float:
-    work()
-    started = time.process_time()
-    for _ in range(ROUNDS):
-        work()
-    return (time.process_time() - started) / ROUNDS
-
-
 def main() -> None:
     """Print the costs."""
     print("| instances | look-up us | status us | status bytes | record bytes |")
--- a/tests/coordination/claim_fleet.py
+++ b/tests/coordination/claim_fleet.py
@@ -115,9 +115,7 @@
             self.resumed.wait()
 
     def sleep(self, duration_s):
-        woken = Event()
-        self.fleet.timers.call_later(duration_s, woken.send)
-        woken.wait()
+        self.fleet.timers.sleep(duration_s)
 
     def freeze(self):
         if not self.is_frozen:
--- a/tests/coordination/test_slow_platform.py
+++ b/tests/coordination/test_slow_platform.py
@@ -135,9 +135,7 @@
         self.lines.append(f"{self.now():7.2f} {line}")
 
     def pause(self, duration_s):
-        woken = Event()
-        self.timers.call_later(duration_s, woken.send)
-        woken.wait()
+        self.timers.sleep(duration_s)
 
     def advance(self, duration_s):
         for _ in range(round(duration_s / STEP_S)):
--- a/tests/processes/caller.py
+++ b/tests/processes/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import itertools
 import json
 import threading
@@ -14,7 +15,7 @@
 from tests.processes.support import TEAM, caller_addresses, wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from almondspool.standins.launcher import Cluster
 
@@ -115,6 +116,16 @@
     return request["deadline_ms"] / 1000 + GRACE_S
 
 
+def post_at_once(
+    addresses: Sequence[str], requests: Sequence[dict[str, Any]]
+) -> list[Attempt]:
+    """Send each request to each address, all at the same time."""
+    pairs = list(itertools.product(requests, addresses))
+    with concurrent.futures.ThreadPoolExecutor(len(pairs)) as pool:
+        sent = [pool.submit(post, address, request) for request, address in pairs]
+        return [future.result() for future in sent]
+
+
 class Caller:
     """Asks for entries, keeps them for their ttl, resends elsewhere on a refusal.
 
--- a/tests/processes/test_bookings.py
+++ b/tests/processes/test_bookings.py
@@ -5,7 +5,7 @@
 import concurrent.futures
 
 from almondspool.standins.faults import Fault, FaultKind
-from tests.processes.caller import Caller, make_booking, post
+from tests.processes.caller import Caller, make_booking, post, post_at_once
 from tests.processes.checks import (
     doubled_bookings,
     journal_entries,
@@ -40,11 +40,9 @@
     """Send the same bookings to every instance at once and return the attempts."""
     addresses = caller_addresses(cluster)
     attempts = []
-    with concurrent.futures.ThreadPoolExecutor(len(addresses)) as pool:
-        for number in range(bookings):
-            booking = make_booking(SHARDS[number % len(SHARDS)])
-            sent = [pool.submit(post, address, booking) for address in addresses]
-            attempts += [future.result() for future in sent]
+    for number in range(bookings):
+        booking = make_booking(SHARDS[number % len(SHARDS)])
+        attempts += post_at_once(addresses, [booking])
     return attempts
 
 
--- a/tests/processes/test_cuts.py
+++ b/tests/processes/test_cuts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import concurrent.futures
 import functools
 from typing import ClassVar
 
@@ -10,7 +9,7 @@
 from almondspool.protocol.manifest import MANIFEST_KIND, SECTION_KIND
 from almondspool.standins.faults import Fault, FaultKind
 from almondspool.standins.launcher import PLATFORM
-from tests.processes.caller import Load, make_booking, make_search, post
+from tests.processes.caller import Load, make_booking, make_search, post, post_at_once
 from tests.processes.checks import (
     beyond_limit,
     doubled_bookings,
@@ -160,13 +159,7 @@
     """Send the same bookings to several instances at once; return the attempts."""
     addresses = [cluster.instances_by_name[name].caller_address for name in names]
     bookings = [make_booking(SHARDS[number % 2]) for number in range(BOOKINGS)]
-    with concurrent.futures.ThreadPoolExecutor(BOOKINGS * len(names)) as pool:
-        sent = [
-            pool.submit(post, address, booking)
-            for booking in bookings
-            for address in addresses
-        ]
-        return [future.result() for future in sent]
+    return post_at_once(addresses, bookings)
 
 
 class ZoneTestCase(LinkTestCase, TightTestCase):
