--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -5,12 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
-from almondspool.protocol.exchange import (
-    Answer,
-    CoverageNote,
-    LegOutcome,
-    RequestHandle,
-)
+from almondspool.protocol.exchange import Answer, CoverageNote, LegOutcome
 from almondspool.routing.context import (
     ANSWER_MARGIN_S,
     BUDGET_RETRY_S,
@@ -19,10 +14,11 @@
     RETRY_AFTER_S,
 )
 from almondspool.routing.crashes import fingerprint
-from almondspool.routing.legs import FIRST, LegRecorder
+from almondspool.routing.legs import FIRST
 from almondspool.routing.merge import merge_greatest
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
 from almondspool.routing.shard_sends import MAX_REJECTIONS, ShardSends
+from almondspool.routing.timed_request import TimedRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +31,6 @@
     from almondspool.routing.context import RoutingContext
     from almondspool.routing.legs import OpenLeg
     from almondspool.state.routes import Route
-    from almondspool.transport.timers import TimerHandle
 
 # Shards are retried until this many goals after the arrival: a late answer is worth
 # more to a caller than the search that it would begin anew.
@@ -46,7 +41,7 @@
 SUSPICIOUS_BREAKS = 2
 
 
-class FanOut(RequestHandle):
+class FanOut(TimedRequest):
     """Sends one leg to each shard, hedges stragglers and decides when to answer.
 
     A search is answered whole as soon as it is, and otherwise just before its goal if
@@ -71,23 +66,14 @@
             leg_request: What each leg sends.
             on_end: Takes the outcome, once.
         """
-        self._context = context
-        self._route = route
-        self._request = request
-        self._leg_request = leg_request
-        self._on_end = on_end
+        super().__init__(context, route, request, leg_request, on_end)
         self._shards = [ShardSends(service) for service in route.shards]
         self._unsettled = len(self._shards)
         self._answered = 0
         self._needed = _needed_parts(route, len(self._shards))
-        limit_s = request.deadline_s if request.deadline_s else route.timeout_s
-        self._ends_at = request.arrived + min(limit_s, route.timeout_s)
         way_s = request.way_s or DEFAULT_WAY_S
         self._goal_at = request.arrived + route.goal_s - way_s - ANSWER_MARGIN_S
-        self._legs = LegRecorder(context, route, request)
         self._retry_until = request.arrived + RETRY_GOALS * route.goal_s
-        self._timers: list[TimerHandle] = []
-        self._is_finished = False
         self._has_run = False
         self._is_doomed = False
         self._breaks = 0
@@ -107,12 +93,10 @@
         if usable < self._needed:
             self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
             return
-        timers = self._context.timers
-        self._timers.append(timers.call_later(self._ends_at - now, self._on_deadline))
+        self._call_later(self._ends_at - now, self._on_deadline)
         if self._goal_at > now:
-            self._timers.append(timers.call_later(self._goal_at - now, self._on_goal))
-        delay_s = self._context.times.hedge_delay_s(self._route)
-        self._timers.append(timers.call_later(delay_s, self._on_hedge))
+            self._call_later(self._goal_at - now, self._on_goal)
+        self._call_later(self._context.times.hedge_delay_s(self._route), self._on_hedge)
         for shard in self._shards:
             if not self._is_finished:
                 self._send(now, shard, FIRST)
@@ -347,16 +331,6 @@
             self._digest = fingerprint(self._request)
         return self._digest
 
-    def _call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._timers.append(self._context.timers.call_later(delay_s, callback))
-
-    def _close(self, outcome: Outcome) -> None:
-        self._is_finished = True
-        for timer in self._timers:
-            timer.cancel()
-        self._timers.clear()
-        self._on_end(outcome)
-
 
 def _needed_parts(route: Route, shards: int) -> int:
     """Return the least number of parts whose share reaches the least coverage."""
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -5,15 +5,12 @@
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
-from almondspool.protocol.exchange import (
-    Answer,
-    LegOutcome,
-    RequestHandle,
-)
+from almondspool.protocol.exchange import Answer, LegOutcome
 from almondspool.routing.context import BUDGET_RETRY_S, DETACH_S, RETRY_AFTER_S
 from almondspool.routing.crashes import fingerprint
-from almondspool.routing.legs import FIRST, LegRecorder, OpenLeg
+from almondspool.routing.legs import FIRST, OpenLeg
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
+from almondspool.routing.timed_request import TimedRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +22,6 @@
     )
     from almondspool.routing.context import RoutingContext
     from almondspool.state.routes import Replica, Route
-    from almondspool.transport.timers import TimerHandle
 
 # How many replicas may reject a request before it is refused; each of them said
 # that it did not run it.
@@ -33,7 +29,7 @@
 MAX_MOVES = 4
 
 
-class Forward(RequestHandle):
+class Forward(TimedRequest):
     """Sends a request to one upstream; to a second one only where that is safe.
 
     An idempotent request is hedged and retried within the budget. Another one is sent
@@ -59,23 +55,15 @@
             leg_request: What each send consists of.
             on_end: Takes the outcome, once.
         """
-        self._context = context
-        self._route = route
+        super().__init__(context, route, request, leg_request, on_end)
         self._service = service
-        self._request = request
-        self._leg_request = leg_request
-        self._on_end = on_end
-        limit_s = request.deadline_s if request.deadline_s else route.timeout_s
-        self._ends_at = request.arrived + min(limit_s, route.timeout_s)
         self._open: list[OpenLeg] = []
         self._tried: set[str] = set()
+        self._no_choice = ""
         self._runs = 0
         self._rejections = 0
         self._moves = 0
-        self._legs = LegRecorder(context, route, request)
         self._fallback: tuple[LegReply, Replica] | None = None
-        self._timers: list[TimerHandle] = []
-        self._is_finished = False
 
     def start(self) -> None:
         """Send the request, or refuse it at once."""
@@ -84,14 +72,12 @@
         if now >= self._ends_at:
             self._refuse("deadline_expired")
             return
-        if not self._context.registry.usable(self._service):
-            self._refuse("no_replica")
-            return
         self._call_later(self._ends_at - now, self._on_deadline)
         if self._route.is_idempotent:
             delay_s = self._context.times.hedge_delay_s(self._route)
             self._call_later(delay_s, self._on_hedge)
-        self._send(now, FIRST)
+        if not self._send(now, FIRST):
+            self._refuse(self._no_choice)
 
     def abandon(self) -> None:
         """End the request without an answer: its caller has left."""
@@ -111,6 +97,7 @@
             self._tried,
         )
         if choice.replica is None:
+            self._no_choice = choice.reason
             return False
         send = OpenLeg(choice.replica, now)
         self._tried.add(choice.replica.replica_id)
@@ -191,7 +178,7 @@
         elif not self._context.budget.take(now, self._service):
             self._give_up(f"{reason}:budget_used_up")
         elif not self._send(now, f"retry_{reason}"):
-            self._give_up(f"{reason}:no_replica_left")
+            self._give_up(f"{reason}:{self._no_choice}")
 
     def _on_hedge(self) -> None:
         if self._is_finished or not self._open:
@@ -254,13 +241,3 @@
         answer = refusal_answer(self._context.form, RETRY_AFTER_S)
         code = ResultCode.NOT_RUN_NO_UPSTREAM
         self._close(Outcome(answer, code, reason, 0, 1, self._legs.extra))
-
-    def _call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._timers.append(self._context.timers.call_later(delay_s, callback))
-
-    def _close(self, outcome: Outcome) -> None:
-        self._is_finished = True
-        for timer in self._timers:
-            timer.cancel()
-        self._timers.clear()
-        self._on_end(outcome)
--- a/almondspool/transport/upstream_pools.py
+++ b/almondspool/transport/upstream_pools.py
@@ -147,6 +147,8 @@
         self.limit = limit
         while self._idle and self.open_count > limit:
             self._idle.pop(0).close()
+        if not limit:
+            self._fail_waiting("no_quota")
 
     def close_stale(self, now: float) -> None:
         stale = [each for each in self._idle if each.idle_until <= now]
@@ -219,7 +221,7 @@
         connection.start(exchange.request, tail, ended)
 
     def _reuse(self, connection: UpstreamConnection) -> None:
-        if self._is_retired or self.open_count >= self.limit + len(self._waiting) + 1:
+        if self._is_retired or self.open_count >= self.limit:
             connection.close()
             return
         if self._waiting:
--- a/tests/routing/test_forward.py
+++ b/tests/routing/test_forward.py
@@ -3,7 +3,7 @@
 import testtools
 from testtools.matchers import GreaterThan, LessThan
 
-from almondspool.protocol.exchange import LegOutcome
+from almondspool.protocol.exchange import LegOutcome, Room
 from almondspool.state.routes import ServiceShare
 from tests.routing.routed_bench import (
     RoutedBench,
@@ -131,6 +131,17 @@
         answers = bench.begin(path="/fetch/2f")
         self.assertEqual(503, answers[0][1].status)
 
+    def test_request_without_a_granted_connection_is_refused_at_once(self):
+        for is_idempotent in (True, False):
+            bench = self.make(is_idempotent=is_idempotent)
+            for replica in make_replicas("records"):
+                bench.sender.room_by_id[replica.replica_id] = Room.NONE
+            answers = bench.begin(path="/fetch/2f", deadline_s=4.0)
+            self.assertEqual([503], [reply.status for _, reply in answers])
+            retry_after = bench.header(answers[0][1], "Retry-After")
+            self.assertThat(float(retry_after), GreaterThan(0.0))
+            self.assertEqual([], bench.sender.sent)
+
     def test_split_part_without_room_is_refused_not_moved(self):
         shares = (ServiceShare("records", 1.0), ServiceShare("audit", 1.0))
         bench = RoutedBench(fetch_route(shares=shares))
--- a/tests/transport/test_upstream_pools.py
+++ b/tests/transport/test_upstream_pools.py
@@ -69,6 +69,30 @@
         self.exchange()
         self.assertEqual(2, len(server.connections))
 
+    def test_connection_beyond_a_lowered_quota_is_closed_after_its_reply(self):
+        held = []
+        self.serve(lambda connection, _: held.append(connection))
+        for _ in range(2):
+            self.send()
+        self.assertTrue(wait_until(lambda: len(held) == 2))
+        self.limit = 1
+        self.pools.refresh_quotas()
+        for connection in held:
+            connection.write(reply())
+        self.assertTrue(wait_until(lambda: len(self.replies) == 2))
+        self.assertEqual(1, self.pools.open_connections())
+
+    def test_waiting_send_ends_when_the_quota_is_taken_away(self):
+        held = []
+        self.serve(lambda connection, _: held.append(connection))
+        self.limit = 1
+        self.send(request_id="r1")
+        self.send(request_id="r2")
+        self.assertTrue(wait_until(lambda: len(held) == 1))
+        self.limit = 0
+        self.pools.refresh_quotas()
+        self.assertEqual([LegOutcome.NOT_SENT], [each.outcome for each in self.replies])
+
     def test_quota_is_never_exceeded_and_waiting_sends_follow(self):
         held = []
         server = self.serve(lambda connection, _: held.append(connection))
