--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -17,6 +17,7 @@
 from almondspool.platform.store_following import FollowingServices, StoreFollowing
 from almondspool.platform.store_platform import StorePlatform
 from almondspool.platform.watches import MIN_GAP_S
+from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
@@ -216,6 +217,7 @@
             selector=self._selector,
             times=RouteTimes(),
             budget=self._budget,
+            admission=SearchAdmission(),
             splitter=Splitter(self._rng),
             crashes=self._crashes,
             note_leg=self._metrics.note_leg,
--- /dev/null
+++ b/almondspool/routing/admission.py
@@ -0,0 +1,116 @@
+"""Whether a search can be answered in time behind what waits at the upstreams.
+
+Answers a burst of callers, or the loss of many upstreams: without a bound the queues
+at the upstreams grow until every search is late, and none is served in time.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from almondspool.state.routes import Route
+
+# Part of the tightest goal of the routes that queue together which a search may wait.
+# A longer queue serves no more searches, as the upstreams are busy with this one; the
+# rest of the goal covers ways, run, pauses and the spread over the shards.
+WAIT_GOAL_SHARE = 0.5
+# Less urgent searches leave the end of the queue to more urgent ones.
+LESS_URGENT_SHARE = 0.85
+# Weight of one leg in the mean time of a turn: a hundred searches of ten shards.
+TURN_WEIGHT = 0.001
+# Until legs were seen, a turn takes this part of the tightest goal.
+FIRST_TURN_GOAL_SHARE = 0.12
+# Below a queue of this many turns nothing is refused: what is late then is late for
+# another reason, which refusing would not mend.
+MIN_TURNS = 0.5
+
+
+class Verdict(NamedTuple):
+    """Whether a search is taken, with what decided it.
+
+    Attributes:
+        is_admitted: Whether to run it.
+        wait_s: Expected wait of the slowest leg that is needed, in seconds.
+        allowed_s: What it may wait, in seconds.
+    """
+
+    is_admitted: bool
+    wait_s: float
+    allowed_s: float
+
+
+class _Queue:
+    """What is known of one set of shards, whose routes queue together."""
+
+    __slots__ = ("most_urgent", "tightest_goal_s", "turn_s")
+
+    def __init__(self, route: Route) -> None:
+        self.tightest_goal_s = route.goal_s
+        self.most_urgent = route.priority
+        self.turn_s = 0.0
+
+    def add(self, route: Route) -> None:
+        self.tightest_goal_s = min(self.tightest_goal_s, route.goal_s)
+        self.most_urgent = min(self.most_urgent, route.priority)
+
+
+class SearchAdmission:
+    """Predicts the wait of a search's legs from the queues in front of them.
+
+    A turn is the time in which an upstream ends as many legs as it runs at once.
+    """
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        self._queues_by_shards: dict[tuple[str, ...], _Queue] = {}
+
+    def set_routes(self, routes: Iterable[Route]) -> None:
+        """Take the routes of a configuration; what was learned of shards stays."""
+        known = self._queues_by_shards
+        queues: dict[tuple[str, ...], _Queue] = {}
+        for route in routes:
+            if not route.is_search:
+                continue
+            queue = queues.get(route.shards)
+            if queue is None:
+                queues[route.shards] = queue = _Queue(route)
+            queue.add(route)
+        for shards, queue in queues.items():
+            first_s = queue.tightest_goal_s * FIRST_TURN_GOAL_SHARE
+            queue.turn_s = known[shards].turn_s if shards in known else first_s
+        self._queues_by_shards = queues
+
+    def note_unqueued_leg(self, route: Route, leg_s: float) -> None:
+        """Learn the time of a turn from a leg that found a slot free.
+
+        Args:
+            route: The leg's route.
+            leg_s: Its time, in seconds.
+        """
+        queue = self._queues_by_shards.get(route.shards)
+        if queue is not None:
+            queue.turn_s += TURN_WEIGHT * (leg_s - queue.turn_s)
+
+    def judge(
+        self, route: Route, queued_turns: Sequence[float], needed: int
+    ) -> Verdict:
+        """Decide whether a search is run.
+
+        Args:
+            route: A route with shards.
+            queued_turns: For each shard that can be asked, the turns ahead; at least
+                as many as are needed.
+            needed: How many shards must answer.
+        """
+        queue = self._queues_by_shards.get(route.shards)
+        if queue is None:
+            return Verdict(True, 0.0, 0.0)
+        turns = sorted(queued_turns)[needed - 1]
+        wait_s = turns * queue.turn_s
+        allowed_s = WAIT_GOAL_SHARE * queue.tightest_goal_s
+        if route.priority > queue.most_urgent:
+            allowed_s *= LESS_URGENT_SHARE
+        return Verdict(turns < MIN_TURNS or wait_s <= allowed_s, wait_s, allowed_s)
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -9,6 +9,7 @@
 
     from almondspool.logs import EventLog
     from almondspool.protocol.exchange import HttpForm, LegSender
+    from almondspool.routing.admission import SearchAdmission
     from almondspool.routing.crashes import CrashWatch
     from almondspool.routing.extra_sends import ExtraSendBudget
     from almondspool.routing.replicas import ReplicaRegistry
@@ -41,6 +42,7 @@
     selector: ReplicaSelector
     times: RouteTimes
     budget: ExtraSendBudget
+    admission: SearchAdmission
     splitter: Splitter
     crashes: CrashWatch
     note_leg: Callable[[str, str], None]
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -30,6 +30,7 @@
     )
     from almondspool.routing.context import RoutingContext
     from almondspool.routing.legs import OpenLeg
+    from almondspool.routing.selection import Choice
     from almondspool.state.routes import Route
 
 # Shards are retried until this many goals after the arrival: a late answer is worth
@@ -37,6 +38,11 @@
 RETRY_GOALS = 2.0
 # A searcher that is full says so within a way there and back.
 REJECTION_WAIT_S = 0.030
+_NOT_RUN = (
+    ResultCode.NOT_RUN_NO_UPSTREAM,
+    ResultCode.NOT_RUN_OVERLOADED,
+    ResultCode.DEADLINE_EXPIRED,
+)
 # Legs of one search that break at once before its other legs wait for the cause.
 SUSPICIOUS_BREAKS = 2
 
@@ -87,19 +93,16 @@
             return
         for shard in self._shards:
             self._context.budget.note_request(now, shard.service)
-        usable = sum(
-            bool(self._context.registry.usable(shard.service)) for shard in self._shards
-        )
-        if usable < self._needed:
-            self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
+        choices = [self._choose(now, shard) for shard in self._shards]
+        if not self._is_admitted(choices):
             return
         self._call_later(self._ends_at - now, self._on_deadline)
         if self._goal_at > now:
             self._call_later(self._goal_at - now, self._on_goal)
         self._call_later(self._context.times.hedge_delay_s(self._route), self._on_hedge)
-        for shard in self._shards:
+        for shard, choice in zip(self._shards, choices, strict=True):
             if not self._is_finished:
-                self._send(now, shard, FIRST)
+                self._send_to(now, shard, FIRST, choice)
 
     def abandon(self) -> None:
         """End the search without an answer: its caller has left."""
@@ -111,26 +114,46 @@
                 leg.handle.cancel()
         self._close(Outcome(None, ResultCode.LEG_CANCELLED, "caller_left"))
 
-    def _send(self, now: float, shard: ShardSends, reason: str) -> bool:
-        """Send a leg of a shard; settle the shard if there is nobody to send to."""
-        context = self._context
-        usable = context.registry.usable(shard.service)
-        choice = context.selector.choose(
+    def _is_admitted(self, choices: list[Choice]) -> bool:
+        """Refuse a search that too few shards can answer, or not in time."""
+        turns = [each.queued_turns for each in choices if each.replica is not None]
+        if len(turns) < self._needed:
+            self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
+            return False
+        verdict = self._context.admission.judge(self._route, turns, self._needed)
+        if not verdict.is_admitted:
+            self._finish(
+                ResultCode.NOT_RUN_OVERLOADED,
+                f"queue:wait_ms:{verdict.wait_s * 1000.0:.0f}"
+                f":allowed_ms:{verdict.allowed_s * 1000.0:.0f}",
+            )
+        return verdict.is_admitted
+
+    def _choose(self, now: float, shard: ShardSends) -> Choice:
+        usable = self._context.registry.usable(shard.service)
+        return self._context.selector.choose(
             now, shard.candidates(usable, self._route.attempts), self._legs.usual_s
         )
+
+    def _send(self, now: float, shard: ShardSends, reason: str) -> None:
+        self._send_to(now, shard, reason, self._choose(now, shard))
+
+    def _send_to(
+        self, now: float, shard: ShardSends, reason: str, choice: Choice
+    ) -> None:
+        """Send a leg of a shard; settle the shard if there is nobody to send to."""
         if choice.replica is None:
             if not shard.open:
                 self._settle_missing(shard, shard.failure or choice.reason)
-            return False
-        leg = shard.begin(choice.replica, now)
+            return
+        leg = shard.begin(choice.replica, now, choice.queued_turns)
         self._legs.sent(leg, reason, choice, shard.service)
-        leg.handle = context.sender.send(
+        leg.handle = self._context.sender.send(
             choice.replica,
             self._leg_request,
             self._ends_at - now,
             lambda reply: self._on_reply(shard, leg, reply),
         )
-        return True
 
     def _on_reply(self, shard: ShardSends, leg: OpenLeg, reply: LegReply) -> None:
         now = self._context.timers.now()
@@ -315,7 +338,7 @@
             note = CoverageNote(tuple(part.signature for part in parts), missing)
             body = merge_greatest((part.body for part in parts), self._route.top_k)
             return Answer(200, form.coverage_headers(note), body)
-        if code in (ResultCode.NOT_RUN_NO_UPSTREAM, ResultCode.DEADLINE_EXPIRED):
+        if code in _NOT_RUN:
             return refusal_answer(form, RETRY_AFTER_S)
         return failure_answer(code)
 
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -18,12 +18,15 @@
 class OpenLeg:
     """A leg that has not ended."""
 
-    __slots__ = ("handle", "replica", "sent_at")
+    __slots__ = ("handle", "queued_turns", "replica", "sent_at")
 
-    def __init__(self, replica: Replica, sent_at: float) -> None:
-        """Note who got it and when, in monotonic seconds."""
+    def __init__(
+        self, replica: Replica, sent_at: float, queued_turns: float = 0.0
+    ) -> None:
+        """Note who got it, when (monotonic seconds) and behind how many turns."""
         self.replica = replica
         self.sent_at = sent_at
+        self.queued_turns = queued_turns
         self.handle: LegHandle | None = None
 
 
@@ -77,6 +80,8 @@
         leg_s = now - leg.sent_at
         if reply.is_success:
             context.times.note(self._route, leg_s)
+            if not leg.queued_turns:
+                context.admission.note_unqueued_leg(self._route, leg_s)
             health.note_success(now, leg_s / self.usual_s)
             return
         context.note_leg("failed", reply.outcome.value)
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -59,6 +59,7 @@
         self._context.splitter.forget_absent(names)
         self._context.times.forget_absent(names)
         self._context.budget.forget_absent(set(table.services_by_name))
+        self._context.admission.set_routes(table.routes())
         return True
 
     def handle(
--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -37,11 +37,13 @@
         replica: The replica, or None if none may be used.
         expected_s: The expected time of the leg, in seconds.
         reason: One word.
+        queued_turns: What is ahead of the leg, in turns of the replica's slots.
     """
 
     replica: Replica | None
     expected_s: float
     reason: str
+    queued_turns: float = 0.0
 
 
 class ReplicaSelector:
@@ -99,7 +101,8 @@
             expected_s = self._expected_s(now, replica, usual_s)
             if expected_s < least_s:
                 best, least_s = replica, expected_s
-        return Choice(best, least_s, reason)
+        queued = self.health(now, best).ahead(now) - best.slots + 1
+        return Choice(best, least_s, reason, max(0, queued) / best.slots)
 
     def _is_paused(self, now: float, replica: Replica) -> bool:
         health = self._health_by_id.get(replica.replica_id)
--- a/bench/routed_leg_cost.py
+++ b/bench/routed_leg_cost.py
@@ -18,6 +18,7 @@
 from almondspool.logs import EventLog
 from almondspool.platform.http_form import PlatformHttpForm
 from almondspool.protocol.exchange import CallerRequest
+from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
@@ -95,6 +96,7 @@
         selector=ReplicaSelector("zone-0", pools, rng),
         times=RouteTimes(),
         budget=ExtraSendBudget(ExtraSendLimits(0.2, 200.0, 10.0)),
+        admission=SearchAdmission(),
         splitter=Splitter(rng),
         crashes=CrashWatch(timers.epoch_ms, pools.probe, lambda _: None, log),
         note_leg=metrics.note_leg,
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -16,6 +16,7 @@
     ReportedLoad,
     Room,
 )
+from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
@@ -198,6 +199,7 @@
             selector=self.selector,
             times=self.times,
             budget=self.budget,
+            admission=SearchAdmission(),
             splitter=Splitter(rng),
             crashes=self.crashes,
             note_leg=lambda *labels: self.legs.append(labels),
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,141 @@
+from __future__ import annotations
+
+import testtools
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from almondspool.protocol.exchange import ReportedLoad
+from almondspool.routing.admission import MIN_TURNS, SearchAdmission
+from tests.routing.routed_bench import RoutedBench, answer, search_route
+
+FULL = ReportedLoad(2, 12, 2)
+SWEEP = search_route(shards=3)
+CHECK = search_route(
+    shards=3, name="check", path_prefix="/check/", goal_s=0.064, priority=2
+)
+
+
+def make_admission(*routes, turn_s=0.010):
+    admission = SearchAdmission()
+    admission.set_routes(routes)
+    for _ in range(20_000):
+        admission.note_unqueued_leg(routes[0], turn_s)
+    return admission
+
+
+class QueueingUpstreams:
+    """Upstreams that run so many legs at once and keep the others waiting."""
+
+    def __init__(self, bench, leg_s):
+        self.bench = bench
+        self.leg_s = leg_s
+        self.ends_by_id = {}
+
+    def __call__(self, replica):
+        now = self.bench.timers.now()
+        ends = self.ends_by_id.setdefault(replica.replica_id, [])
+        ends[:] = [end for end in ends if end > now]
+        starts_at = now
+        if len(ends) >= replica.slots:
+            starts_at = sorted(ends)[-replica.slots]
+        ends.append(starts_at + self.leg_s)
+        queued = max(0, len(ends) - replica.slots)
+        load = ReportedLoad(len(ends) - queued, queued, replica.slots)
+        return ends[-1] - now, answer(replica, load=load)
+
+
+class SearchAdmissionTests(testtools.TestCase):
+    def test_short_queue_is_joined(self):
+        verdict = make_admission(SWEEP, CHECK).judge(SWEEP, [0.0, 1.0, 2.0], 3)
+        self.assertTrue(verdict.is_admitted)
+        self.assertAlmostEqual(0.020, verdict.wait_s, places=4)
+
+    def test_queue_beyond_the_tightest_goal_is_refused(self):
+        # 3.5 turns of 10 ms are more than half of 64 ms, though not of 112 ms.
+        verdict = make_admission(SWEEP, CHECK).judge(SWEEP, [0.0, 1.0, 3.5], 3)
+        self.assertFalse(verdict.is_admitted)
+        self.assertTrue(make_admission(SWEEP).judge(SWEEP, [3.5] * 3, 3).is_admitted)
+
+    def test_shards_that_may_be_missing_do_not_count(self):
+        verdict = make_admission(SWEEP, CHECK).judge(SWEEP, [0.0, 1.0, 6.0], 2)
+        self.assertTrue(verdict.is_admitted)
+
+    def test_less_urgent_search_is_refused_first(self):
+        admission = make_admission(SWEEP, CHECK)
+        turns = [3.0, 3.0, 3.0]
+        self.assertTrue(admission.judge(SWEEP, turns, 3).is_admitted)
+        self.assertFalse(admission.judge(CHECK, turns, 3).is_admitted)
+
+    def test_slow_upstreams_without_a_queue_are_no_reason(self):
+        admission = make_admission(SWEEP, CHECK, turn_s=0.5)
+        below = MIN_TURNS / 2.0
+        self.assertTrue(admission.judge(CHECK, [below] * 3, 3).is_admitted)
+
+    def test_learned_times_outlast_a_change_of_other_routes(self):
+        admission = make_admission(SWEEP, CHECK, turn_s=0.030)
+        admission.set_routes([CHECK, SWEEP])
+        verdict = admission.judge(SWEEP, [1.0] * 3, 3)
+        self.assertAlmostEqual(0.030, verdict.wait_s, places=4)
+
+    def test_routes_without_shards_are_never_refused_here(self):
+        admission = make_admission(SWEEP)
+        fetch = search_route(shards=0)
+        self.assertTrue(admission.judge(fetch, [9.0], 1).is_admitted)
+
+
+class OverloadTests(testtools.TestCase):
+    """Searches at 1.5 times what the upstreams can do, for two seconds."""
+
+    LEG_S = 0.010
+    SECONDS = 2.0
+
+    def setUp(self):
+        super().setUp()
+        self.route = search_route(shards=3, attempts=1)
+        self.bench = RoutedBench(self.route)
+        self.bench.sender.script = QueueingUpstreams(self.bench, self.LEG_S)
+
+    def offer(self, load):
+        # Three replicas with two slots each serve a shard.
+        gap_s = self.LEG_S / 6.0 / load
+        results = []
+        for number in range(int(self.SECONDS / gap_s)):
+            began = self.bench.timers.now()
+            answers = self.bench.begin(request_id=f"r{number}")
+            results.append((began, answers))
+            self.bench.timers.advance(gap_s)
+        self.bench.timers.advance(2.0)
+        return [(at - began, reply) for began, [(at, reply)] in results]
+
+    def test_most_searches_stay_within_the_goal(self):
+        results = self.offer(load=1.5)
+        served = [took for took, reply in results if reply.status == 200]
+        in_goal = [took for took in served if took <= self.route.goal_s]
+        # Two thirds can be served at all.
+        self.assertThat(len(in_goal) / len(results), GreaterThan(0.6))
+        self.assertThat(len(served) - len(in_goal), LessThan(0.02 * len(results)))
+
+    def test_others_are_refused_at_once_with_a_time_to_come_back(self):
+        refused = [each for each in self.offer(load=1.5) if each[1].status != 200]
+        self.assertThat(len(refused), GreaterThan(0))
+        for took, reply in refused:
+            self.assertThat((took, reply.status), Equals((0.0, 503)))
+            retry_after = self.bench.header(reply, "Retry-After")
+            self.assertThat(float(retry_after), GreaterThan(0.0))
+
+    def test_nothing_is_refused_below_capacity(self):
+        results = self.offer(load=0.8)
+        self.assertEqual({200}, {reply.status for _, reply in results})
+
+
+class RefusedSearchTests(testtools.TestCase):
+    def test_refused_search_sends_no_leg_and_logs_its_reason(self):
+        bench = RoutedBench(search_route(shards=3))
+        bench.sender.script = lambda replica: (0.01, answer(replica, load=FULL))
+        for number in range(9):
+            bench.run(seconds=0.02, request_id=f"r{number}")
+        sent = len(bench.sender.sent)
+        bench.sender.script = None
+        reply = bench.run(seconds=0.0, request_id="refused")
+        self.assertEqual((503, sent), (reply.status, len(bench.sender.sent)))
+        self.assertIn("NOT_RUN_OVERLOADED", bench.lines[-1])
+        self.assertIn("queue:wait_ms:", bench.lines[-1])
