--- a/almondspool/platform/followers.py
+++ b/almondspool/platform/followers.py
@@ -9,7 +9,7 @@
 from almondspool.platform.watches import KindFollower
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from almondspool.logs import EventLog
     from almondspool.platform.store import StoredList, StoredObject
@@ -27,11 +27,14 @@
 
     def on_list(self, listed: StoredList) -> None:
         """Take the configuration among the objects of its kind."""
-        for stored in listed.objects:
-            self.on_change(stored)
+        self.on_changes(listed.objects)
 
-    def on_change(self, changed: StoredObject) -> None:
-        """Take one configuration; a removed or malformed one changes nothing."""
+    def on_changes(self, changes: Sequence[StoredObject]) -> None:
+        """Take configurations; a removed or malformed one changes nothing."""
+        for changed in changes:
+            self._take(changed)
+
+    def _take(self, changed: StoredObject) -> None:
         if changed.name != configuration.NAME or changed.is_deleted:
             return
         try:
@@ -83,14 +86,19 @@
         self._registry.replace_all(self._clock(), replicas)
         self._on_changed()
 
-    def on_change(self, changed: StoredObject) -> None:
-        """Take one entry; one that describes no searcher names none to use."""
-        replica = None if changed.is_deleted else self._decode(changed)
-        if replica is None:
-            self._registry.remove(self._clock(), changed.name)
-        else:
-            self._registry.put(self._clock(), replica)
-        self._on_changed()
+    def on_changes(self, changes: Sequence[StoredObject]) -> None:
+        """Take entries; one that describes no searcher names none to use."""
+        now = self._clock()
+        removed: list[str] = []
+        for changed in {each.name: each for each in changes}.values():
+            replica = None if changed.is_deleted else self._decode(changed)
+            if replica is None:
+                removed.append(changed.name)
+            else:
+                self._registry.put(now, replica)
+        self._registry.remove_all(now, removed)
+        if changes:
+            self._on_changed()
 
     def on_reachable(self, is_reachable: bool) -> None:
         """Tell the registry, which tells lapsed entries from removed ones."""
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -43,8 +43,8 @@
         """Take every object of the kind."""
 
     @abc.abstractmethod
-    def on_change(self, changed: StoredObject) -> None:
-        """Take one change."""
+    def on_changes(self, changes: Sequence[StoredObject]) -> None:
+        """Take the changes of one watch, in their order."""
 
     @abc.abstractmethod
     def on_reachable(self, is_reachable: bool) -> None:
@@ -154,8 +154,7 @@
         )
         self._note_success(source)
         self._mirror.apply(events, revision)
-        for event in events:
-            self._follower.on_change(event)
+        self._follower.on_changes(events)
         self._revision = self._known_revision = max(self._revision, revision)
         # Also bounds the calls where every watch is answered at once.
         eventlet.sleep(MIN_GAP_S if source.name else self._gap_s)
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -11,8 +11,14 @@
     from almondspool.logs import EventLog
     from almondspool.state.routes import Replica
 
-# Entries that lapsed during an outage are back within two seconds of its end.
-LAPSE_GRACE_S = 2.0
+# Entries that lapsed during an outage are back within two seconds of its end, and
+# known a second later, as watches leave that gap.
+LAPSE_GRACE_S = 3.0
+# A watch may wait through an outage and never fail; then only the number of entries
+# that went together, without a notice, tells a lapse from removals. Replicas are
+# replaced or lost by a sixth of them at most.
+LAPSE_SHARE = 1.0 / 3.0
+MIN_LAPSED = 4
 # How long after an outage a removal may be such a lapse.
 OUTAGE_MEMORY_S = 4.0
 
@@ -61,8 +67,7 @@
         for replica in replicas:
             present.add(replica.replica_id)
             self.put(now, replica)
-        for replica_id in self._rows_by_id.keys() - present:
-            self.remove(now, replica_id)
+        self.remove_all(now, self._rows_by_id.keys() - present)
 
     def put(self, now: float, replica: Replica) -> None:
         """Take a new or changed entry."""
@@ -89,18 +94,36 @@
                 draining=replica.is_draining,
             )
 
-    def remove(self, now: float, replica_id: str) -> None:
-        """Take the removal of an entry; after an outage it may be back soon."""
-        row = self._rows_by_id.get(replica_id)
-        if row is None or row.drop_at < math.inf:
-            return
-        since_s = now - self._regained_at
-        if since_s < OUTAGE_MEMORY_S and not row.replica.is_draining:
-            drop_at = max(now, self._regained_at + LAPSE_GRACE_S)
+    def remove_all(self, now: float, replica_ids: Iterable[str]) -> None:
+        """Take removals that came together; entries that lapsed may be back soon."""
+        gone = [
+            key
+            for key in sorted(replica_ids)
+            if key in self._rows_by_id and self._rows_by_id[key].drop_at == math.inf
+        ]
+        abrupt = [key for key in gone if not self._rows_by_id[key].replica.is_draining]
+        lapsed_since = self._lapsed_since(now, len(abrupt))
+        for replica_id in gone:
+            if lapsed_since is None or replica_id not in abrupt:
+                self._drop(replica_id, "entry_removed")
+                continue
+            drop_at = max(now, lapsed_since + LAPSE_GRACE_S)
+            row = self._rows_by_id[replica_id]
             self._rows_by_id[replica_id] = row._replace(drop_at=drop_at)
-            self._log.write("replica.lapsed", replica=replica_id, since_s=since_s)
-            return
-        self._drop(replica_id, "entry_removed")
+            self._log.write(
+                "replica.lapsed",
+                replica=replica_id,
+                since_s=now - lapsed_since,
+                together=len(abrupt),
+            )
+
+    def _lapsed_since(self, now: float, abrupt: int) -> float | None:
+        """Return since when entries may have lapsed, or None if they were removed."""
+        if now - self._regained_at < OUTAGE_MEMORY_S:
+            return self._regained_at
+        steady = sum(not row.replica.is_draining for row in self._rows_by_id.values())
+        is_mass = abrupt >= max(MIN_LAPSED, LAPSE_SHARE * steady)
+        return now if is_mass else None
 
     def sweep(self, now: float) -> None:
         """Drop the replicas whose entries did not come back."""
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -168,10 +168,10 @@
 
     def test_error_in_a_follower_does_not_end_the_watch(self):
         class Failing(ConfigurationFollower):
-            def on_change(self, changed):
-                if changed.revision == 4:
+            def on_changes(self, changes):
+                if any(changed.revision == 4 for changed in changes):
                     raise KeyError("unexpected")
-                super().on_change(changed)
+                super().on_changes(changes)
 
         follower = Failing(self.tables.append, EventLog(self.lines.append))
         self.follow(
@@ -224,8 +224,8 @@
     def test_entries_come_change_and_go(self):
         self.follower.on_list(StoredList((self.entry(), self.entry("i-2")), 5))
         self.assertEqual(2, len(self.registry.usable("huvo11a")))
-        self.follower.on_change(self.entry(state="draining"))
-        self.follower.on_change(self.entry("i-2", deleted=True))
+        self.follower.on_changes([self.entry(state="draining")])
+        self.follower.on_changes([self.entry("i-2", deleted=True)])
         self.assertEqual((), self.registry.usable("huvo11a"))
 
     def test_entry_of_another_writer_is_counted_and_the_others_hold(self):
@@ -236,5 +236,5 @@
 
     def test_entry_that_turns_malformed_names_no_replica_any_more(self):
         self.follower.on_list(StoredList((self.entry(),), 5))
-        self.follower.on_change(self.entry(address="nowhere"))
+        self.follower.on_changes([self.entry(address="nowhere")])
         self.assertEqual((), self.registry.usable("huvo11a"))
--- a/tests/routing/test_fan_out.py
+++ b/tests/routing/test_fan_out.py
@@ -32,6 +32,10 @@
     def stamps(self, reply):
         return self.bench.header(reply, "Part-Stamps").split(", ")
 
+    def remove_replicas(self, service):
+        names = [replica.replica_id for replica in make_replicas(service)]
+        self.bench.registry.remove_all(self.bench.timers.now(), names)
+
     def test_whole_answer_names_every_part_once(self):
         reply = self.bench.run()
         self.assertEqual(200, reply.status)
@@ -127,7 +131,9 @@
     def test_least_coverage_that_cannot_be_reached_is_refused_at_once_unrun(self):
         for service in ("shard-0", "shard-1"):
             for replica in make_replicas(service):
-                self.bench.registry.remove(self.bench.timers.now(), replica.replica_id)
+                self.bench.registry.remove_all(
+                    self.bench.timers.now(), [replica.replica_id]
+                )
         answers = self.bench.begin()
         self.assertEqual(503, answers[0][1].status)
         self.assertThat(
@@ -137,7 +143,9 @@
 
     def test_one_shard_without_replicas_is_missing_and_said(self):
         for replica in make_replicas("shard-0"):
-            self.bench.registry.remove(self.bench.timers.now(), replica.replica_id)
+            self.bench.registry.remove_all(
+                self.bench.timers.now(), [replica.replica_id]
+            )
         reply = self.bench.run()
         self.assertEqual((200, 1), (reply.status, self.missing(reply)))
 
--- a/tests/routing/test_forward.py
+++ b/tests/routing/test_forward.py
@@ -127,7 +127,7 @@
     def test_service_without_replicas_is_refused_at_once(self):
         bench = self.make()
         for replica in make_replicas("records"):
-            bench.registry.remove(bench.timers.now(), replica.replica_id)
+            bench.registry.remove_all(bench.timers.now(), [replica.replica_id])
         answers = bench.begin(path="/fetch/2f")
         self.assertEqual(503, answers[0][1].status)
 
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -27,7 +27,7 @@
         self.assertEqual([], self.removed)
 
     def test_removed_entry_is_gone_at_once(self):
-        self.registry.remove(1.0, "shard-north")
+        self.registry.remove_all(1.0, ["shard-north"])
         self.assertNotIn("shard-north", self.ids())
         self.assertEqual(["shard-north"], self.removed)
 
@@ -50,11 +50,37 @@
         self.assertIn("shard-north", self.ids())
         self.assertEqual([], self.removed)
 
+    def test_entries_that_go_together_without_an_outage_seen_have_lapsed(self):
+        # A watch that waits through a silent outage never fails.
+        others = make_replicas("other")
+        self.registry.replace_all(0.0, [*self.replicas, *others])
+        names = [each.replica_id for each in (*self.replicas, *others)]
+        self.registry.remove_all(9.0, names)
+        self.assertEqual(3, len(self.ids()))
+        for replica in self.replicas:
+            self.registry.put(11.9, replica)
+        self.registry.sweep(9.0 + LAPSE_GRACE_S + 0.01)
+        self.assertEqual(3, len(self.ids()))
+        self.assertEqual((), self.registry.usable("other"))
+
+    def test_few_entries_that_go_together_are_removed(self):
+        others = make_replicas("other")
+        self.registry.replace_all(0.0, [*self.replicas, *others])
+        self.registry.remove_all(9.0, [each.replica_id for each in others])
+        self.assertEqual((), self.registry.usable("other"))
+
+    def test_replicas_that_drained_together_have_not_lapsed(self):
+        others = make_replicas("other", ("north", "south", "hills", "west"))
+        for replica in others:
+            self.registry.put(1.0, replica._replace(is_draining=True))
+        self.registry.remove_all(9.0, [each.replica_id for each in others])
+        self.assertEqual(4, len(self.removed))
+
     def test_draining_replica_gets_no_grace(self):
         self.registry.put(0.5, self.replicas[0]._replace(is_draining=True))
         self.registry.note_store(1.0, False)
         self.registry.note_store(9.0, True)
-        self.registry.remove(9.1, "shard-north")
+        self.registry.remove_all(9.1, ["shard-north"])
         self.assertEqual(["shard-north"], self.removed)
 
     def test_nothing_changes_while_the_store_is_away(self):
