--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from almondspool.coordination.entries import choose_addresses
-from almondspool.coordination.membership_task import LocalState, make_membership_task
+from almondspool.coordination.membership_task import LocalState
 from almondspool.events import SUSPECTED, VIEW_CHANGED, Events
 from almondspool.platform import configuration, entries
 from almondspool.platform.followers import ConfigurationFollower, EntryFollower
 from almondspool.platform.http_form import PlatformHttpForm
 from almondspool.platform.lookups import LOOKUP_TTL_S, LookupCalls, LookupServices
+from almondspool.platform.membership import HEARTBEAT_S, make_platform_membership
+from almondspool.platform.settings import METRICS_PORT
 from almondspool.platform.store import ObjectStore
 from almondspool.platform.store_following import FollowingServices, StoreFollowing
-from almondspool.platform.store_platform import StorePlatform
 from almondspool.platform.watches import MIN_GAP_S
 from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.context import RoutingContext
@@ -33,7 +33,8 @@
 from almondspool.state.members import MemberStatus
 from almondspool.state.routes import CallerLimits
 from almondspool.transport.caller_server import CallerServer
-from almondspool.transport.route_metrics import RouteMetrics
+from almondspool.transport.route_metrics import RouteGauges, RouteMetrics
+from almondspool.transport.turn_watch import TurnWatch
 from almondspool.transport.upstream_pools import UpstreamPools
 
 if TYPE_CHECKING:
@@ -44,12 +45,6 @@
     from almondspool.state.routes import Replica, RouteTable
     from almondspool.transport.hub_timers import HubTimers
 
-# Heartbeats go to one instance at a time, so a lost one is suspect after three of
-# them and dropped from address lists; a frozen one is back within some seconds.
-HEARTBEAT_S = 0.5
-SUSPECT_AFTER_S = 1.5
-DEAD_AFTER_S = 4.0
-LEASE_S = 4.0
 HOUSEKEEPING_S = 1.0
 LOCAL_STATE_S = 0.25
 # Changes of entries come in bursts, as searchers start together; one that drains is
@@ -57,19 +52,6 @@
 ENTRY_GAP_S = 1.0
 
 
-class _MembershipSettings(NamedTuple):
-    instance: str
-    zone: str
-    caller_address: str
-    peer_address: str
-    seed_peers: tuple[str, ...]
-    peer_key: str
-    heartbeat_interval_s: float = HEARTBEAT_S
-    suspect_after_s: float = SUSPECT_AFTER_S
-    dead_after_s: float = DEAD_AFTER_S
-    lease_s: float = LEASE_S
-
-
 class PlatformApplication:
     """One instance on the platform: its tasks, its listeners, its planned stop."""
 
@@ -93,7 +75,9 @@
         self._records_taken: tuple[Member, ...] = ()
         self._version_watch = VersionWatch()
         self._watch_duty = WatchDuty(settings.instance, settings.zone, self._rng)
-        self._build_membership()
+        self._membership = make_platform_membership(
+            settings, self._store, timers, self._events, log, self._metrics.registry
+        )
         self._following = StoreFollowing(
             settings,
             FollowingServices(
@@ -112,6 +96,8 @@
         self._stop = PlannedStop(
             settings.grace_s, timers, log, self._front, self._membership
         )
+        self._turns = TurnWatch(LOCAL_STATE_S)
+        self._metrics.show_gauges(self._gauges)
         self._events.subscribe(VIEW_CHANGED, lambda _: self._share_out())
         self._events.subscribe(SUSPECTED, self._crashes.merge)
 
@@ -135,6 +121,7 @@
             settings.ready_address,
             settings.lookup_address,
             settings.operator_address,
+            f"{settings.ip}:{METRICS_PORT}",
         ):
             if address:
                 self._lookups.listen(address)
@@ -175,32 +162,13 @@
         self._budget.set_limits(_limits(settings))
         self._log.write("instance.reloaded", changed=changed)
 
-    def _build_membership(self) -> None:
-        settings = self._settings
-        own = _MembershipSettings(
-            settings.instance,
-            settings.zone,
-            settings.caller_address,
-            f"{settings.ip}:{settings.peer_port}",
-            tuple(f"{ip}:{settings.peer_port}" for ip in settings.seed_ips),
-            _peer_key(settings),
-        )
-        self._membership = make_membership_task(
-            own,
-            self._timers.epoch_ms(),
-            StorePlatform(self._store),
-            self._timers,
-            self._events,
-            self._log,
-            self._metrics.registry,
-        )
-
     def _build_routing(self) -> None:
         now = self._timers.now
         self._pools = UpstreamPools(self._form, now, self._quota)
         self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
         self._registry = ReplicaRegistry(self._log, self._drop_replica)
         self._budget = ExtraSendBudget(_limits(self._settings))
+        self._admission = SearchAdmission()
         self._budget.set_instances(self._shares.count(now()))
         self._crashes = CrashWatch(
             self._timers.epoch_ms,
@@ -217,10 +185,11 @@
             selector=self._selector,
             times=RouteTimes(),
             budget=self._budget,
-            admission=SearchAdmission(),
+            admission=self._admission,
             splitter=Splitter(self._rng),
             crashes=self._crashes,
             note_leg=self._metrics.note_leg,
+            note_pause=self._metrics.paused_replicas.inc,
         )
         self._router = Router(context, self._note_request)
 
@@ -260,7 +229,7 @@
         if not self._router.set_table(table):
             self._log.write("configuration.ignored", version=table.version)
             return
-        self._metrics.version.set(table.version)
+        self._metrics.forget_absent({route.name for route in table.routes()})
         self._log.write(
             "configuration.in_force",
             version=table.version,
@@ -325,16 +294,16 @@
         self._pools.close_stale()
         self._share_out()
         self._warm_connections()
-        self._metrics.connections.set(self._pools.open_connections())
 
     def _on_tick(self) -> None:
+        self._turns.tick(self._timers.now())
         self._publish_local_state()
         self._compare_versions()
         if self._membership.recorded() is not self._records_taken:
             self._share_out()
 
     def _compare_versions(self) -> None:
-        own = self._router.table.version if self._router.table else 0
+        own = self._version()
         members = self._membership.view().present()
         newest = max((member.generation for member in members), default=0)
         if self._version_watch.is_due(self._timers.now(), own, newest):
@@ -342,8 +311,8 @@
             self._following.read_again(configuration.KIND)
 
     def _publish_local_state(self) -> None:
-        version = self._router.table.version if self._router.table else 0
-        self._membership.set_local(LocalState(version, 0.0, 0, self._can_serve()))
+        state = LocalState(self._version(), 0.0, 0, self._can_serve())
+        self._membership.set_local(state)
 
     def _can_serve(self) -> bool:
         is_informed = self._router.table is not None and self._registry.is_known
@@ -374,12 +343,30 @@
         if missing:
             self._metrics.shards_missing.inc(missing)
 
+    def _gauges(self) -> RouteGauges:
+        now = self._timers.now()
+        waiting, oldest_wait_s = self._pools.waiting()
+        return RouteGauges(
+            version=self._version(),
+            version_age_s=self._router.table_age_s(),
+            in_flight=self._router.in_flight,
+            connections_by_service=self._pools.connections_by_service(),
+            waiting=waiting,
+            oldest_wait_s=oldest_wait_s,
+            search_wait_s=self._admission.last_wait_s,
+            budget_left=self._budget.least_left(now),
+            longest_turn_s=self._turns.longest_s(),
+        )
+
+    def _version(self) -> int:
+        return self._router.table.version if self._router.table else 0
+
     def _status(self) -> dict[str, object]:
         view = self._membership.view()
         return {
             "instance": self._settings.instance,
             "ready": self._is_ready(),
-            "version": self._router.table.version if self._router.table else 0,
+            "version": self._version(),
             "in_flight": self._router.in_flight,
             "connections": self._pools.open_connections(),
             "members": {
@@ -395,16 +382,6 @@
     return ExtraSendLimits(bounds.ratio, bounds.slack, bounds.window_s)
 
 
-def _peer_key(settings: PlatformSettings) -> str:
-    """Return a key that all instances of one deployment have in common.
-
-    The platform gives its instances no secret: the key keeps the messages of another
-    deployment out, no more.
-    """
-    parts = (str(settings.peer_port), *sorted(settings.zones))
-    return hashlib.sha256("/".join(parts).encode()).hexdigest()
-
-
 def make_platform_application(
     settings: PlatformSettings, timers: HubTimers, log: EventLog
 ) -> PlatformApplication:
--- /dev/null
+++ b/almondspool/platform/membership.py
@@ -0,0 +1,75 @@
+"""How an instance on the platform finds the others: seeds, records, heartbeats."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.coordination.membership_task import make_membership_task
+from almondspool.platform.store_platform import StorePlatform
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from almondspool.coordination.membership_task import MembershipTask
+    from almondspool.events import Events
+    from almondspool.logs import EventLog
+    from almondspool.platform.settings import PlatformSettings
+    from almondspool.platform.store import ObjectStore
+    from almondspool.transport.hub_timers import HubTimers
+
+# Heartbeats go to one instance at a time, so a lost one is suspect after three of
+# them and dropped from address lists; a frozen one is back within some seconds.
+HEARTBEAT_S = 0.5
+SUSPECT_AFTER_S = 1.5
+DEAD_AFTER_S = 4.0
+LEASE_S = 4.0
+
+
+class _MembershipSettings(NamedTuple):
+    instance: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    seed_peers: tuple[str, ...]
+    peer_key: str
+    heartbeat_interval_s: float = HEARTBEAT_S
+    suspect_after_s: float = SUSPECT_AFTER_S
+    dead_after_s: float = DEAD_AFTER_S
+    lease_s: float = LEASE_S
+
+
+def make_platform_membership(
+    settings: PlatformSettings,
+    store: ObjectStore,
+    timers: HubTimers,
+    events: Events,
+    log: EventLog,
+    registry: CollectorRegistry,
+) -> MembershipTask:
+    """Return the membership of an instance, not started.
+
+    Raises:
+        AlmondspoolError: If the peer address is in use.
+    """
+    own = _MembershipSettings(
+        settings.instance,
+        settings.zone,
+        settings.caller_address,
+        f"{settings.ip}:{settings.peer_port}",
+        tuple(f"{ip}:{settings.peer_port}" for ip in settings.seed_ips),
+        _peer_key(settings),
+    )
+    return make_membership_task(
+        own, timers.epoch_ms(), StorePlatform(store), timers, events, log, registry
+    )
+
+
+def _peer_key(settings: PlatformSettings) -> str:
+    """Return a key that all instances of one deployment have in common.
+
+    The platform gives its instances no secret: the key keeps the messages of another
+    deployment out, no more.
+    """
+    parts = (str(settings.peer_port), *sorted(settings.zones))
+    return hashlib.sha256("/".join(parts).encode()).hexdigest()
--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -14,6 +14,9 @@
 
 # The variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "ALMONDSPOOL_CONFIG"
+# Ports of the settings are new each day and the deploy file names one for good; this
+# one is usual for metrics.
+METRICS_PORT = 9464
 # Figures for bounds that a deployment leaves out, from the first two sites.
 _DEFAULT_RETRY_RATIO = 0.2
 _DEFAULT_RETRY_WINDOW_S = 10.0
--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -26,6 +26,8 @@
 # Below a queue of this many turns nothing is refused: what is late then is late for
 # another reason, which refusing would not mend.
 MIN_TURNS = 0.5
+# From this part of the allowed wait on the queue is worth a line in the log.
+WARNING_SHARE = 0.5
 
 
 class Verdict(NamedTuple):
@@ -35,11 +37,13 @@
         is_admitted: Whether to run it.
         wait_s: Expected wait of the slowest leg that is needed, in seconds.
         allowed_s: What it may wait, in seconds.
+        is_backlogged: Whether the wait nears what is allowed.
     """
 
     is_admitted: bool
     wait_s: float
     allowed_s: float
+    is_backlogged: bool
 
 
 class _Queue:
@@ -61,11 +65,15 @@
     """Predicts the wait of a search's legs from the queues in front of them.
 
     A turn is the time in which an upstream ends as many legs as it runs at once.
+
+    Attributes:
+        last_wait_s: What the last search was expected to wait, in seconds.
     """
 
     def __init__(self) -> None:
         """Start without routes."""
         self._queues_by_shards: dict[tuple[str, ...], _Queue] = {}
+        self.last_wait_s = 0.0
 
     def set_routes(self, routes: Iterable[Route]) -> None:
         """Take the routes of a configuration; what was learned of shards stays."""
@@ -107,10 +115,17 @@
         """
         queue = self._queues_by_shards.get(route.shards)
         if queue is None:
-            return Verdict(True, 0.0, 0.0)
+            return Verdict(True, 0.0, 0.0, False)
         turns = sorted(queued_turns)[needed - 1]
         wait_s = turns * queue.turn_s
         allowed_s = WAIT_GOAL_SHARE * queue.tightest_goal_s
         if route.priority > queue.most_urgent:
             allowed_s *= LESS_URGENT_SHARE
-        return Verdict(turns < MIN_TURNS or wait_s <= allowed_s, wait_s, allowed_s)
+        self.last_wait_s = wait_s
+        is_queue = turns >= MIN_TURNS
+        return Verdict(
+            not is_queue or wait_s <= allowed_s,
+            wait_s,
+            allowed_s,
+            is_queue and wait_s > WARNING_SHARE * allowed_s,
+        )
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -45,4 +45,5 @@
     admission: SearchAdmission
     splitter: Splitter
     crashes: CrashWatch
-    note_leg: Callable[[str, str], None]
+    note_leg: Callable[[str, str, str], None]
+    note_pause: Callable[[], None]
--- a/almondspool/routing/extra_sends.py
+++ b/almondspool/routing/extra_sends.py
@@ -84,6 +84,11 @@
         counts.extras_sum += 1
         return True
 
+    def least_left(self, now: float) -> float:
+        """Return what is left to the service that has the fewest extra sends."""
+        lefts = [self.left(now, service) for service in self._counts_by_service]
+        return min(lefts, default=0.0)
+
     def forget_absent(self, services: set[str]) -> None:
         """Drop the services that left the configuration."""
         for service in self._counts_by_service.keys() - services:
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -14,7 +14,7 @@
     RETRY_AFTER_S,
 )
 from almondspool.routing.crashes import fingerprint
-from almondspool.routing.legs import FIRST
+from almondspool.routing.legs import FIRST, HEDGE
 from almondspool.routing.merge import merge_greatest
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
 from almondspool.routing.shard_sends import MAX_REJECTIONS, ShardSends
@@ -121,6 +121,13 @@
             self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
             return False
         verdict = self._context.admission.judge(self._route, turns, self._needed)
+        if verdict.is_backlogged:
+            self._context.log.write(
+                "search.queueing",
+                request=self._request.request_id,
+                wait_ms=verdict.wait_s * 1000.0,
+                allowed_ms=verdict.allowed_s * 1000.0,
+            )
         if not verdict.is_admitted:
             self._finish(
                 ResultCode.NOT_RUN_OVERLOADED,
@@ -146,8 +153,8 @@
             if not shard.open:
                 self._settle_missing(shard, shard.failure or choice.reason)
             return
-        leg = shard.begin(choice.replica, now, choice.queued_turns)
-        self._legs.sent(leg, reason, choice, shard.service)
+        leg = shard.begin(choice.replica, now, reason, choice.queued_turns)
+        self._legs.sent(leg, choice, shard.service)
         leg.handle = self._context.sender.send(
             choice.replica,
             self._leg_request,
@@ -164,12 +171,15 @@
         if self._is_finished or shard.is_settled:
             return
         if reply.is_success:
-            self._take_part(now, shard, reply)
+            self._take_part(now, shard, leg, reply)
         elif reply.outcome is not LegOutcome.CANCELLED:
             self._on_failure(now, shard, leg, reply)
 
-    def _take_part(self, now: float, shard: ShardSends, reply: LegReply) -> None:
+    def _take_part(
+        self, now: float, shard: ShardSends, leg: OpenLeg, reply: LegReply
+    ) -> None:
         shard.part = reply
+        self._legs.used(leg, shard.open)
         self._answered += 1
         if self._is_doomed:
             self._end_unreachable("shard_lost")
@@ -251,7 +261,7 @@
             if not shard.candidates(usable, self._route.attempts):
                 continue
             if self._context.budget.take(now, shard.service):
-                self._send(now, shard, "hedge")
+                self._send(now, shard, HEDGE)
             else:
                 is_refused = True
         if is_refused and now < self._goal_at:
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -8,7 +8,7 @@
 from almondspool.protocol.exchange import Answer, LegOutcome
 from almondspool.routing.context import BUDGET_RETRY_S, DETACH_S, RETRY_AFTER_S
 from almondspool.routing.crashes import fingerprint
-from almondspool.routing.legs import FIRST, OpenLeg
+from almondspool.routing.legs import FIRST, HEDGE, OpenLeg
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
 from almondspool.routing.timed_request import TimedRequest
 
@@ -99,11 +99,11 @@
         if choice.replica is None:
             self._no_choice = choice.reason
             return False
-        send = OpenLeg(choice.replica, now)
+        send = OpenLeg(choice.replica, now, reason, choice.queued_turns)
         self._tried.add(choice.replica.replica_id)
         self._open.append(send)
         self._runs += 1
-        self._legs.sent(send, reason, choice, self._service)
+        self._legs.sent(send, choice, self._service)
         send.handle = context.sender.send(
             choice.replica,
             self._leg_request,
@@ -120,6 +120,7 @@
         if self._is_finished:
             return
         if reply.is_success:
+            self._legs.used(send, self._open)
             self._pass_on(reply, send.replica)
         elif reply.outcome is not LegOutcome.CANCELLED:
             self._on_failure(now, send, reply)
@@ -192,7 +193,7 @@
         if len(usable) <= len(self._tried):
             return
         if self._context.budget.take(now, self._service):
-            self._send(now, "hedge")
+            self._send(now, HEDGE)
         else:
             self._call_later(BUDGET_RETRY_S, self._on_hedge)
 
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -7,25 +7,30 @@
 from almondspool.protocol.exchange import UNREACHABLE, LegOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from almondspool.protocol.exchange import CallerRequest, LegHandle, LegReply
     from almondspool.routing.context import RoutingContext
+    from almondspool.routing.replica_health import ReplicaHealth
     from almondspool.routing.selection import Choice
     from almondspool.state.routes import Replica, Route
 
 FIRST = "first"
+HEDGE = "hedge"
 
 
 class OpenLeg:
     """A leg that has not ended."""
 
-    __slots__ = ("handle", "queued_turns", "replica", "sent_at")
+    __slots__ = ("handle", "queued_turns", "reason", "replica", "sent_at")
 
     def __init__(
-        self, replica: Replica, sent_at: float, queued_turns: float = 0.0
+        self, replica: Replica, sent_at: float, reason: str, queued_turns: float = 0.0
     ) -> None:
-        """Note who got it, when (monotonic seconds) and behind how many turns."""
+        """Note who got it, when (monotonic seconds), why, behind how many turns."""
         self.replica = replica
         self.sent_at = sent_at
+        self.reason = reason
         self.queued_turns = queued_turns
         self.handle: LegHandle | None = None
 
@@ -50,12 +55,12 @@
         self.usual_s = context.times.usual_s(route)
         self.extra = 0
 
-    def sent(self, leg: OpenLeg, reason: str, choice: Choice, service: str) -> None:
+    def sent(self, leg: OpenLeg, choice: Choice, service: str) -> None:
         """Record a send, and why its replica was chosen."""
         context = self._context
         context.selector.health(leg.sent_at, leg.replica).in_flight += 1
-        context.note_leg(reason, "sent")
-        if reason == FIRST:
+        context.note_leg(self._route.name, leg.reason, "sent")
+        if leg.reason == FIRST:
             return
         self.extra += 1
         context.log.write(
@@ -63,7 +68,7 @@
             request=self._request.request_id,
             shard=service,
             replica=leg.replica.replica_id,
-            reason=reason,
+            reason=leg.reason,
             choice=choice.reason,
             age_ms=(leg.sent_at - self._request.arrived) * 1000.0,
         )
@@ -82,13 +87,15 @@
             context.times.note(self._route, leg_s)
             if not leg.queued_turns:
                 context.admission.note_unqueued_leg(self._route, leg_s)
-            health.note_success(now, leg_s / self.usual_s)
+            if health.note_success(now, leg_s / self.usual_s):
+                context.log.write("replica.back", replica=leg.replica.replica_id)
             return
-        context.note_leg("failed", reply.outcome.value)
+        context.note_leg(self._route.name, "failed", reply.outcome.value)
         if reply.outcome is LegOutcome.MISDIRECTED:
             context.registry.note_misdirected(leg.replica)
         elif reply.outcome in UNREACHABLE:
-            health.note_unreachable(now, reply.outcome.may_have_run)
+            if health.note_unreachable(now, reply.outcome.may_have_run):
+                self._log_pause(now, leg, reply, health)
         else:
             health.note_failure(now)
         context.log.write(
@@ -101,6 +108,27 @@
             age_ms=leg_s * 1000.0,
         )
 
+    def used(self, leg: OpenLeg, others: Iterable[OpenLeg]) -> None:
+        """Count which of a hedge and the legs before it brought the result."""
+        if leg.reason == HEDGE:
+            self._context.note_leg(self._route.name, HEDGE, "won")
+        for other in others:
+            if other.reason == HEDGE:
+                self._context.note_leg(self._route.name, HEDGE, "lost")
+
+    def _log_pause(
+        self, now: float, leg: OpenLeg, reply: LegReply, health: ReplicaHealth
+    ) -> None:
+        self._context.note_pause()
+        self._context.log.write(
+            "replica.paused",
+            request=self._request.request_id,
+            replica=leg.replica.replica_id,
+            outcome=reply.outcome.value,
+            failures=health.consecutive_failures,
+            pause_s=health.paused_until - now,
+        )
+
     def overtaken(self, now: float, leg: OpenLeg) -> None:
         """Record that a leg was not answered yet when another was sent or won."""
         health = self._context.selector.health(now, leg.replica)
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -97,14 +97,20 @@
             return True
         return self.consecutive_failures > 0 and self.in_flight > 0
 
-    def note_success(self, now: float, slowness: float) -> None:
-        """Take the slowness of a leg that was answered."""
+    def note_success(self, now: float, slowness: float) -> bool:
+        """Take the slowness of a leg that was answered.
+
+        Returns:
+            Whether the replica is back after a pause.
+        """
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
         self._peak.add(now, bounded)
         self._judge_speed(now, slowness)
+        is_back = self.consecutive_failures > 0
         self.consecutive_failures = 0
         self.paused_until = -math.inf
         self._count(now, 0.0)
+        return is_back
 
     def note_waiting(self, now: float, slowness: float) -> None:
         """Take a lower bound of the slowness of a leg that is not answered yet."""
@@ -116,22 +122,26 @@
         """Count a request that ran and failed, or was rejected."""
         self._count(now, 1.0)
 
-    def note_unreachable(self, now: float, had_request: bool) -> None:
+    def note_unreachable(self, now: float, had_request: bool) -> bool:
         """Pause sends after a reset, a refused connection or a long silence.
 
         Args:
             now: Monotonic seconds.
             had_request: Whether a request had reached the replica. A replica that
                 refuses connections is down, and as good as ever when it is back.
+
+        Returns:
+            Whether a pause began.
         """
         if had_request:
             self._count(now, 1.0)
         if now < self.paused_until:
             # Sent before the pause began, so it tells nothing new.
-            return
+            return False
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0**self.consecutive_failures)
         self.consecutive_failures = min(self.consecutive_failures + 1, 8)
         self.paused_until = now + pause_s
+        return True
 
     def note_report(self, now: float, report: ReportedLoad) -> None:
         """Take the load that a reply reported."""
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -140,7 +140,8 @@
         if outcome.answer is not None:
             answer(outcome.answer)
 
-    def _table_age_s(self) -> float:
+    def table_age_s(self) -> float:
+        """Return for how long the configuration has been in force, in seconds."""
         if self._table is None:
             return 0.0
         return self._context.timers.now() - self._table_at
@@ -162,7 +163,7 @@
             request=request.request_id,
             route=name,
             version=version,
-            version_age_s=self._table_age_s(),
+            version_age_s=self.table_age_s(),
             code=outcome.code.name,
             status=outcome.answer.status if outcome.answer else 0,
             reason=outcome.reason,
--- a/almondspool/routing/shard_sends.py
+++ b/almondspool/routing/shard_sends.py
@@ -76,9 +76,11 @@
             and (not is_full or replica.replica_id in self._sent)
         )
 
-    def begin(self, replica: Replica, now: float, queued_turns: float) -> OpenLeg:
+    def begin(
+        self, replica: Replica, now: float, reason: str, queued_turns: float
+    ) -> OpenLeg:
         """Note a send behind so many turns of the replica."""
-        leg = OpenLeg(replica, now, queued_turns)
+        leg = OpenLeg(replica, now, reason, queued_turns)
         self._sent.add(replica.replica_id)
         self._excluded.add(replica.replica_id)
         self.open.append(leg)
--- a/almondspool/transport/route_metrics.py
+++ b/almondspool/transport/route_metrics.py
@@ -2,17 +2,96 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
     from almondspool.codes import ResultCode
 
 # From a short leg to the longest timeout of a route.
 _LATENCY_BUCKETS_S = (0.02, 0.04, 0.06, 0.08, 0.1, 0.14, 0.2, 0.3, 0.6, 1.2, 4.0)
 
 
+class RouteGauges(NamedTuple):
+    """What an instance holds at the moment; times in seconds.
+
+    Attributes:
+        version: Version of the configuration in force.
+        version_age_s: For how long it has been in force.
+        in_flight: Requests that are not answered yet.
+        connections_by_service: Connections open to upstreams.
+        waiting: Legs that wait for a connection.
+        oldest_wait_s: How long the oldest of them has waited.
+        search_wait_s: What the last search was expected to wait at the upstreams.
+        budget_left: Extra sends left to the service that has the fewest.
+        longest_turn_s: The longest delay of a timer by other work.
+    """
+
+    version: int
+    version_age_s: float
+    in_flight: int
+    connections_by_service: Mapping[str, int]
+    waiting: int
+    oldest_wait_s: float
+    search_wait_s: float
+    budget_left: float
+    longest_turn_s: float
+
+
+_HELP_BY_GAUGE = {
+    "version": ("configuration_version", "Version of the configuration in force."),
+    "version_age_s": (
+        "configuration_age_seconds",
+        "For how long the configuration has been in force.",
+    ),
+    "in_flight": ("requests_in_flight", "Requests that are not answered yet."),
+    "waiting": ("legs_waiting", "Legs that wait for a connection."),
+    "oldest_wait_s": (
+        "oldest_leg_wait_seconds",
+        "How long the oldest leg has waited for a connection.",
+    ),
+    "search_wait_s": (
+        "search_wait_seconds",
+        "Expected wait of the last search at the upstreams.",
+    ),
+    "budget_left": (
+        "extra_sends_left",
+        "Hedges and retries left to the service that has the fewest.",
+    ),
+    "longest_turn_s": (
+        "longest_turn_seconds",
+        "Longest delay of a timer by other work in the last ten seconds.",
+    ),
+}
+
+
+class _GaugeCollector(Collector):
+    """Reads the gauges when they are asked for, so that they cost nothing else."""
+
+    def __init__(self, read: Callable[[], RouteGauges]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        gauges = self._read()
+        for field, (name, text) in _HELP_BY_GAUGE.items():
+            yield GaugeMetricFamily(
+                f"almondspool_{name}", text, value=getattr(gauges, field)
+            )
+        connections = GaugeMetricFamily(
+            "almondspool_upstream_connections",
+            "Connections open to upstreams.",
+            labels=["service"],
+        )
+        for service, count in sorted(gauges.connections_by_service.items()):
+            connections.add_metric([service], count)
+        yield connections
+
+
 class RouteMetrics:
     """Counters, gauges and histograms of an instance that routes requests."""
 
@@ -32,13 +111,19 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        # By route and not by service: a route may have 630 shards.
         self.legs = Counter(
             "almondspool_routed_legs",
-            "Legs by reason and state: sent, or how one failed.",
-            ["reason", "state"],
+            "Legs by route, reason and state: sent, won, lost, or how one failed.",
+            ["route", "reason", "state"],
+            registry=self.registry,
+        )
+        self._legs_by_labels: dict[tuple[str, str, str], Counter] = {}
+        self.paused_replicas = Counter(
+            "almondspool_paused_replicas",
+            "Upstreams left alone for a while after they could not be reached.",
             registry=self.registry,
         )
-        self._legs_by_labels: dict[tuple[str, str], Counter] = {}
         self.shards_missing = Counter(
             "almondspool_routed_shards_missing",
             "Shards left out of answers.",
@@ -67,31 +152,26 @@
             "Entries of searchers that describe none.",
             registry=self.registry,
         )
-        self.version = Gauge(
-            "almondspool_configuration_version",
-            "Version of the configuration in force.",
-            registry=self.registry,
-        )
-        self.connections = Gauge(
-            "almondspool_upstream_connections",
-            "Connections open to upstreams.",
-            registry=self.registry,
-        )
-        self.longest_turn = Gauge(
-            "almondspool_longest_turn_seconds",
-            "Longest delay of a timer by other work in the last ten seconds.",
-            registry=self.registry,
-        )
 
-    def note_leg(self, reason: str, state: str) -> None:
-        """Count a leg that was sent or failed."""
+    def show_gauges(self, read: Callable[[], RouteGauges]) -> None:
+        """Show what a function returns whenever the metrics are asked for."""
+        self.registry.register(_GaugeCollector(read))
+
+    def note_leg(self, route: str, reason: str, state: str) -> None:
+        """Count a leg that was sent, won, lost or failed."""
         # A look-up of the labels costs as much as a leg's whole choice.
-        counter = self._legs_by_labels.get((reason, state))
+        counter = self._legs_by_labels.get((route, reason, state))
         if counter is None:
-            counter = self.legs.labels(reason, state)
-            self._legs_by_labels[reason, state] = counter
+            counter = self.legs.labels(route, reason, state)
+            self._legs_by_labels[route, reason, state] = counter
         counter.inc()
 
+    def forget_absent(self, routes: set[str]) -> None:
+        """Drop the counters of routes that left the configuration."""
+        for labels in [each for each in self._legs_by_labels if each[0] not in routes]:
+            del self._legs_by_labels[labels]
+            self.legs.remove(*labels)
+
     def note_store_call(self, verb: str, code: ResultCode) -> None:
         """Count a call to the store."""
         self.store_calls.labels(verb, code.name).inc()
--- a/almondspool/transport/upstream_pools.py
+++ b/almondspool/transport/upstream_pools.py
@@ -49,11 +49,13 @@
         "on_end",
         "pool",
         "request",
+        "since",
     )
 
-    def __init__(self, pool, request, deadline_at, on_end) -> None:
+    def __init__(self, pool, request, since, deadline_at, on_end) -> None:
         self.pool = pool
         self.request = request
+        self.since = since
         self.deadline_at = deadline_at
         self.on_end = on_end
         self.connection: UpstreamConnection | None = None
@@ -116,6 +118,9 @@
             return Room.NONE
         return Room.CONNECT if self.open_count < self.limit else Room.BUSY
 
+    def waiting_since(self) -> list[float]:
+        return [exchange.since for exchange in self._waiting]
+
     def send(self, exchange: _Exchange) -> None:
         connection = self._take_idle(exchange.request.is_idempotent)
         if connection is not None:
@@ -269,7 +274,8 @@
     ) -> LegHandle:
         """Send a request over an idle, a new, or the next free connection."""
         pool = self._pool(replica)
-        exchange = _Exchange(pool, request, self.clock() + deadline_s, on_end)
+        now = self.clock()
+        exchange = _Exchange(pool, request, now, now + deadline_s, on_end)
         if pool.limit == 0:
             reply = LegReply(LegOutcome.NOT_SENT, detail="no_quota")
             hubs.get_hub().schedule_call_global(0, exchange.end, reply)
@@ -328,6 +334,20 @@
         """Return the connections to all replicas."""
         return sum(pool.open_count for pool in self._pools_by_id.values())
 
+    def connections_by_service(self) -> dict[str, int]:
+        """Return the open connections by service."""
+        counts: collections.Counter[str] = collections.Counter()
+        for pool in self._pools_by_id.values():
+            counts[pool.replica.service] += pool.open_count
+        return dict(counts)
+
+    def waiting(self) -> tuple[int, float]:
+        """Return how many sends wait for a connection, and the oldest's wait."""
+        since = [
+            at for pool in self._pools_by_id.values() for at in pool.waiting_since()
+        ]
+        return len(since), self.clock() - min(since) if since else 0.0
+
     def _pool(self, replica: Replica) -> _Pool:
         pool = self._pools_by_id.get(replica.replica_id)
         if pool is not None and pool.replica.address == replica.address:
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -203,6 +203,7 @@
             splitter=Splitter(rng),
             crashes=self.crashes,
             note_leg=lambda *labels: self.legs.append(labels),
+            note_pause=lambda: self.legs.append(("pause",)),
         )
         self.noted = []
         self.router = Router(self.context, lambda *row: self.noted.append(row))
--- a/tests/routing/test_fan_out.py
+++ b/tests/routing/test_fan_out.py
@@ -334,3 +334,39 @@
     """Return a pause's phase in seconds that depends on the replica only."""
     digest = sum(ord(each) * (index + 7) for index, each in enumerate(str(replica[0])))
     return digest % 240 / 100.0
+
+
+class HedgeCountTests(testtools.TestCase):
+    def test_hedge_that_brings_the_result_has_won(self):
+        bench = RoutedBench(search_route(shards=1))
+        bench.sender.script = lambda replica: (
+            2.0 if len(bench.sender.sent) == 1 else 0.005,
+            answer(replica),
+        )
+        bench.run()
+        self.assertIn(("sweep", "hedge", "won"), bench.legs)
+        self.assertNotIn(("sweep", "hedge", "lost"), bench.legs)
+
+    def test_hedge_that_was_not_needed_has_lost(self):
+        bench = RoutedBench(search_route(shards=1))
+        bench.sender.script = lambda replica: (
+            0.06 if len(bench.sender.sent) == 1 else 2.0,
+            answer(replica),
+        )
+        bench.run()
+        self.assertIn(("sweep", "hedge", "lost"), bench.legs)
+        self.assertNotIn(("sweep", "hedge", "won"), bench.legs)
+
+    def test_pause_and_return_of_a_replica_are_logged(self):
+        bench = RoutedBench(search_route(shards=1))
+        bench.sender.script = lambda replica: (
+            (0.002, failed(LegOutcome.NOT_SENT))
+            if len(bench.sender.sent) <= 3
+            else (0.005, answer(replica))
+        )
+        bench.run(request_id="r1")
+        bench.run(request_id="r2")
+        text = "\n".join(bench.lines)
+        self.assertEqual(3, text.count("event=replica.paused"))
+        self.assertIn("event=replica.back", text)
+        self.assertEqual(3, bench.legs.count(("pause",)))
