--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -168,7 +168,6 @@
         self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
         self._registry = ReplicaRegistry(self._log, self._drop_replica)
         self._budget = ExtraSendBudget(_limits(self._settings))
-        self._admission = SearchAdmission()
         self._budget.set_instances(self._shares.count(now()))
         self._crashes = CrashWatch(
             self._timers.epoch_ms,
@@ -185,11 +184,12 @@
             selector=self._selector,
             times=RouteTimes(),
             budget=self._budget,
-            admission=self._admission,
+            admission=SearchAdmission(),
             splitter=Splitter(self._rng),
             crashes=self._crashes,
             note_leg=self._metrics.note_leg,
             note_pause=self._metrics.paused_replicas.inc,
+            note_search_wait=self._metrics.note_search_wait,
         )
         self._router = Router(context, self._note_request)
 
@@ -353,7 +353,6 @@
             connections_by_service=self._pools.connections_by_service(),
             waiting=waiting,
             oldest_wait_s=oldest_wait_s,
-            search_wait_s=self._admission.last_wait_s,
             budget_left=self._budget.least_left(now),
             longest_turn_s=self._turns.longest_s(),
         )
--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -16,7 +16,7 @@
 # Part of the tightest goal of the routes that queue together which a search may wait.
 # A longer queue serves no more searches, as the upstreams are busy with this one; the
 # rest of the goal covers ways, run, pauses and the spread over the shards.
-WAIT_GOAL_SHARE = 0.5
+WAIT_GOAL_SHARE = 0.65
 # Less urgent searches leave the end of the queue to more urgent ones.
 LESS_URGENT_SHARE = 0.85
 # Weight of one leg in the mean time of a turn: a hundred searches of ten shards.
@@ -65,15 +65,11 @@
     """Predicts the wait of a search's legs from the queues in front of them.
 
     A turn is the time in which an upstream ends as many legs as it runs at once.
-
-    Attributes:
-        last_wait_s: What the last search was expected to wait, in seconds.
     """
 
     def __init__(self) -> None:
         """Start without routes."""
         self._queues_by_shards: dict[tuple[str, ...], _Queue] = {}
-        self.last_wait_s = 0.0
 
     def set_routes(self, routes: Iterable[Route]) -> None:
         """Take the routes of a configuration; what was learned of shards stays."""
@@ -102,6 +98,10 @@
         if queue is not None:
             queue.turn_s += TURN_WEIGHT * (leg_s - queue.turn_s)
 
+    def has_room(self, route: Route, queued_turns: float) -> bool:
+        """Return whether one more leg behind so many turns can come in time."""
+        return self.judge(route, (queued_turns,), 1).is_admitted
+
     def judge(
         self, route: Route, queued_turns: Sequence[float], needed: int
     ) -> Verdict:
@@ -121,7 +121,6 @@
         allowed_s = WAIT_GOAL_SHARE * queue.tightest_goal_s
         if route.priority > queue.most_urgent:
             allowed_s *= LESS_URGENT_SHARE
-        self.last_wait_s = wait_s
         is_queue = turns >= MIN_TURNS
         return Verdict(
             not is_queue or wait_s <= allowed_s,
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -47,3 +47,4 @@
     crashes: CrashWatch
     note_leg: Callable[[str, str, str], None]
     note_pause: Callable[[], None]
+    note_search_wait: Callable[[float], None]
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -121,6 +121,7 @@
             self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
             return False
         verdict = self._context.admission.judge(self._route, turns, self._needed)
+        self._context.note_search_wait(verdict.wait_s)
         if verdict.is_backlogged:
             self._context.log.write(
                 "search.queueing",
@@ -260,8 +261,12 @@
             usable = self._context.registry.usable(shard.service)
             if not shard.candidates(usable, self._route.attempts):
                 continue
+            choice = self._choose(now, shard)
+            if not self._context.admission.has_room(self._route, choice.queued_turns):
+                # It would wait as long there, and others behind it.
+                continue
             if self._context.budget.take(now, shard.service):
-                self._send(now, shard, HEDGE)
+                self._send_to(now, shard, HEDGE, choice)
             else:
                 is_refused = True
         if is_refused and now < self._goal_at:
--- a/almondspool/transport/route_metrics.py
+++ b/almondspool/transport/route_metrics.py
@@ -16,6 +16,9 @@
 # From a short leg to the longest timeout of a route.
 _LATENCY_BUCKETS_S = (0.02, 0.04, 0.06, 0.08, 0.1, 0.14, 0.2, 0.3, 0.6, 1.2, 4.0)
 
+# Below half a turn to the whole goal of a long search.
+_WAIT_BUCKETS_S = (0.0, 0.005, 0.01, 0.02, 0.03, 0.05, 0.08, 0.14)
+
 
 class RouteGauges(NamedTuple):
     """What an instance holds at the moment; times in seconds.
@@ -27,7 +30,6 @@
         connections_by_service: Connections open to upstreams.
         waiting: Legs that wait for a connection.
         oldest_wait_s: How long the oldest of them has waited.
-        search_wait_s: What the last search was expected to wait at the upstreams.
         budget_left: Extra sends left to the service that has the fewest.
         longest_turn_s: The longest delay of a timer by other work.
     """
@@ -38,7 +40,6 @@
     connections_by_service: Mapping[str, int]
     waiting: int
     oldest_wait_s: float
-    search_wait_s: float
     budget_left: float
     longest_turn_s: float
 
@@ -55,10 +56,6 @@
         "oldest_leg_wait_seconds",
         "How long the oldest leg has waited for a connection.",
     ),
-    "search_wait_s": (
-        "search_wait_seconds",
-        "Expected wait of the last search at the upstreams.",
-    ),
     "budget_left": (
         "extra_sends_left",
         "Hedges and retries left to the service that has the fewest.",
@@ -124,6 +121,13 @@
             "Upstreams left alone for a while after they could not be reached.",
             registry=self.registry,
         )
+        self.search_wait_seconds = Histogram(
+            "almondspool_search_wait_seconds",
+            "Expected wait of searches at the upstreams, in seconds.",
+            buckets=_WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.note_search_wait = self.search_wait_seconds.observe
         self.shards_missing = Counter(
             "almondspool_routed_shards_missing",
             "Shards left out of answers.",
--- a/bench/routed_leg_cost.py
+++ b/bench/routed_leg_cost.py
@@ -101,6 +101,7 @@
         crashes=CrashWatch(timers.epoch_ms, pools.probe, lambda _: None, log),
         note_leg=metrics.note_leg,
         note_pause=metrics.paused_replicas.inc,
+        note_search_wait=metrics.note_search_wait,
     )
     route = Route(
         "r", "host", "/a/", True, 2.0, 0.5, 1, 2, (), shards, 20, least_coverage=0.95
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -190,6 +190,7 @@
         self.times = RouteTimes()
         self.selector = ReplicaSelector("north", self.sender, rng)
         self.legs = []
+        self.waits = []
         self.context = RoutingContext(
             timers=self.timers,
             log=log,
@@ -204,6 +205,7 @@
             crashes=self.crashes,
             note_leg=lambda *labels: self.legs.append(labels),
             note_pause=lambda: self.legs.append(("pause",)),
+            note_search_wait=self.waits.append,
         )
         self.noted = []
         self.router = Router(self.context, lambda *row: self.noted.append(row))
