--- a/almondspool/transport/hub_socket.py
+++ b/almondspool/transport/hub_socket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import errno
 import socket
 import struct
@@ -163,6 +164,26 @@
             self._on_closed(is_orderly)
 
 
+class ConnectFailure(enum.Enum):
+    """Why a connection was not made.
+
+    Nobody listens at an address that refuses; one that resets has taken the
+    connection first, and has too many.
+    """
+
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMEOUT = "connect_timeout"
+    OTHER = "connect_failed"
+
+
+_FAILURES_BY_ERRNO = {
+    errno.ECONNREFUSED: ConnectFailure.REFUSED,
+    errno.ECONNRESET: ConnectFailure.RESET,
+    errno.ETIMEDOUT: ConnectFailure.TIMEOUT,
+}
+
+
 class Connecting:
     """An attempt to connect that can be given up."""
 
@@ -172,15 +193,15 @@
         self,
         address: tuple[str, int],
         timeout_s: float,
-        on_end: Callable[[socket.socket | None, bool], None],
+        on_end: Callable[[socket.socket | None, ConnectFailure | None], None],
     ) -> None:
         """Begin to connect.
 
         Args:
             address: IP number and port.
             timeout_s: When to give up, in seconds.
-            on_end: Takes the connected socket, or None and whether the connection
-                was refused. Never called before this returns.
+            on_end: Takes the connected socket, or None and the failure. Never called
+                before this returns.
         """
         self._on_end = on_end
         self._hub = hubs.get_hub()
@@ -188,15 +209,16 @@
         self._socket = plain_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         set_liveness_options(self._socket)
-        self._timer = self._hub.schedule_call_global(timeout_s, self._fail, False)
+        self._timer = self._hub.schedule_call_global(
+            timeout_s, self._fail, ConnectFailure.TIMEOUT
+        )
         error = self._socket.connect_ex(address)
         if error in (0, errno.EINPROGRESS):
             self._writer = self._hub.add(
                 WRITE, self._socket.fileno(), self._connected, _ignore, _ignore
             )
         else:
-            is_refused = error == errno.ECONNREFUSED
-            self._hub.schedule_call_global(0, self._fail, is_refused)
+            self._hub.schedule_call_global(0, self._fail, _failure(error))
 
     def cancel(self) -> None:
         """Give up without a call back."""
@@ -208,17 +230,17 @@
     def _connected(self, _fileno: int) -> None:
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._fail(error in (errno.ECONNREFUSED, errno.ECONNRESET))
+            self._fail(_failure(error))
             return
         sock, self._socket = self._socket, None
         self._stop_watching()
-        self._on_end(sock, False)
+        self._on_end(sock, None)
 
-    def _fail(self, is_refused: bool) -> None:
+    def _fail(self, failure: ConnectFailure) -> None:
         if self._socket is None:
             return
         self.cancel()
-        self._on_end(None, is_refused)
+        self._on_end(None, failure)
 
     def _stop_watching(self) -> None:
         if self._writer is not None:
@@ -229,6 +251,10 @@
             self._timer = None
 
 
+def _failure(error: int) -> ConnectFailure:
+    return _FAILURES_BY_ERRNO.get(error, ConnectFailure.OTHER)
+
+
 class HubListener:
     """Accepts connections on the hub."""
 
--- a/almondspool/transport/upstream_pools.py
+++ b/almondspool/transport/upstream_pools.py
@@ -14,7 +14,11 @@
     LegSender,
     Room,
 )
-from almondspool.transport.hub_socket import Connecting, parse_host_port
+from almondspool.transport.hub_socket import (
+    ConnectFailure,
+    Connecting,
+    parse_host_port,
+)
 from almondspool.transport.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -129,15 +133,17 @@
         self._waiting.append(exchange)
         self._connect_for_waiting()
 
-    def connect(self, on_end: Callable[[bool], None] | None = None) -> None:
-        """Open one more connection; ``on_end`` takes whether it was refused."""
+    def connect(
+        self, on_end: Callable[[ConnectFailure | None], None] | None = None
+    ) -> None:
+        """Open one more connection; ``on_end`` takes why it was not made, or None."""
         attempt: list[Connecting] = []
 
-        def ended(sock: socket.socket | None, is_refused: bool) -> None:
+        def ended(sock: socket.socket | None, failure: ConnectFailure | None) -> None:
             self._connecting.discard(attempt[0])
-            self._on_connected(sock, is_refused)
+            self._on_connected(sock, failure)
             if on_end is not None:
-                on_end(is_refused)
+                on_end(failure)
 
         address = parse_host_port(self.replica.address)
         attempt.append(Connecting(address, CONNECT_TIMEOUT_S, ended))
@@ -178,9 +184,11 @@
             self.connect()
             missing -= 1
 
-    def _on_connected(self, sock: socket.socket | None, is_refused: bool) -> None:
+    def _on_connected(
+        self, sock: socket.socket | None, failure: ConnectFailure | None
+    ) -> None:
         if sock is None:
-            self._fail_waiting("refused" if is_refused else "connect_timeout")
+            self._fail_waiting(failure.value)
             return
         if self._is_retired:
             sock.close()
@@ -287,12 +295,12 @@
         """Open a connection and tell whether it was refused, within PROBE_S."""
         is_known = [False]
 
-        def known(is_refused: bool) -> None:
+        def known(failure: ConnectFailure | None) -> None:
             if not is_known[0]:
                 is_known[0] = True
-                on_known(is_refused)
+                on_known(failure is ConnectFailure.REFUSED)
 
-        hubs.get_hub().schedule_call_global(PROBE_S, known, False)
+        hubs.get_hub().schedule_call_global(PROBE_S, known, None)
         self._pool(replica).connect(known)
 
     def room(self, replica: Replica) -> Room:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -100,7 +100,7 @@
                 pair.close(reset=True)
 
     def _accept(self, near: socket.socket) -> None:
-        def connected(far: socket.socket | None, _: bool) -> None:
+        def connected(far: socket.socket | None, _failure: object) -> None:
             if far is None or self.mode == "reset":
                 near.close()
                 if far is not None:
