--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -7,30 +7,45 @@
 
 import eventlet
 
-from almondspool.coordination.backlog_answers import backlog_rows
-from almondspool.coordination.claim_routes import ClaimHolders
-from almondspool.coordination.claims_task import ClaimPeers, make_claims_task
-from almondspool.coordination.configuration_task import start_configuration_task
-from almondspool.coordination.connections import ConnectionWatch
-from almondspool.coordination.entries import choose_entries
-from almondspool.coordination.fleet_rows import summarize_queues
-from almondspool.coordination.fleet_task import FleetServices, make_fleet_task
-from almondspool.coordination.front import Front, FrontServices
-from almondspool.coordination.instance_operator import (
+from almondspool.coordination.admission.backlog_answers import backlog_rows
+from almondspool.coordination.claims.claim_routes import ClaimHolders
+from almondspool.coordination.claims.claims_task import ClaimPeers, make_claims_task
+from almondspool.coordination.configuration.configuration_task import (
+    start_configuration_task,
+)
+from almondspool.coordination.fleet.fleet_rows import summarize_queues
+from almondspool.coordination.fleet.fleet_task import FleetServices, make_fleet_task
+from almondspool.coordination.fleet.instance_operator import (
     InstanceOperator,
     OperatorServices,
 )
-from almondspool.coordination.load_poll_task import LoadPollTask
-from almondspool.coordination.membership_task import LocalState, make_membership_task
-from almondspool.coordination.peer_dispatch import PeerDispatch
-from almondspool.coordination.peer_links import PeerLinks
-from almondspool.coordination.peer_messages import PeerTasks, register_peer_messages
-from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
-from almondspool.coordination.request_path import PathServices, make_request_path
-from almondspool.coordination.request_run import RunServices
-from almondspool.coordination.search_context import make_context, renew_context
-from almondspool.coordination.shutdown import ShutdownSettings
-from almondspool.coordination.stop_task import StopServices, StopTask, give_back
+from almondspool.coordination.membership.entries import choose_entries
+from almondspool.coordination.membership.membership_task import (
+    LocalState,
+    make_membership_task,
+)
+from almondspool.coordination.peers.peer_dispatch import PeerDispatch
+from almondspool.coordination.peers.peer_links import PeerLinks
+from almondspool.coordination.peers.peer_messages import (
+    PeerTasks,
+    register_peer_messages,
+)
+from almondspool.coordination.search.front import Front, FrontServices
+from almondspool.coordination.search.request_path import PathServices, make_request_path
+from almondspool.coordination.search.request_run import RunServices
+from almondspool.coordination.search.search_context import make_context, renew_context
+from almondspool.coordination.shutdown.shutdown import ShutdownSettings
+from almondspool.coordination.shutdown.stop_task import (
+    StopServices,
+    StopTask,
+    give_back,
+)
+from almondspool.coordination.store.platform_calls import (
+    make_platform_calls,
+    share_of_calls,
+)
+from almondspool.coordination.upstreams.connections import ConnectionWatch
+from almondspool.coordination.upstreams.load_poll_task import LoadPollTask
 from almondspool.events import REJOINED, VIEW_CHANGED, Events
 from almondspool.protocol.caller_routes import CallerRoutes, HealthRoutes
 from almondspool.protocol.document import MAX_SECTION_BYTES
@@ -48,8 +63,8 @@
     from typing import Any
 
     from almondspool.codes import ResultCode
-    from almondspool.coordination.claims_task import ClaimsTask
-    from almondspool.coordination.member_actions import Rejoin
+    from almondspool.coordination.claims.claims_task import ClaimsTask
+    from almondspool.coordination.membership.member_actions import Rejoin
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import EntryList
     from almondspool.protocol.peer import Suspicion
--- a/almondspool/coordination/admission.py
+++ b/almondspool/coordination/admission/admission.py
@@ -6,9 +6,9 @@
 from typing import NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.limits import DeadlineLimit
-from almondspool.coordination.priority_queue import PriorityQueue
-from almondspool.coordination.rates import DecayedRate, DurationEstimate
+from almondspool.coordination.queues.limits import DeadlineLimit
+from almondspool.coordination.queues.priority_queue import PriorityQueue
+from almondspool.coordination.queues.rates import DecayedRate, DurationEstimate
 from almondspool.state.document import Priority
 
 AGING_S = 0.1
--- a/almondspool/coordination/admission_task.py
+++ b/almondspool/coordination/admission/admission_task.py
@@ -8,7 +8,7 @@
 from eventlet.event import Event
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.admission import (
+from almondspool.coordination.admission.admission import (
     Action,
     Admission,
     AdmissionRow,
--- a/almondspool/coordination/backlog_answers.py
+++ b/almondspool/coordination/admission/backlog_answers.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from almondspool.coordination.backlog import BacklogRow as QueueRow
+    from almondspool.coordination.admission.backlog import BacklogRow as QueueRow
     from almondspool.protocol.fleet import QueueSummary
 
 _MS_PER_S = 1000
--- a/almondspool/coordination/backlog_task.py
+++ b/almondspool/coordination/admission/backlog_task.py
@@ -7,7 +7,7 @@
 
 from prometheus_client import REGISTRY, Gauge
 
-from almondspool.coordination.backlog import (
+from almondspool.coordination.admission.backlog import (
     BacklogKey,
     BacklogMonitor,
     BacklogRow,
@@ -19,7 +19,7 @@
 
     from prometheus_client import CollectorRegistry
 
-    from almondspool.coordination.gatherer_actions import LaneRow
+    from almondspool.coordination.upstreams.gatherer_actions import LaneRow
     from almondspool.logs import EventLog
     from almondspool.protocol.upstream import LoadReport
     from almondspool.state.document import Document, Section
--- a/almondspool/coordination/request_metrics.py
+++ b/almondspool/coordination/admission/request_metrics.py
@@ -14,8 +14,8 @@
     from prometheus_client import CollectorRegistry
     from prometheus_client.metrics_core import Metric
 
-    from almondspool.coordination.admission_task import AdmissionTask
-    from almondspool.coordination.gatherer_task import GathererTask
+    from almondspool.coordination.admission.admission_task import AdmissionTask
+    from almondspool.coordination.upstreams.gatherer_task import GathererTask
 
 _LANE_GAUGES = {
     "waiting": ("almondspool_upstream_waiting", "Legs that wait."),
--- /dev/null
+++ b/almondspool/coordination/claims/__init__.py
@@ -0,0 +1,3 @@
+"""Claims, so that a request which must not run twice does not."""
+
+from __future__ import annotations
--- a/almondspool/coordination/claim_bucket.py
+++ b/almondspool/coordination/claims/claim_bucket.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.claims import (
+from almondspool.coordination.claims.claims import (
     SEND_LEASE_S,
     ClaimDecision,
     ClaimState,
@@ -14,7 +14,12 @@
 )
 
 if TYPE_CHECKING:
-    from almondspool.coordination.claims import Applied, Claim, ClaimOp, ClaimRules
+    from almondspool.coordination.claims.claims import (
+        Applied,
+        Claim,
+        ClaimOp,
+        ClaimRules,
+    )
     from almondspool.errors import PlatformError
     from almondspool.protocol.platform import PlatformObject
 
--- a/almondspool/coordination/claim_routes.py
+++ b/almondspool/coordination/claims/claim_routes.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.claims import BUCKET_NAMES
-from almondspool.coordination.rendezvous import first
+from almondspool.coordination.claims.claims import BUCKET_NAMES
+from almondspool.coordination.membership.rendezvous import first
 from almondspool.protocol.peer import MAX_DETAIL_CHARS, ClaimReply
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.claims import ClaimDecision
+    from almondspool.coordination.claims.claims import ClaimDecision
     from almondspool.protocol.claims import ClaimOp
     from almondspool.state.members import View
 
--- a/almondspool/coordination/claims_task.py
+++ b/almondspool/coordination/claims/claims_task.py
@@ -13,9 +13,9 @@
 from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.claim_bucket import ClaimBucket, ReadBucket
-from almondspool.coordination.claim_pace import ClaimPace
-from almondspool.coordination.claim_routes import (
+from almondspool.coordination.claims.claim_bucket import ClaimBucket, ReadBucket
+from almondspool.coordination.claims.claim_pace import ClaimPace
+from almondspool.coordination.claims.claim_routes import (
     ROUTE_WAIT_S,
     ROUTE_WAIT_SHARE,
     ClaimRoutes,
@@ -24,7 +24,7 @@
     is_undecided,
     not_holder_reply,
 )
-from almondspool.coordination.claims import (
+from almondspool.coordination.claims.claims import (
     CLAIM_KIND,
     SEND_LEASE_S,
     ClaimDecision,
@@ -40,7 +40,7 @@
     import random
     from collections.abc import Callable
 
-    from almondspool.coordination.claim_bucket import WriteBucket
+    from almondspool.coordination.claims.claim_bucket import WriteBucket
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import SearchRequest
     from almondspool.protocol.peer import ClaimReply
--- a/almondspool/coordination/acceptance.py
+++ b/almondspool/coordination/configuration/acceptance.py
@@ -7,12 +7,12 @@
 from returns.result import Result, Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.patient_platform import PatientPlatform
-from almondspool.coordination.section_retention import (
+from almondspool.coordination.configuration.section_retention import (
     delete_versions,
     look_up_versions,
 )
-from almondspool.coordination.section_store import make_stored_section
+from almondspool.coordination.configuration.section_store import make_stored_section
+from almondspool.coordination.store.patient_platform import PatientPlatform
 from almondspool.errors import (
     AlmondspoolError,
     CallNotStartedError,
@@ -38,8 +38,8 @@
     import random
     from collections.abc import Callable
 
-    from almondspool.coordination.configuration import Configuration
-    from almondspool.coordination.section_store import StoredSection
+    from almondspool.coordination.configuration.configuration import Configuration
+    from almondspool.coordination.configuration.section_store import StoredSection
     from almondspool.protocol.platform import PlatformInterface, PlatformObject
     from almondspool.state.document import Section
 
--- a/almondspool/coordination/configuration.py
+++ b/almondspool/coordination/configuration/configuration.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.configuration_actions import (
+from almondspool.coordination.configuration.configuration_actions import (
     Action,
     AdoptDocument,
     ConfirmManifest,
@@ -12,21 +12,24 @@
     ReadPlatform,
     SendMessage,
 )
-from almondspool.coordination.manifest_candidates import Candidate, ManifestCandidates
-from almondspool.coordination.readiness import Readiness
-from almondspool.coordination.refusals import Refusals
-from almondspool.coordination.rendezvous import rank
-from almondspool.coordination.section_fetches import (
+from almondspool.coordination.configuration.manifest_candidates import (
+    Candidate,
+    ManifestCandidates,
+)
+from almondspool.coordination.configuration.readiness import Readiness
+from almondspool.coordination.configuration.refusals import Refusals
+from almondspool.coordination.configuration.section_fetches import (
     FETCH_TIMEOUT_S,
     PLATFORM,
     SectionFetches,
     Wanted,
 )
-from almondspool.coordination.section_store import (
+from almondspool.coordination.configuration.section_store import (
     SectionStore,
     StoredSection,
     make_stored_section,
 )
+from almondspool.coordination.membership.rendezvous import rank
 from almondspool.errors import DocumentError, PeerError
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.document_checks import check_document
--- a/almondspool/coordination/configuration_task.py
+++ b/almondspool/coordination/configuration/configuration_task.py
@@ -9,9 +9,9 @@
 from returns.result import Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.acceptance import AcceptedSection, Acceptor
-from almondspool.coordination.configuration import Configuration
-from almondspool.coordination.configuration_actions import (
+from almondspool.coordination.configuration.acceptance import AcceptedSection, Acceptor
+from almondspool.coordination.configuration.configuration import Configuration
+from almondspool.coordination.configuration.configuration_actions import (
     Action,
     AdoptDocument,
     ConfirmManifest,
@@ -19,15 +19,17 @@
     ReadPlatform,
     SendMessage,
 )
-from almondspool.coordination.manifest_confirmation import read_current_manifest
-from almondspool.coordination.manifest_watch import ManifestWatch
+from almondspool.coordination.configuration.manifest_confirmation import (
+    read_current_manifest,
+)
+from almondspool.coordination.configuration.manifest_watch import ManifestWatch
 from almondspool.protocol.manifest import MANIFEST_KIND, SECTION_KIND
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from almondspool.coordination.acceptance import Acceptance
+    from almondspool.coordination.configuration.acceptance import Acceptance
     from almondspool.logs import EventLog
     from almondspool.protocol.peer import FetchObjects, ObjectsReply
     from almondspool.protocol.platform import PlatformInterface
--- a/almondspool/coordination/document_answers.py
+++ b/almondspool/coordination/configuration/document_answers.py
@@ -14,8 +14,10 @@
 )
 
 if TYPE_CHECKING:
-    from almondspool.coordination.configuration import Configuration
-    from almondspool.coordination.configuration_task import ConfigurationTask
+    from almondspool.coordination.configuration.configuration import Configuration
+    from almondspool.coordination.configuration.configuration_task import (
+        ConfigurationTask,
+    )
 
 
 def describe_document(configuration: Configuration) -> DocumentAnswer:
--- a/almondspool/coordination/manifest_candidates.py
+++ b/almondspool/coordination/configuration/manifest_candidates.py
@@ -5,13 +5,13 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.section_fetches import Wanted
+from almondspool.coordination.configuration.section_fetches import Wanted
 from almondspool.protocol.manifest import Manifest, section_name
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.section_store import SectionStore
+    from almondspool.coordination.configuration.section_store import SectionStore
 
 MAX_CANDIDATES = 8
 
--- a/almondspool/coordination/manifest_watch.py
+++ b/almondspool/coordination/configuration/manifest_watch.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.rendezvous import rank_over_zones
+from almondspool.coordination.membership.rendezvous import rank_over_zones
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/refusals.py
+++ b/almondspool/coordination/configuration/refusals.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, OrderedDict
 
-from almondspool.coordination.configuration_actions import LogEvent
+from almondspool.coordination.configuration.configuration_actions import LogEvent
 
 MAX_KNOWN = 256
 
--- /dev/null
+++ b/almondspool/coordination/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""What operators are told of one instance and of all."""
+
+from __future__ import annotations
--- a/almondspool/coordination/fleet_answers.py
+++ b/almondspool/coordination/fleet/fleet_answers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.backlog_answers import backlog_row
+from almondspool.coordination.admission.backlog_answers import backlog_row
 from almondspool.protocol.operator import FleetAnswer, FleetBacklogRow, FleetMemberRow
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/fleet_rows.py
+++ b/almondspool/coordination/fleet/fleet_rows.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from almondspool.coordination.backlog import BacklogRow
+    from almondspool.coordination.admission.backlog import BacklogRow
     from almondspool.protocol.fleet import InstanceSummary
 
 # Most reports a second that the holder takes from the whole fleet.
--- a/almondspool/coordination/fleet_task.py
+++ b/almondspool/coordination/fleet/fleet_task.py
@@ -7,13 +7,13 @@
 from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.duty_lease import DutyLease, ReadObject
-from almondspool.coordination.fleet_rows import (
+from almondspool.coordination.fleet.fleet_rows import (
     LEASE_INTERVALS,
     FleetRows,
     interval_s,
 )
-from almondspool.coordination.rendezvous import first
+from almondspool.coordination.membership.duty_lease import DutyLease, ReadObject
+from almondspool.coordination.membership.rendezvous import first
 from almondspool.errors import PlatformError
 from almondspool.protocol.fleet import (
     FLEET_KIND,
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.duty_lease import WriteObject
+    from almondspool.coordination.membership.duty_lease import WriteObject
     from almondspool.logs import EventLog
     from almondspool.protocol.fleet import InstanceSummary
     from almondspool.protocol.platform import PlatformInterface
--- a/almondspool/coordination/instance_operator.py
+++ b/almondspool/coordination/fleet/instance_operator.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.document_answers import (
+from almondspool.coordination.configuration.document_answers import (
     apply_section,
     describe_document,
     describe_section,
 )
-from almondspool.coordination.fleet_answers import describe_fleet
+from almondspool.coordination.fleet.fleet_answers import describe_fleet
 from almondspool.errors import RequestError
 from almondspool.protocol.operator import (
     ApplyAnswer,
@@ -29,8 +29,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from almondspool.coordination.configuration_task import ConfigurationTask
-    from almondspool.coordination.replicas import ReplicaChooser
+    from almondspool.coordination.configuration.configuration_task import (
+        ConfigurationTask,
+    )
+    from almondspool.coordination.upstreams.replicas import ReplicaChooser
     from almondspool.protocol.fleet import FleetStatus
     from almondspool.state.document import Section, Shard
     from almondspool.state.members import Member, View
--- a/almondspool/coordination/contacts.py
+++ b/almondspool/coordination/membership/contacts.py
@@ -9,10 +9,10 @@
 if TYPE_CHECKING:
     import random
 
-    from almondspool.coordination.gossip import Gossip
-    from almondspool.coordination.joining import Joining
-    from almondspool.coordination.member_actions import SendDatagram
-    from almondspool.coordination.member_table import MemberTable
+    from almondspool.coordination.membership.gossip import Gossip
+    from almondspool.coordination.membership.joining import Joining
+    from almondspool.coordination.membership.member_actions import SendDatagram
+    from almondspool.coordination.membership.member_table import MemberTable
 
 JOIN_FANOUT = 3
 
--- a/almondspool/coordination/gossip.py
+++ b/almondspool/coordination/membership/gossip.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.member_actions import SendDatagram
-from almondspool.coordination.member_table import (
+from almondspool.coordination.membership.member_actions import SendDatagram
+from almondspool.coordination.membership.member_table import (
     FRAME_BYTES,
     MAX_DATAGRAM_BYTES,
     shortened,
@@ -17,8 +17,8 @@
     import random
     from collections.abc import Iterable
 
-    from almondspool.coordination.member_actions import Message
-    from almondspool.coordination.member_table import MemberTable
+    from almondspool.coordination.membership.member_actions import Message
+    from almondspool.coordination.membership.member_table import MemberTable
 
 SAMPLES_PER_HEARTBEAT = 1
 # Keeps a member within 3 KB a second whatever there is to tell.
--- a/almondspool/coordination/listings.py
+++ b/almondspool/coordination/membership/listings.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.member_actions import ReadPlatform, WriteRecord
+from almondspool.coordination.membership.member_actions import ReadPlatform, WriteRecord
 from almondspool.state.members import Member, MemberStatus
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/liveness.py
+++ b/almondspool/coordination/membership/liveness.py
@@ -4,19 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.member_actions import Action, MemberChanged
-from almondspool.coordination.member_table import completed
-from almondspool.coordination.probes import Probe, Probes, Relay
+from almondspool.coordination.membership.member_actions import Action, MemberChanged
+from almondspool.coordination.membership.member_table import completed
+from almondspool.coordination.membership.probes import Probe, Probes, Relay
 from almondspool.protocol.peer import Heartbeat, ProbeReply, ProbeRequest
 from almondspool.state.members import Member, MemberStatus
 
 if TYPE_CHECKING:
     import random
 
-    from almondspool.coordination.gossip import Gossip
-    from almondspool.coordination.listings import Listings
-    from almondspool.coordination.member_table import MemberTable
-    from almondspool.coordination.membership_settings import MembershipSettings
+    from almondspool.coordination.membership.gossip import Gossip
+    from almondspool.coordination.membership.listings import Listings
+    from almondspool.coordination.membership.member_table import MemberTable
+    from almondspool.coordination.membership.membership_settings import (
+        MembershipSettings,
+    )
 
 RELAYS_PER_PROBE = 3
 
--- a/almondspool/coordination/member_records.py
+++ b/almondspool/coordination/membership/member_records.py
@@ -10,7 +10,7 @@
 from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.member_actions import (
+from almondspool.coordination.membership.member_actions import (
     DeleteRecord,
     ReadPlatform,
     WriteRecord,
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from almondspool.coordination.member_actions import Action
-    from almondspool.coordination.membership import Membership
+    from almondspool.coordination.membership.member_actions import Action
+    from almondspool.coordination.membership.membership import Membership
     from almondspool.logs import EventLog
     from almondspool.protocol.platform import PlatformInterface, PlatformObject
 
--- a/almondspool/coordination/membership.py
+++ b/almondspool/coordination/membership/membership.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.contacts import JOIN_FANOUT, Contacts
-from almondspool.coordination.gossip import Gossip
-from almondspool.coordination.joining import Joining
-from almondspool.coordination.listings import Listings
-from almondspool.coordination.liveness import Liveness
-from almondspool.coordination.member_actions import (
+from almondspool.coordination.membership.contacts import JOIN_FANOUT, Contacts
+from almondspool.coordination.membership.gossip import Gossip
+from almondspool.coordination.membership.joining import Joining
+from almondspool.coordination.membership.listings import Listings
+from almondspool.coordination.membership.liveness import Liveness
+from almondspool.coordination.membership.member_actions import (
     Action,
     BecameReady,
     DeleteRecord,
@@ -17,8 +17,8 @@
     MemberForgotten,
     Rejoin,
 )
-from almondspool.coordination.member_table import MemberTable
-from almondspool.coordination.rendezvous import first
+from almondspool.coordination.membership.member_table import MemberTable
+from almondspool.coordination.membership.rendezvous import first
 from almondspool.protocol.peer import (
     Heartbeat,
     ProbeReply,
@@ -32,8 +32,10 @@
     import random
     from collections.abc import Iterable
 
-    from almondspool.coordination.member_actions import Message
-    from almondspool.coordination.membership_settings import MembershipSettings
+    from almondspool.coordination.membership.member_actions import Message
+    from almondspool.coordination.membership.membership_settings import (
+        MembershipSettings,
+    )
     from almondspool.protocol.platform import InstanceListing
 
 REFUTE_FANOUT = 3
@@ -358,7 +360,7 @@
             return self._rejoin(record.incarnation + 1, 0.0, now)
         if record.incarnation < own.incarnation:
             return []
-        if record.incarnation == own.incarnation and not _is_disputed(record):
+        if record.incarnation == own.incarnation and not record.is_disputed:
             if record.status > own.status:
                 self._listings.read_soon(now)
             return []
@@ -396,7 +398,3 @@
             return actions
         after = message.members[-1].instance
         return [*actions, self._contacts.ask_page(address, after, now)]
-
-
-def _is_disputed(record: Member) -> bool:
-    return record.status in (MemberStatus.SUSPECT, MemberStatus.DEAD)
--- a/almondspool/coordination/membership_task.py
+++ b/almondspool/coordination/membership/membership_task.py
@@ -10,16 +10,19 @@
 from eventlet import event, queue
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.member_actions import (
+from almondspool.coordination.membership.member_actions import (
     BecameReady,
     MemberChanged,
     MemberForgotten,
     Rejoin,
     SendDatagram,
 )
-from almondspool.coordination.member_records import MemberRecords, PlatformAction
-from almondspool.coordination.membership import Membership
-from almondspool.coordination.membership_settings import MembershipSettings
+from almondspool.coordination.membership.member_records import (
+    MemberRecords,
+    PlatformAction,
+)
+from almondspool.coordination.membership.membership import Membership
+from almondspool.coordination.membership.membership_settings import MembershipSettings
 from almondspool.events import READY, REJOINED, SUSPECTED, VIEW_CHANGED
 from almondspool.protocol.peer import PeerCodec, Suspicion
 from almondspool.state.members import Member, MemberStatus
@@ -28,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from almondspool.coordination.member_actions import Action
+    from almondspool.coordination.membership.member_actions import Action
     from almondspool.events import Events
     from almondspool.logs import EventLog
     from almondspool.protocol.platform import PlatformInterface
--- /dev/null
+++ b/almondspool/coordination/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between instances: who sends them, who takes them."""
+
+from __future__ import annotations
--- a/almondspool/coordination/peer_messages.py
+++ b/almondspool/coordination/peers/peer_messages.py
@@ -20,13 +20,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.claims_task import ClaimsTask
-    from almondspool.coordination.configuration_task import ConfigurationTask
-    from almondspool.coordination.fleet_task import FleetTask
-    from almondspool.coordination.gatherer_task import GathererTask
-    from almondspool.coordination.leg_router import LegRouter
-    from almondspool.coordination.peer_dispatch import PeerDispatch
-    from almondspool.coordination.shares_task import SharesTask
+    from almondspool.coordination.claims.claims_task import ClaimsTask
+    from almondspool.coordination.configuration.configuration_task import (
+        ConfigurationTask,
+    )
+    from almondspool.coordination.fleet.fleet_task import FleetTask
+    from almondspool.coordination.peers.peer_dispatch import PeerDispatch
+    from almondspool.coordination.shares.shares_task import SharesTask
+    from almondspool.coordination.upstreams.gatherer_task import GathererTask
+    from almondspool.coordination.upstreams.leg_router import LegRouter
     from almondspool.transport.peer_channel import PeerMessage
 
 
--- /dev/null
+++ b/almondspool/coordination/queues/__init__.py
@@ -0,0 +1,3 @@
+"""Order, limits and measured rates of queues, for admission and upstreams."""
+
+from __future__ import annotations
--- a/almondspool/coordination/answers.py
+++ b/almondspool/coordination/search/answers.py
@@ -18,7 +18,7 @@
     import random
     from collections.abc import Iterable, Mapping
 
-    from almondspool.coordination.shard_run import ShardRun
+    from almondspool.coordination.search.shard_run import ShardRun
     from almondspool.protocol.caller import SearchRequest
 
 RETRY_AFTER_PARTIAL_MS = 200
--- a/almondspool/coordination/cut_offs.py
+++ b/almondspool/coordination/search/cut_offs.py
@@ -14,11 +14,11 @@
 import collections
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.quarantine import Verdict
+from almondspool.coordination.search.quarantine import Verdict
 
 if TYPE_CHECKING:
-    from almondspool.coordination.quarantine import Quarantine
-    from almondspool.coordination.shard_run import OpenLeg, ShardRun
+    from almondspool.coordination.search.quarantine import Quarantine
+    from almondspool.coordination.search.shard_run import OpenLeg, ShardRun
     from almondspool.protocol.peer import Suspicion
 
 PROBE_GROWTH = 2
--- a/almondspool/coordination/front.py
+++ b/almondspool/coordination/search/front.py
@@ -6,16 +6,19 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode, describe
-from almondspool.coordination.admission_task import AdmissionDecision, AdmissionRequest
-from almondspool.coordination.claims import (
+from almondspool.coordination.admission.admission_task import (
+    AdmissionDecision,
+    AdmissionRequest,
+)
+from almondspool.coordination.claims.claims import (
     ClaimState,
     closing_state,
     pack_answer,
     unpack_answer,
 )
-from almondspool.coordination.claims_task import CLAIM_TIMEOUT_S
-from almondspool.coordination.request_run import RequestRun, RunServices
-from almondspool.coordination.search import make_session
+from almondspool.coordination.claims.claims_task import CLAIM_TIMEOUT_S
+from almondspool.coordination.search.request_run import RequestRun, RunServices
+from almondspool.coordination.search.search import make_session
 from almondspool.protocol.caller import (
     CallerInterface,
     EntryList,
@@ -26,10 +29,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.admission_task import AdmissionTask
-    from almondspool.coordination.claims import ClaimDecision
-    from almondspool.coordination.claims_task import ClaimsTask
-    from almondspool.coordination.search_context import SearchContext
+    from almondspool.coordination.admission.admission_task import AdmissionTask
+    from almondspool.coordination.claims.claims import ClaimDecision
+    from almondspool.coordination.claims.claims_task import ClaimsTask
+    from almondspool.coordination.search.search_context import SearchContext
     from almondspool.state.document import Document, Priority, Section
 
 _MS_PER_S = 1000
--- a/almondspool/coordination/leg_permits.py
+++ b/almondspool/coordination/search/leg_permits.py
@@ -13,8 +13,8 @@
 from almondspool.codes import ResultCode
 
 if TYPE_CHECKING:
-    from almondspool.coordination.budget import ExtraLegBudget
-    from almondspool.coordination.shard_run import ShardRun
+    from almondspool.coordination.search.shard_run import ShardRun
+    from almondspool.coordination.upstreams.budget import ExtraLegBudget
 
 MAX_ATTEMPTS = 3
 BUDGET_WAITS_S = (0.010, 0.040)
--- a/almondspool/coordination/request_path.py
+++ b/almondspool/coordination/search/request_path.py
@@ -4,25 +4,25 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from almondspool.coordination.admission_task import make_admission_task
-from almondspool.coordination.backlog_task import make_backlog_task
-from almondspool.coordination.gatherer_task import make_gatherer_task
-from almondspool.coordination.leg_router import LegRouter, LegTransport
-from almondspool.coordination.request_metrics import register_request_metrics
-from almondspool.coordination.share_policy import make_share_settings
-from almondspool.coordination.shares_task import ShareServices, make_shares_task
+from almondspool.coordination.admission.admission_task import make_admission_task
+from almondspool.coordination.admission.backlog_task import make_backlog_task
+from almondspool.coordination.admission.request_metrics import register_request_metrics
+from almondspool.coordination.shares.share_policy import make_share_settings
+from almondspool.coordination.shares.shares_task import ShareServices, make_shares_task
+from almondspool.coordination.upstreams.gatherer_task import make_gatherer_task
+from almondspool.coordination.upstreams.leg_router import LegRouter, LegTransport
 
 if TYPE_CHECKING:
     import random
 
     from prometheus_client import CollectorRegistry
 
-    from almondspool.coordination.admission_task import AdmissionTask
-    from almondspool.coordination.backlog_task import BacklogTask
-    from almondspool.coordination.gatherer_task import GathererTask, OnReply
-    from almondspool.coordination.membership_task import MembershipTask
-    from almondspool.coordination.peer_links import PeerLinks
-    from almondspool.coordination.shares_task import SharesTask
+    from almondspool.coordination.admission.admission_task import AdmissionTask
+    from almondspool.coordination.admission.backlog_task import BacklogTask
+    from almondspool.coordination.membership.membership_task import MembershipTask
+    from almondspool.coordination.peers.peer_links import PeerLinks
+    from almondspool.coordination.shares.shares_task import SharesTask
+    from almondspool.coordination.upstreams.gatherer_task import GathererTask, OnReply
     from almondspool.logs import EventLog
     from almondspool.protocol.http_upstream import HttpUpstream
     from almondspool.protocol.platform import PlatformInterface
--- a/almondspool/coordination/request_run.py
+++ b/almondspool/coordination/search/request_run.py
@@ -8,7 +8,7 @@
 import eventlet
 import eventlet.queue
 
-from almondspool.coordination.search_actions import (
+from almondspool.coordination.search.search_actions import (
     CancelLeg,
     Finish,
     SendLeg,
@@ -19,9 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from almondspool.coordination.leg_router import LegRouter
-    from almondspool.coordination.search import SearchSession
-    from almondspool.coordination.search_actions import Action
+    from almondspool.coordination.search.search import SearchSession
+    from almondspool.coordination.search.search_actions import Action
+    from almondspool.coordination.upstreams.leg_router import LegRouter
     from almondspool.logs import EventLog
     from almondspool.protocol.caller import SearchAnswer, SearchRequest
     from almondspool.protocol.peer import Suspicion
--- a/almondspool/coordination/search.py
+++ b/almondspool/coordination/search/search.py
@@ -7,35 +7,35 @@
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.answers import AnswerBuilder
-from almondspool.coordination.cut_offs import CutOffs
-from almondspool.coordination.leg_permits import has_attempts_left, take_permit
-from almondspool.coordination.quarantine import Verdict, fingerprint
-from almondspool.coordination.request_deadline import make_deadline
-from almondspool.coordination.search_actions import (
+from almondspool.coordination.search.answers import AnswerBuilder
+from almondspool.coordination.search.cut_offs import CutOffs
+from almondspool.coordination.search.leg_permits import has_attempts_left, take_permit
+from almondspool.coordination.search.quarantine import Verdict, fingerprint
+from almondspool.coordination.search.request_deadline import make_deadline
+from almondspool.coordination.search.search_actions import (
     CancelLeg,
     Finish,
     SendLeg,
     ShareSuspicion,
 )
-from almondspool.coordination.shard_run import (
+from almondspool.coordination.search.shard_run import (
     OpenLeg,
     ShardRun,
     check_result,
     has_newer_snapshot,
     select_shards,
 )
-from almondspool.coordination.wakes import WakeQueue
+from almondspool.coordination.search.wakes import WakeQueue
 from almondspool.errors import RequestError
 from almondspool.protocol.upstream import Leg
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.replicas import Choice
-    from almondspool.coordination.request_deadline import RequestDeadline
-    from almondspool.coordination.search_actions import Action
-    from almondspool.coordination.search_context import SearchContext
+    from almondspool.coordination.search.request_deadline import RequestDeadline
+    from almondspool.coordination.search.search_actions import Action
+    from almondspool.coordination.search.search_context import SearchContext
+    from almondspool.coordination.upstreams.replicas import Choice
     from almondspool.protocol.caller import SearchRequest
     from almondspool.protocol.upstream import LegResult
     from almondspool.state.document import Section
--- a/almondspool/coordination/search_actions.py
+++ b/almondspool/coordination/search/search_actions.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from almondspool.coordination.replicas import Candidate
+    from almondspool.coordination.upstreams.replicas import Candidate
     from almondspool.protocol.caller import SearchAnswer
     from almondspool.protocol.peer import Suspicion
     from almondspool.protocol.upstream import Leg
--- a/almondspool/coordination/search_context.py
+++ b/almondspool/coordination/search/search_context.py
@@ -5,15 +5,15 @@
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.budget import ExtraLegBudget
-from almondspool.coordination.quarantine import Quarantine
-from almondspool.coordination.replicas import make_chooser
+from almondspool.coordination.search.quarantine import Quarantine
+from almondspool.coordination.upstreams.budget import ExtraLegBudget
+from almondspool.coordination.upstreams.replicas import make_chooser
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
 
-    from almondspool.coordination.replicas import ReplicaChooser
+    from almondspool.coordination.upstreams.replicas import ReplicaChooser
 
 
 class SearchContext(NamedTuple):
--- a/almondspool/coordination/wakes.py
+++ b/almondspool/coordination/search/wakes.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from almondspool.coordination.shard_run import ShardRun
+    from almondspool.coordination.search.shard_run import ShardRun
 
 
 class WakeQueue:
--- a/almondspool/coordination/share_calls.py
+++ b/almondspool/coordination/shares/share_calls.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.share_actions import ReadBucket, WriteBucket
+from almondspool.coordination.shares.share_actions import ReadBucket, WriteBucket
 from almondspool.protocol.shares import SHARES_KIND
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/share_plan.py
+++ b/almondspool/coordination/shares/share_plan.py
@@ -88,6 +88,15 @@
     return share.connections if share else 0
 
 
+def own_differs(
+    planned: UpstreamShares, known: UpstreamShares, context: ShareContext
+) -> bool:
+    """Return whether own shares in the platform are stale or of earlier sessions."""
+    own = context.instance
+    mine = [share for share in known.active + known.stale if share.instance == own]
+    return mine != [share for share in planned.active if share.instance == own]
+
+
 def free_connections(
     shares: UpstreamShares, upstream: Upstream, context: ShareContext
 ) -> int:
--- a/almondspool/coordination/share_policy.py
+++ b/almondspool/coordination/shares/share_policy.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.holder_ranking import HolderRanking
-from almondspool.coordination.share_plan import (
+from almondspool.coordination.shares.share_plan import (
     ShareContext,
     are_in_place,
     free_connections,
@@ -13,6 +12,7 @@
     own_connections,
     target_connections,
 )
+from almondspool.coordination.upstreams.holder_ranking import HolderRanking
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/almondspool/coordination/shares.py
+++ b/almondspool/coordination/shares/shares.py
@@ -5,21 +5,22 @@
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.share_actions import (
+from almondspool.coordination.shares.share_actions import (
     Action,
     CloseAll,
     OpenUpTo,
     ReadBucket,
     WriteBucket,
 )
-from almondspool.coordination.share_bucket import UNREAD, ShareBucket
-from almondspool.coordination.share_plan import (
+from almondspool.coordination.shares.share_bucket import UNREAD, ShareBucket
+from almondspool.coordination.shares.share_plan import (
     ShareContext,
     own_connections,
+    own_differs,
     tidy,
     with_own,
 )
-from almondspool.coordination.share_policy import SharePolicy, ShareSettings
+from almondspool.coordination.shares.share_policy import SharePolicy, ShareSettings
 from almondspool.protocol.shares import (
     BUCKET_NAMES,
     bucket_of,
@@ -345,7 +346,7 @@
             self._open_by_upstream_id.pop(upstream_id, None)
         planned = with_own(shares, context, desired)
         known = bucket.shares_of(upstream_id)
-        if desired != own or _own_differs(planned, known, context):
+        if desired != own or own_differs(planned, known, context):
             return planned
         # A wanted holder also marks the dead, so that the age of their shares runs.
         if planned != known and upstream_id in self._policy.wanted_ids:
@@ -390,12 +391,3 @@
     if code == ResultCode.PLATFORM_RATE_LIMITED:
         return RATE_RETRY_S
     return min(MAX_OUTAGE_RETRY_S, OUTAGE_RETRY_S * 2**failures)
-
-
-def _own_differs(
-    planned: UpstreamShares, known: UpstreamShares, context: ShareContext
-) -> bool:
-    """Return whether own shares in the platform are stale or of earlier sessions."""
-    own = context.instance
-    mine = [share for share in known.active + known.stale if share.instance == own]
-    return mine != [share for share in planned.active if share.instance == own]
--- a/almondspool/coordination/shares_task.py
+++ b/almondspool/coordination/shares/shares_task.py
@@ -10,15 +10,15 @@
 from eventlet import event, queue
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.share_actions import (
+from almondspool.coordination.shares.share_actions import (
     Action,
     CloseAll,
     OpenUpTo,
     ReadBucket,
     WriteBucket,
 )
-from almondspool.coordination.share_calls import ShareCallResults, ShareCalls
-from almondspool.coordination.shares import Shares
+from almondspool.coordination.shares.share_calls import ShareCallResults, ShareCalls
+from almondspool.coordination.shares.shares import Shares
 from almondspool.errors import PlatformError
 from almondspool.protocol.peer import (
     CompareObjects,
@@ -31,8 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
-    from almondspool.coordination.membership_task import MembershipTask
-    from almondspool.coordination.share_policy import ShareSettings
+    from almondspool.coordination.membership.membership_task import MembershipTask
+    from almondspool.coordination.shares.share_policy import ShareSettings
     from almondspool.logs import EventLog
     from almondspool.protocol.platform import PlatformInterface
     from almondspool.state.document import Upstream
--- /dev/null
+++ b/almondspool/coordination/shutdown/__init__.py
@@ -0,0 +1,3 @@
+"""The planned stop of an instance."""
+
+from __future__ import annotations
--- a/almondspool/coordination/shutdown.py
+++ b/almondspool/coordination/shutdown/shutdown.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.entries import longest_ttl_s
+from almondspool.coordination.membership.entries import longest_ttl_s
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/almondspool/coordination/stop_task.py
+++ b/almondspool/coordination/shutdown/stop_task.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from almondspool.coordination.shutdown import (
+from almondspool.coordination.shutdown.shutdown import (
     AnnounceLeaving,
     CutOff,
     Exit,
@@ -19,9 +19,9 @@
     from collections.abc import Callable, Sequence
 
     from almondspool.codes import ResultCode
-    from almondspool.coordination.claims_task import ClaimsTask
-    from almondspool.coordination.shares_task import SharesTask
-    from almondspool.coordination.shutdown import Action
+    from almondspool.coordination.claims.claims_task import ClaimsTask
+    from almondspool.coordination.shares.shares_task import SharesTask
+    from almondspool.coordination.shutdown.shutdown import Action
     from almondspool.logs import EventLog
     from almondspool.transport.timers import TimerHandle, TimerService
 
--- a/almondspool/coordination/platform_calls.py
+++ b/almondspool/coordination/store/platform_calls.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.platform_circuit import (
+from almondspool.coordination.store.platform_circuit import (
     CallOutcome,
     CallRefusal,
     PlatformCircuit,
--- a/almondspool/coordination/budget.py
+++ b/almondspool/coordination/upstreams/budget.py
@@ -5,7 +5,7 @@
 import math
 from typing import NamedTuple
 
-from almondspool.coordination.rates import DecayedRate
+from almondspool.coordination.queues.rates import DecayedRate
 
 RATE_DECAY_S = 10.0
 MINIMUM_EXTRA_LEGS = 10
--- a/almondspool/coordination/gatherer.py
+++ b/almondspool/coordination/upstreams/gatherer.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.gatherer_actions import (
+from almondspool.coordination.upstreams.gatherer_actions import (
     Action,
     CancelRunning,
     GathererCounts,
@@ -14,7 +14,7 @@
     SendResult,
     StartExchange,
 )
-from almondspool.coordination.lane import Exchange, Lane, Run, Sharer
+from almondspool.coordination.upstreams.lane import Exchange, Lane, Run, Sharer
 from almondspool.protocol.upstream import LegResult
 
 if TYPE_CHECKING:
--- a/almondspool/coordination/gatherer_task.py
+++ b/almondspool/coordination/upstreams/gatherer_task.py
@@ -7,8 +7,8 @@
 import eventlet
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.gatherer import Gatherer
-from almondspool.coordination.gatherer_actions import (
+from almondspool.coordination.upstreams.gatherer import Gatherer
+from almondspool.coordination.upstreams.gatherer_actions import (
     Action,
     CancelRunning,
     GathererCounts,
--- a/almondspool/coordination/holder_ranking.py
+++ b/almondspool/coordination/upstreams/holder_ranking.py
@@ -6,7 +6,7 @@
 import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.rendezvous import weight
+from almondspool.coordination.membership.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/almondspool/coordination/lane.py
+++ b/almondspool/coordination/upstreams/lane.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.gatherer_actions import LaneRow
-from almondspool.coordination.limits import AdaptiveLimit
-from almondspool.coordination.priority_queue import PriorityQueue
+from almondspool.coordination.queues.limits import AdaptiveLimit
+from almondspool.coordination.queues.priority_queue import PriorityQueue
+from almondspool.coordination.upstreams.gatherer_actions import LaneRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/almondspool/coordination/load_poll_task.py
+++ b/almondspool/coordination/upstreams/load_poll_task.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from almondspool.coordination.load_polls import LoadPolls, is_poller
+from almondspool.coordination.upstreams.load_polls import LoadPolls, is_poller
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/almondspool/coordination/load_polls.py
+++ b/almondspool/coordination/upstreams/load_polls.py
@@ -9,7 +9,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.rendezvous import weight
+from almondspool.coordination.membership.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
--- a/almondspool/coordination/replicas.py
+++ b/almondspool/coordination/upstreams/replicas.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.latency import DecayedPeak, LatencyHistogram
+from almondspool.coordination.upstreams.latency import DecayedPeak, LatencyHistogram
 
 if TYPE_CHECKING:
     import random
--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -5,8 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.entries import choose_addresses
-from almondspool.coordination.membership_task import LocalState
+from almondspool.coordination.membership.entries import choose_addresses
+from almondspool.coordination.membership.membership_task import LocalState
 from almondspool.events import SUSPECTED, VIEW_CHANGED, Events
 from almondspool.platform import configuration, entries
 from almondspool.platform.followers import ConfigurationFollower, EntryFollower
--- a/almondspool/platform/membership.py
+++ b/almondspool/platform/membership.py
@@ -5,13 +5,13 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.membership_task import make_membership_task
+from almondspool.coordination.membership.membership_task import make_membership_task
 from almondspool.platform.store_platform import StorePlatform
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
-    from almondspool.coordination.membership_task import MembershipTask
+    from almondspool.coordination.membership.membership_task import MembershipTask
     from almondspool.events import Events
     from almondspool.logs import EventLog
     from almondspool.platform.settings import PlatformSettings
--- a/almondspool/routing/crashes.py
+++ b/almondspool/routing/crashes.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from almondspool.coordination.quarantine import Quarantine, Verdict
+from almondspool.coordination.search.quarantine import Quarantine, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/almondspool/routing/quota.py
+++ b/almondspool/routing/quota.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.rendezvous import weight
+from almondspool.coordination.membership.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.latency import DecayedPeak
+from almondspool.coordination.upstreams.latency import DecayedPeak
 
 if TYPE_CHECKING:
     from almondspool.protocol.exchange import ReportedLoad
--- a/almondspool/routing/route_times.py
+++ b/almondspool/routing/route_times.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.latency import LatencyHistogram
+from almondspool.coordination.upstreams.latency import LatencyHistogram
 
 if TYPE_CHECKING:
     from almondspool.state.routes import Route
--- a/almondspool/routing/stop.py
+++ b/almondspool/routing/stop.py
@@ -7,7 +7,7 @@
 import eventlet
 
 if TYPE_CHECKING:
-    from almondspool.coordination.membership_task import MembershipTask
+    from almondspool.coordination.membership.membership_task import MembershipTask
     from almondspool.logs import EventLog
     from almondspool.transport.caller_server import CallerServer
     from almondspool.transport.timers import TimerService
--- a/almondspool/routing/watch_duty.py
+++ b/almondspool/routing/watch_duty.py
@@ -10,7 +10,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.rendezvous import weight
+from almondspool.coordination.membership.rendezvous import weight
 
 if TYPE_CHECKING:
     import random
--- a/almondspool/standins/links.py
+++ b/almondspool/standins/links.py
@@ -31,7 +31,7 @@
 
     from returns.result import Result
 
-    from almondspool.coordination.member_actions import SendDatagram
+    from almondspool.coordination.membership.member_actions import SendDatagram
 
 POLL_S = 0.02
 
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -48,6 +48,11 @@
     session: int = 0
     ready: bool = True
 
+    @property
+    def is_disputed(self) -> bool:
+        """Whether somebody holds the instance for lost, so that it must object."""
+        return self.status in (MemberStatus.SUSPECT, MemberStatus.DEAD)
+
 
 class View(NamedTuple):
     """The membership as one instance sees it at one moment."""
--- a/almondspool/transport/heartbeats.py
+++ b/almondspool/transport/heartbeats.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from almondspool.coordination.member_actions import Message, SendDatagram
+    from almondspool.coordination.membership.member_actions import Message, SendDatagram
     from almondspool.logs import EventLog
     from almondspool.transport.timers import TimerService
 
--- a/bench/claim_writes.py
+++ b/bench/claim_writes.py
@@ -14,13 +14,13 @@
 from returns.result import Failure, Result, Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.claims import CLAIM_KIND, ClaimState
-from almondspool.coordination.claims_task import (
+from almondspool.coordination.claims.claims import CLAIM_KIND, ClaimState
+from almondspool.coordination.claims.claims_task import (
     ClaimPeers,
     ClaimsTask,
     make_claims_task,
 )
-from almondspool.coordination.rendezvous import first
+from almondspool.coordination.membership.rendezvous import first
 from almondspool.errors import PlatformError
 from almondspool.logs import EventLog
 from almondspool.protocol.caller import SearchRequest
--- a/bench/configuration_cost.py
+++ b/bench/configuration_cost.py
@@ -11,9 +11,9 @@
 import tracemalloc
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.configuration import Configuration
-from almondspool.coordination.configuration_actions import SendMessage
-from almondspool.coordination.section_store import make_stored_section
+from almondspool.coordination.configuration.configuration import Configuration
+from almondspool.coordination.configuration.configuration_actions import SendMessage
+from almondspool.coordination.configuration.section_store import make_stored_section
 from almondspool.protocol.document import parse_section, section_digest
 from almondspool.protocol.manifest import encode_manifest, replace_section
 from almondspool.protocol.peer import FetchObjects, PeerCodec
--- a/bench/crossing_peer.py
+++ b/bench/crossing_peer.py
@@ -19,8 +19,11 @@
 
 import msgspec
 
-from almondspool.coordination.connections import ConnectionWatch
-from almondspool.coordination.gatherer_task import GathererTask, make_gatherer_task
+from almondspool.coordination.upstreams.connections import ConnectionWatch
+from almondspool.coordination.upstreams.gatherer_task import (
+    GathererTask,
+    make_gatherer_task,
+)
 from almondspool.logs import EventLog
 from almondspool.protocol.http_upstream import make_upstream
 from almondspool.protocol.peer import LegBatch, PeerCodec
--- a/bench/gatherer_cost.py
+++ b/bench/gatherer_cost.py
@@ -9,7 +9,10 @@
 import eventlet
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.gatherer_task import GathererTask, make_gatherer_task
+from almondspool.coordination.upstreams.gatherer_task import (
+    GathererTask,
+    make_gatherer_task,
+)
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import LegAssignment, LegBatch, LegResults
 from almondspool.protocol.upstream import Leg, LegResult, LoadReport, UpstreamInterface
--- a/bench/leg_cost.py
+++ b/bench/leg_cost.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.connections import ConnectionWatch
-from almondspool.coordination.search import make_session
-from almondspool.coordination.search_actions import SendLeg
-from almondspool.coordination.search_context import make_context
+from almondspool.coordination.search.search import make_session
+from almondspool.coordination.search.search_actions import SendLeg
+from almondspool.coordination.search.search_context import make_context
+from almondspool.coordination.upstreams.connections import ConnectionWatch
 from almondspool.protocol.caller import Record, SearchRequest
 from almondspool.protocol.http_upstream import make_upstream
 from almondspool.protocol.peer import LegAssignment, LegBatch, LegResults, PeerCodec
--- a/bench/role_cost.py
+++ b/bench/role_cost.py
@@ -14,8 +14,8 @@
 import tracemalloc
 from typing import NamedTuple
 
-from almondspool.coordination.entries import choose_entries
-from almondspool.coordination.member_table import MemberTable
+from almondspool.coordination.membership.entries import choose_entries
+from almondspool.coordination.membership.member_table import MemberTable
 from almondspool.protocol.fleet import (
     FleetRow,
     FleetStatus,
--- a/tests/cli/loopback.py
+++ b/tests/cli/loopback.py
@@ -8,12 +8,12 @@
 from math import inf
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.document_answers import (
+from almondspool.coordination.configuration.document_answers import (
     apply_section,
     describe_document,
     describe_section,
 )
-from almondspool.coordination.fleet_answers import describe_fleet
+from almondspool.coordination.fleet.fleet_answers import describe_fleet
 from almondspool.errors import RequestError
 from almondspool.protocol.fleet import (
     FleetRow,
--- a/tests/configuration_session.py
+++ b/tests/configuration_session.py
@@ -6,16 +6,18 @@
 
 from returns.result import Success
 
-from almondspool.coordination.acceptance import Acceptor
-from almondspool.coordination.configuration import Configuration
-from almondspool.coordination.configuration_actions import (
+from almondspool.coordination.configuration.acceptance import Acceptor
+from almondspool.coordination.configuration.configuration import Configuration
+from almondspool.coordination.configuration.configuration_actions import (
     AdoptDocument,
     ConfirmManifest,
     LogEvent,
     ReadPlatform,
     SendMessage,
 )
-from almondspool.coordination.manifest_confirmation import read_current_manifest
+from almondspool.coordination.configuration.manifest_confirmation import (
+    read_current_manifest,
+)
 from almondspool.logs import format_event
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME
 from almondspool.protocol.peer import FetchObjects
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/admission/test_admission.py
@@ -4,8 +4,9 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import admission, limits
-from almondspool.coordination.admission import Admission, Admit, Queue, Refuse
+from almondspool.coordination.admission import admission
+from almondspool.coordination.admission.admission import Admission, Admit, Queue, Refuse
+from almondspool.coordination.queues import limits
 from almondspool.state.document import Priority
 from tests.coordination.admission_session import (
     CAPACITY_PER_S,
--- a/tests/coordination/test_admission_task.py
+++ b/tests/coordination/admission/test_admission_task.py
@@ -4,7 +4,7 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.admission_task import (
+from almondspool.coordination.admission.admission_task import (
     AdmissionRequest,
     make_admission_task,
 )
--- a/tests/coordination/test_backlog.py
+++ b/tests/coordination/admission/test_backlog.py
@@ -5,8 +5,8 @@
 
 import testtools
 
-from almondspool.coordination import backlog
-from almondspool.coordination.backlog import (
+from almondspool.coordination.admission import backlog
+from almondspool.coordination.admission.backlog import (
     BacklogCleared,
     BacklogKey,
     BacklogMonitor,
--- a/tests/coordination/admission_session.py
+++ b/tests/coordination/admission_session.py
@@ -5,7 +5,7 @@
 import collections
 import random
 
-from almondspool.coordination.admission import Admission, Admit, Queue, Refuse
+from almondspool.coordination.admission.admission import Admission, Admit, Queue, Refuse
 from almondspool.state.document import Priority
 from almondspool.transport.timers import VirtualTimers
 
--- a/tests/coordination/claim_fleet.py
+++ b/tests/coordination/claim_fleet.py
@@ -8,8 +8,8 @@
 from eventlet.event import Event
 from returns.result import Failure
 
-from almondspool.coordination.claims import ClaimState
-from almondspool.coordination.claims_task import ClaimPeers, make_claims_task
+from almondspool.coordination.claims.claims import ClaimState
+from almondspool.coordination.claims.claims_task import ClaimPeers, make_claims_task
 from almondspool.errors import PlatformError
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import ClaimAsk, ClaimReply
--- a/tests/coordination/test_claim_routes.py
+++ b/tests/coordination/claims/test_claim_routes.py
@@ -6,14 +6,18 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import claim_bucket, claims
-from almondspool.coordination.claim_routes import (
+from almondspool.coordination.claims import claim_bucket, claims
+from almondspool.coordination.claims.claim_routes import (
     ROUTE_WAIT_S,
     ClaimHolders,
     ClaimRoutes,
     make_reply,
 )
-from almondspool.coordination.claims import ClaimState, bucket_name, decode_bucket
+from almondspool.coordination.claims.claims import (
+    ClaimState,
+    bucket_name,
+    decode_bucket,
+)
 from almondspool.errors import PeerError, PlatformError
 from almondspool.protocol.claims import ClaimOp
 from almondspool.protocol.peer import ClaimAsk, PeerCodec
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/claims/test_claims.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import claims
-from almondspool.coordination.claim_bucket import ClaimBucket, ReadBucket
-from almondspool.coordination.claims import (
+from almondspool.coordination.claims import claims
+from almondspool.coordination.claims.claim_bucket import ClaimBucket, ReadBucket
+from almondspool.coordination.claims.claims import (
     CLAIM_KIND,
     ClaimOp,
     ClaimRules,
@@ -21,7 +21,7 @@
     pack_answer,
     unpack_answer,
 )
-from almondspool.coordination.claims_task import make_claims_task
+from almondspool.coordination.claims.claims_task import make_claims_task
 from almondspool.errors import PlatformError
 from almondspool.logs import EventLog, format_event
 from almondspool.protocol.caller import SearchAnswer
--- a/tests/coordination/test_slow_platform.py
+++ b/tests/coordination/claims/test_slow_platform.py
@@ -12,14 +12,14 @@
 from returns.result import Failure
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.acceptance import Acceptor
-from almondspool.coordination.claim_pace import PROBE_INTERVAL_S, ClaimPace
-from almondspool.coordination.claims_task import make_claims_task
-from almondspool.coordination.configuration import Configuration
-from almondspool.coordination.member_records import MemberRecords
-from almondspool.coordination.membership import Membership
-from almondspool.coordination.membership_settings import MembershipSettings
-from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.claims.claim_pace import PROBE_INTERVAL_S, ClaimPace
+from almondspool.coordination.claims.claims_task import make_claims_task
+from almondspool.coordination.configuration.acceptance import Acceptor
+from almondspool.coordination.configuration.configuration import Configuration
+from almondspool.coordination.membership.member_records import MemberRecords
+from almondspool.coordination.membership.membership import Membership
+from almondspool.coordination.membership.membership_settings import MembershipSettings
+from almondspool.coordination.store.platform_calls import make_platform_calls
 from almondspool.errors import PlatformError
 from almondspool.logs import EventLog
 from almondspool.transport.timers import VirtualTimers
--- a/tests/coordination/test_acceptance.py
+++ b/tests/coordination/configuration/test_acceptance.py
@@ -5,12 +5,16 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import (
+from almondspool.coordination.configuration import (
     acceptance as acceptance_module,
-    patient_platform as patient_platform_module,
 )
-from almondspool.coordination.acceptance import MAX_ATTEMPTS, Acceptor, _Write
-from almondspool.coordination.platform_calls import make_platform_calls
+from almondspool.coordination.configuration.acceptance import (
+    MAX_ATTEMPTS,
+    Acceptor,
+    _Write,
+)
+from almondspool.coordination.store import patient_platform as patient_platform_module
+from almondspool.coordination.store.platform_calls import make_platform_calls
 from almondspool.logs import EventLog
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.manifest import (
--- a/tests/coordination/test_acceptance_process.py
+++ b/tests/coordination/configuration/test_acceptance_process.py
@@ -9,8 +9,8 @@
 from returns.result import Success
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.acceptance import Acceptor
-from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration.acceptance import Acceptor
+from almondspool.coordination.configuration.configuration import Configuration
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.http_platform import HttpPlatform, make_platform
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME, decode_manifest
--- a/tests/coordination/test_acceptance_properties.py
+++ b/tests/coordination/configuration/test_acceptance_properties.py
@@ -8,8 +8,8 @@
 from testtools.matchers import MismatchError
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.acceptance import Acceptor, _Write
-from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration.acceptance import Acceptor, _Write
+from almondspool.coordination.configuration.configuration import Configuration
 from almondspool.errors import PlatformError
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME, decode_manifest
--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/configuration/test_configuration.py
@@ -5,13 +5,19 @@
 import testtools
 from hypothesis import given, settings, strategies
 
-from almondspool.coordination import (
+from almondspool.coordination.configuration import (
     configuration as configuration_module,
     section_store as section_store_module,
 )
-from almondspool.coordination.configuration import START_WAIT_S, Configuration
-from almondspool.coordination.configuration_actions import AdoptDocument, SendMessage
-from almondspool.coordination.readiness import Readiness
+from almondspool.coordination.configuration.configuration import (
+    START_WAIT_S,
+    Configuration,
+)
+from almondspool.coordination.configuration.configuration_actions import (
+    AdoptDocument,
+    SendMessage,
+)
+from almondspool.coordination.configuration.readiness import Readiness
 from almondspool.protocol.document import section_digest
 from almondspool.protocol.manifest import (
     MANIFEST_KIND,
--- a/tests/coordination/test_configuration_ready.py
+++ b/tests/coordination/configuration/test_configuration_ready.py
@@ -4,8 +4,11 @@
 
 import testtools
 
-from almondspool.coordination.configuration import START_WAIT_S, Configuration
-from almondspool.coordination.readiness import CONFIRM_RETRY_S, Readiness
+from almondspool.coordination.configuration.configuration import (
+    START_WAIT_S,
+    Configuration,
+)
+from almondspool.coordination.configuration.readiness import CONFIRM_RETRY_S, Readiness
 from almondspool.state.members import Member
 
 
--- a/tests/coordination/test_configuration_task.py
+++ b/tests/coordination/configuration/test_configuration_task.py
@@ -6,9 +6,14 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.configuration_task import start_configuration_task
-from almondspool.coordination.manifest_watch import holds_watch, poll_factor
-from almondspool.coordination.rendezvous import rank, rank_over_zones
+from almondspool.coordination.configuration.configuration_task import (
+    start_configuration_task,
+)
+from almondspool.coordination.configuration.manifest_watch import (
+    holds_watch,
+    poll_factor,
+)
+from almondspool.coordination.membership.rendezvous import rank, rank_over_zones
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import FetchObjects
 from almondspool.state.members import Member, MemberStatus, View
--- a/tests/coordination/test_fleet_status.py
+++ b/tests/coordination/fleet/test_fleet_status.py
@@ -3,15 +3,19 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.backlog import BacklogRow
-from almondspool.coordination.duty_lease import DutyLease, ReadObject, WriteObject
-from almondspool.coordination.fleet_rows import (
+from almondspool.coordination.admission.backlog import BacklogRow
+from almondspool.coordination.fleet.fleet_rows import (
     KEPT_MS,
     FleetRows,
     interval_s,
     summarize_queues,
 )
-from almondspool.coordination.fleet_task import FleetServices, make_fleet_task
+from almondspool.coordination.fleet.fleet_task import FleetServices, make_fleet_task
+from almondspool.coordination.membership.duty_lease import (
+    DutyLease,
+    ReadObject,
+    WriteObject,
+)
 from almondspool.errors import PeerError, PlatformError
 from almondspool.logs import EventLog
 from almondspool.protocol.fleet import (
--- a/tests/coordination/gatherer_session.py
+++ b/tests/coordination/gatherer_session.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.gatherer import Gatherer
-from almondspool.coordination.gatherer_actions import (
+from almondspool.coordination.upstreams.gatherer import Gatherer
+from almondspool.coordination.upstreams.gatherer_actions import (
     CancelRunning,
     SendResult,
     StartExchange,
--- /dev/null
+++ b/tests/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- a/tests/coordination/test_entries.py
+++ b/tests/coordination/membership/test_entries.py
@@ -6,7 +6,7 @@
 import testtools
 from hypothesis import given, settings, strategies as st
 
-from almondspool.coordination.entries import (
+from almondspool.coordination.membership.entries import (
     MAX_ENTRIES,
     MAX_NEAR_ENTRIES,
     choose_entries,
--- a/tests/coordination/test_listings.py
+++ b/tests/coordination/membership/test_listings.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from almondspool.coordination.listings import Listings
+from almondspool.coordination.membership.listings import Listings
 from almondspool.protocol.platform import InstanceListing
 from almondspool.state.members import Member, MemberStatus
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -6,10 +6,10 @@
 import testtools
 from hypothesis import given, settings, strategies as st
 
-from almondspool.coordination.joining import Joining
-from almondspool.coordination.liveness import Liveness
-from almondspool.coordination.member_table import MAX_DATAGRAM_BYTES, merge
-from almondspool.coordination.membership import Membership
+from almondspool.coordination.membership.joining import Joining
+from almondspool.coordination.membership.liveness import Liveness
+from almondspool.coordination.membership.member_table import MAX_DATAGRAM_BYTES, merge
+from almondspool.coordination.membership.membership import Membership
 from almondspool.protocol.platform import InstanceListing
 from almondspool.state.members import Member, MemberStatus
 from tests.coordination.network import Network, make_member
--- a/tests/coordination/test_membership_task.py
+++ b/tests/coordination/membership/test_membership_task.py
@@ -7,8 +7,11 @@
 import prometheus_client
 import testtools
 
-from almondspool.coordination.member_actions import MemberChanged
-from almondspool.coordination.membership_task import LocalState, make_membership_task
+from almondspool.coordination.membership.member_actions import MemberChanged
+from almondspool.coordination.membership.membership_task import (
+    LocalState,
+    make_membership_task,
+)
 from almondspool.events import REJOINED, Events
 from almondspool.logs import EventLog
 from almondspool.settings import Settings
--- a/tests/coordination/network.py
+++ b/tests/coordination/network.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
-from almondspool.coordination.member_actions import (
+from almondspool.coordination.membership.member_actions import (
     BecameReady,
     DeleteRecord,
     MemberChanged,
@@ -15,8 +15,8 @@
     SendDatagram,
     WriteRecord,
 )
-from almondspool.coordination.membership import Membership
-from almondspool.coordination.membership_settings import MembershipSettings
+from almondspool.coordination.membership.membership import Membership
+from almondspool.coordination.membership.membership_settings import MembershipSettings
 from almondspool.protocol.peer import PeerCodec
 from almondspool.state.members import Member, MemberStatus
 from almondspool.transport.timers import VirtualTimers
--- a/tests/coordination/test_refused_messages.py
+++ b/tests/coordination/peers/test_refused_messages.py
@@ -8,9 +8,12 @@
 import prometheus_client
 import testtools
 
-from almondspool.coordination.member_actions import MemberChanged, SendDatagram
-from almondspool.coordination.membership import Membership
-from almondspool.coordination.membership_settings import MembershipSettings
+from almondspool.coordination.membership.member_actions import (
+    MemberChanged,
+    SendDatagram,
+)
+from almondspool.coordination.membership.membership import Membership
+from almondspool.coordination.membership.membership_settings import MembershipSettings
 from almondspool.logs import EventLog
 from almondspool.protocol import peer
 from almondspool.protocol.peer import CancelLegs, Heartbeat, PeerCodec, ViewReply
--- a/tests/coordination/test_limits.py
+++ b/tests/coordination/queues/test_limits.py
@@ -3,8 +3,8 @@
 import testtools
 from hypothesis import given, settings, strategies as st
 
-from almondspool.coordination import limits
-from almondspool.coordination.limits import AdaptiveLimit
+from almondspool.coordination.queues import limits
+from almondspool.coordination.queues.limits import AdaptiveLimit
 from tests.golden_session import verify_session
 
 SLOTS = 2
--- a/tests/coordination/test_priority_queue.py
+++ b/tests/coordination/queues/test_priority_queue.py
@@ -3,7 +3,10 @@
 import testtools
 from hypothesis import given, settings, strategies as st
 
-from almondspool.coordination.priority_queue import AGED_TAKE_INTERVAL, PriorityQueue
+from almondspool.coordination.queues.priority_queue import (
+    AGED_TAKE_INTERVAL,
+    PriorityQueue,
+)
 
 AGING_S = 0.1
 
--- a/tests/coordination/test_lost_replicas.py
+++ b/tests/coordination/search/test_lost_replicas.py
@@ -6,10 +6,10 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import cut_offs, leg_permits
-from almondspool.coordination.budget import ExtraLegBudget
-from almondspool.coordination.quarantine import Verdict, fingerprint
-from almondspool.coordination.shard_run import ShardRun
+from almondspool.coordination.search import cut_offs, leg_permits
+from almondspool.coordination.search.quarantine import Verdict, fingerprint
+from almondspool.coordination.search.shard_run import ShardRun
+from almondspool.coordination.upstreams.budget import ExtraLegBudget
 from tests.coordination.search_bench import (
     Reply,
     SearchBench,
--- a/tests/coordination/test_request_run.py
+++ b/tests/coordination/search/test_request_run.py
@@ -6,9 +6,9 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.request_run import RequestRun, RunServices
-from almondspool.coordination.search import make_session
-from almondspool.coordination.search_context import make_context
+from almondspool.coordination.search.request_run import RequestRun, RunServices
+from almondspool.coordination.search.search import make_session
+from almondspool.coordination.search.search_context import make_context
 from almondspool.logs import EventLog
 from almondspool.protocol.upstream import LegResult
 from almondspool.transport.metrics import Metrics
--- a/tests/coordination/test_search.py
+++ b/tests/coordination/search/test_search.py
@@ -3,13 +3,13 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import answers, search
-from almondspool.coordination.budget import ExtraLegBudget
-from almondspool.coordination.cut_offs import CutOffs
-from almondspool.coordination.quarantine import Quarantine, Verdict
-from almondspool.coordination.replicas import ReplicaChooser
-from almondspool.coordination.search_context import renew_context
-from almondspool.coordination.shard_run import CheckedResult
+from almondspool.coordination.search import answers, search
+from almondspool.coordination.search.cut_offs import CutOffs
+from almondspool.coordination.search.quarantine import Quarantine, Verdict
+from almondspool.coordination.search.search_context import renew_context
+from almondspool.coordination.search.shard_run import CheckedResult
+from almondspool.coordination.upstreams.budget import ExtraLegBudget
+from almondspool.coordination.upstreams.replicas import ReplicaChooser
 from almondspool.protocol.caller import NO_COVERAGE, Record
 from almondspool.protocol.upstream import LegResult, LoadReport
 from almondspool.state.document import Shard, Snapshot
--- a/tests/coordination/test_search_properties.py
+++ b/tests/coordination/search/test_search_properties.py
@@ -5,9 +5,9 @@
 from testtools.matchers import GreaterThan
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import budget as budget_module
-from almondspool.coordination.budget import ExtraLegBudget
-from almondspool.coordination.quarantine import Quarantine
+from almondspool.coordination.search.quarantine import Quarantine
+from almondspool.coordination.upstreams import budget as budget_module
+from almondspool.coordination.upstreams.budget import ExtraLegBudget
 from almondspool.protocol.caller import ShardOutcome
 from almondspool.protocol.peer import Suspicion
 from tests.coordination.search_bench import (
--- a/tests/coordination/test_suspect_run.py
+++ b/tests/coordination/search/test_suspect_run.py
@@ -3,9 +3,9 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.quarantine import fingerprint
-from almondspool.coordination.request_run import RequestRun, RunServices
-from almondspool.coordination.search import make_session
+from almondspool.coordination.search.quarantine import fingerprint
+from almondspool.coordination.search.request_run import RequestRun, RunServices
+from almondspool.coordination.search.search import make_session
 from almondspool.logs import EventLog
 from almondspool.protocol.upstream import LegResult
 from almondspool.transport.metrics import Metrics
--- a/tests/coordination/search_bench.py
+++ b/tests/coordination/search_bench.py
@@ -6,14 +6,14 @@
 from typing import NamedTuple
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.search import make_session
-from almondspool.coordination.search_actions import (
+from almondspool.coordination.search.search import make_session
+from almondspool.coordination.search.search_actions import (
     CancelLeg,
     Finish,
     SendLeg,
     ShareSuspicion,
 )
-from almondspool.coordination.search_context import make_context
+from almondspool.coordination.search.search_context import make_context
 from almondspool.logs import format_event
 from almondspool.protocol.caller import Record, SearchRequest
 from almondspool.protocol.upstream import LegResult
--- a/tests/coordination/share_fleet.py
+++ b/tests/coordination/share_fleet.py
@@ -5,9 +5,13 @@
 import random
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.share_actions import OpenUpTo, ReadBucket, WriteBucket
-from almondspool.coordination.share_policy import ShareSettings
-from almondspool.coordination.shares import Shares
+from almondspool.coordination.shares.share_actions import (
+    OpenUpTo,
+    ReadBucket,
+    WriteBucket,
+)
+from almondspool.coordination.shares.share_policy import ShareSettings
+from almondspool.coordination.shares.shares import Shares
 from almondspool.state.document import Upstream
 from almondspool.state.members import Member, MemberStatus, View
 
--- a/tests/coordination/test_shares.py
+++ b/tests/coordination/shares/test_shares.py
@@ -7,17 +7,14 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import (
-    holder_ranking,
-    share_plan,
-    shares as shares_module,
-)
-from almondspool.coordination.holder_ranking import HolderRanking
-from almondspool.coordination.share_actions import CloseAll
-from almondspool.coordination.share_bucket import ShareBucket
-from almondspool.coordination.share_plan import ShareContext
-from almondspool.coordination.share_policy import SharePolicy, ShareSettings
-from almondspool.coordination.shares import Shares
+from almondspool.coordination.shares import share_plan, shares as shares_module
+from almondspool.coordination.shares.share_actions import CloseAll
+from almondspool.coordination.shares.share_bucket import ShareBucket
+from almondspool.coordination.shares.share_plan import ShareContext
+from almondspool.coordination.shares.share_policy import SharePolicy, ShareSettings
+from almondspool.coordination.shares.shares import Shares
+from almondspool.coordination.upstreams import holder_ranking
+from almondspool.coordination.upstreams.holder_ranking import HolderRanking
 from almondspool.errors import PlatformError
 from almondspool.protocol.shares import (
     BUCKET_NAMES,
@@ -64,7 +61,7 @@
             ]
             return UpstreamShares(tuple(alive), ())
 
-        with mock.patch("almondspool.coordination.shares.tidy", forget):
+        with mock.patch("almondspool.coordination.shares.shares.tidy", forget):
             self.assertTrue(self.breaks())
 
     def test_late_release_is_not_taken_back(self):
--- a/tests/coordination/test_shares_task.py
+++ b/tests/coordination/shares/test_shares_task.py
@@ -4,9 +4,9 @@
 import prometheus_client
 import testtools
 
-from almondspool.coordination import holder_ranking
-from almondspool.coordination.share_policy import ShareSettings
-from almondspool.coordination.shares_task import ShareServices, make_shares_task
+from almondspool.coordination.shares.share_policy import ShareSettings
+from almondspool.coordination.shares.shares_task import ShareServices, make_shares_task
+from almondspool.coordination.upstreams import holder_ranking
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import CompareObjects, ObjectsReply
 from almondspool.protocol.shares import SHARES_KIND, bucket_of
--- a/tests/coordination/test_shutdown.py
+++ b/tests/coordination/shutdown/test_shutdown.py
@@ -3,7 +3,7 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.shutdown import (
+from almondspool.coordination.shutdown.shutdown import (
     AnnounceLeaving,
     CutOff,
     Exit,
--- a/tests/coordination/test_platform_calls.py
+++ b/tests/coordination/store/test_platform_calls.py
@@ -4,8 +4,11 @@
 
 import testtools
 
-from almondspool.coordination.platform_calls import make_platform_calls, share_of_calls
-from almondspool.coordination.platform_circuit import CallTicket, PlatformCircuit
+from almondspool.coordination.store.platform_calls import (
+    make_platform_calls,
+    share_of_calls,
+)
+from almondspool.coordination.store.platform_circuit import CallTicket, PlatformCircuit
 from almondspool.logs import EventLog
 from almondspool.transport.timers import VirtualTimers
 from tests.fakes import FakePlatform
--- a/tests/coordination/test_connections.py
+++ b/tests/coordination/upstreams/test_connections.py
@@ -3,7 +3,7 @@
 import testtools
 from hypothesis import given, settings, strategies as st
 
-from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.upstreams.connections import ConnectionWatch
 from tests.golden_session import verify_session
 
 UPSTREAM = "searcher-1"
--- a/tests/coordination/test_gatherer.py
+++ b/tests/coordination/upstreams/test_gatherer.py
@@ -4,10 +4,14 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import gatherer, priority_queue
-from almondspool.coordination.gatherer import Gatherer
-from almondspool.coordination.gatherer_actions import SendResult, StartExchange
-from almondspool.coordination.lane import Lane
+from almondspool.coordination.queues import priority_queue
+from almondspool.coordination.upstreams import gatherer
+from almondspool.coordination.upstreams.gatherer import Gatherer
+from almondspool.coordination.upstreams.gatherer_actions import (
+    SendResult,
+    StartExchange,
+)
+from almondspool.coordination.upstreams.lane import Lane
 from almondspool.protocol.upstream import LegResult
 from almondspool.state.document import Priority
 from tests.coordination.gatherer_session import (
--- a/tests/coordination/test_gatherer_task.py
+++ b/tests/coordination/upstreams/test_gatherer_task.py
@@ -7,9 +7,9 @@
 from prometheus_client import CollectorRegistry
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.admission_task import make_admission_task
-from almondspool.coordination.gatherer_task import make_gatherer_task
-from almondspool.coordination.request_metrics import register_request_metrics
+from almondspool.coordination.admission.admission_task import make_admission_task
+from almondspool.coordination.admission.request_metrics import register_request_metrics
+from almondspool.coordination.upstreams.gatherer_task import make_gatherer_task
 from almondspool.logs import EventLog
 from almondspool.protocol.upstream import LegResult, LoadReport, UpstreamInterface
 from almondspool.state.document import Document, Priority, Section, Upstream
--- a/tests/coordination/test_leg_router.py
+++ b/tests/coordination/upstreams/test_leg_router.py
@@ -6,7 +6,11 @@
 from hypothesis import given, settings, strategies as st
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.leg_router import WIDE_BATCH_LEGS, LegRouter, LegTransport
+from almondspool.coordination.upstreams.leg_router import (
+    WIDE_BATCH_LEGS,
+    LegRouter,
+    LegTransport,
+)
 from almondspool.logs import EventLog
 from almondspool.protocol.peer import LegAssignment, LegBatch, LegResults
 from almondspool.protocol.upstream import Leg, LegResult
--- a/tests/coordination/test_load_polls.py
+++ b/tests/coordination/upstreams/test_load_polls.py
@@ -4,7 +4,11 @@
 
 import testtools
 
-from almondspool.coordination.load_polls import IDLE_ROUNDS, LoadPolls, is_poller
+from almondspool.coordination.upstreams.load_polls import (
+    IDLE_ROUNDS,
+    LoadPolls,
+    is_poller,
+)
 from almondspool.protocol.upstream import LoadReport
 
 IDLE = LoadReport(0, 0, False, 1.0)
--- a/tests/coordination/test_replicas.py
+++ b/tests/coordination/upstreams/test_replicas.py
@@ -7,10 +7,10 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from almondspool.codes import ResultCode
-from almondspool.coordination import replicas
-from almondspool.coordination.latency import DecayedPeak, LatencyHistogram
-from almondspool.coordination.quarantine import MAX_ENTRIES, Quarantine, Verdict
-from almondspool.coordination.replicas import make_chooser
+from almondspool.coordination.search.quarantine import MAX_ENTRIES, Quarantine, Verdict
+from almondspool.coordination.upstreams import replicas
+from almondspool.coordination.upstreams.latency import DecayedPeak, LatencyHistogram
+from almondspool.coordination.upstreams.replicas import make_chooser
 from almondspool.protocol.peer import Suspicion
 from almondspool.protocol.upstream import LoadReport
 from tests.coordination.search_bench import ZONES, make_section
--- a/tests/platform/test_lookups.py
+++ b/tests/platform/test_lookups.py
@@ -6,7 +6,7 @@
 import testtools
 from prometheus_client import CollectorRegistry, Counter
 
-from almondspool.coordination.entries import choose_addresses
+from almondspool.coordination.membership.entries import choose_addresses
 from almondspool.platform.lookups import LookupCalls, LookupServices
 from almondspool.protocol.exchange import CallerRequest
 from almondspool.state.members import Member, MemberStatus, View
--- a/tests/processes/variants/claims_ignored.py
+++ b/tests/processes/variants/claims_ignored.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.claims import ClaimRules
+from almondspool.coordination.claims.claims import ClaimRules
 
 ClaimRules._judge = lambda rules, op, present: None
 
--- a/tests/processes/variants/claims_unneeded.py
+++ b/tests/processes/variants/claims_unneeded.py
@@ -6,7 +6,7 @@
 
 from almondspool import daemon
 from almondspool.codes import ResultCode
-from almondspool.coordination.claims_task import ClaimsTask
+from almondspool.coordination.claims.claims_task import ClaimsTask
 
 _claim = ClaimsTask.claim
 
--- a/tests/processes/variants/dead_shares_forgotten.py
+++ b/tests/processes/variants/dead_shares_forgotten.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination import shares
+from almondspool.coordination.shares import shares
 
 _tidy = shares.tidy
 
--- a/tests/processes/variants/drain_ignored.py
+++ b/tests/processes/variants/drain_ignored.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.replicas import ReplicaChooser
+from almondspool.coordination.upstreams.replicas import ReplicaChooser
 
 
 def _allow_all(chooser, section, replicas, tried):
--- a/tests/processes/variants/hasty_stop.py
+++ b/tests/processes/variants/hasty_stop.py
@@ -4,7 +4,7 @@
 
 from almondspool import daemon
 from almondspool.codes import ResultCode
-from almondspool.coordination.shutdown import Exit, Shutdown, ShutdownPhase
+from almondspool.coordination.shutdown.shutdown import Exit, Shutdown, ShutdownPhase
 
 
 def _end_at_once(shutdown, settings, now):
--- a/tests/processes/variants/links_reads_believed.py
+++ b/tests/processes/variants/links_reads_believed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from almondspool.coordination.readiness import Readiness
+from almondspool.coordination.configuration.readiness import Readiness
 from almondspool.standins import links
 
 Readiness._is_known = lambda readiness, generation, peers: True
--- a/tests/processes/variants/mixed_snapshots.py
+++ b/tests/processes/variants/mixed_snapshots.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.search import SearchSession
+from almondspool.coordination.search.search import SearchSession
 
 
 def _move_on(session, now, run):
--- a/tests/processes/variants/never_dead.py
+++ b/tests/processes/variants/never_dead.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.liveness import Liveness
+from almondspool.coordination.membership.liveness import Liveness
 
 Liveness._judge = lambda liveness, member, probe, now: []
 Liveness.expire_suspicions = lambda liveness, now: []
--- a/tests/processes/variants/no_quarantine.py
+++ b/tests/processes/variants/no_quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.quarantine import Quarantine, Verdict
+from almondspool.coordination.search.quarantine import Quarantine, Verdict
 
 Quarantine.verdict = lambda quarantine, now_ms, digest: Verdict.CLEAR
 
--- a/tests/processes/variants/no_rejoin.py
+++ b/tests/processes/variants/no_rejoin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.membership import Membership
+from almondspool.coordination.membership.membership import Membership
 
 Membership.may_act = lambda membership, now: membership.own.ready
 Membership._check_gap = lambda membership, now: []
--- a/tests/processes/variants/patient_claims.py
+++ b/tests/processes/variants/patient_claims.py
@@ -5,8 +5,8 @@
 import math
 
 from almondspool import daemon
-from almondspool.coordination import front
-from almondspool.coordination.claim_pace import ClaimPace
+from almondspool.coordination.claims.claim_pace import ClaimPace
+from almondspool.coordination.search import front
 
 front.CLAIM_TIMEOUT_S = math.inf
 front.CLAIM_SHARE = 1.0
--- a/tests/processes/variants/refused_after_run.py
+++ b/tests/processes/variants/refused_after_run.py
@@ -4,7 +4,7 @@
 
 from almondspool import daemon
 from almondspool.codes import ResultCode
-from almondspool.coordination import answers
+from almondspool.coordination.search import answers
 
 
 def _code_of(request, coverage, runs_by_shard, has_run):
--- a/tests/processes/variants/reverting.py
+++ b/tests/processes/variants/reverting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.configuration import Configuration
+from almondspool.coordination.configuration.configuration import Configuration
 
 _take_manifest = Configuration._take_manifest
 
--- a/tests/processes/variants/searches_ask_platform.py
+++ b/tests/processes/variants/searches_ask_platform.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.front import Front
+from almondspool.coordination.search.front import Front
 from almondspool.protocol.manifest import MANIFEST_KIND, MANIFEST_NAME
 
 _search = Front.search
--- a/tests/processes/variants/silence_unseen.py
+++ b/tests/processes/variants/silence_unseen.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.upstreams.connections import ConnectionWatch
 from almondspool.transport.http_pool import HttpPool
 
 _release = HttpPool.release
--- a/tests/processes/variants/silently_partial.py
+++ b/tests/processes/variants/silently_partial.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.shard_run import ShardRun
+from almondspool.coordination.search.shard_run import ShardRun
 
 
 def _settle_as_answered(run):
--- a/tests/processes/variants/unchecked_sections.py
+++ b/tests/processes/variants/unchecked_sections.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.configuration import Configuration
-from almondspool.coordination.section_store import make_stored_section
+from almondspool.coordination.configuration.configuration import Configuration
+from almondspool.coordination.configuration.section_store import make_stored_section
 
 
 def _take_any(configuration, name, text, source, now):
--- a/tests/processes/variants/unshared_limit.py
+++ b/tests/processes/variants/unshared_limit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from almondspool import daemon
-from almondspool.coordination.shares import Shares
+from almondspool.coordination.shares.shares import Shares
 
 LIMIT = 4
 
--- a/tests/protocol/test_http_upstream.py
+++ b/tests/protocol/test_http_upstream.py
@@ -7,7 +7,7 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.upstreams.connections import ConnectionWatch
 from almondspool.protocol import http_exchange, http_upstream, leg_codec
 from almondspool.protocol.caller import Record
 from almondspool.protocol.http_upstream import HttpUpstream
--- a/tests/protocol/test_silent_connections.py
+++ b/tests/protocol/test_silent_connections.py
@@ -6,7 +6,7 @@
 import testtools
 
 from almondspool.codes import ResultCode
-from almondspool.coordination.connections import ConnectionWatch
+from almondspool.coordination.upstreams.connections import ConnectionWatch
 from almondspool.protocol.http_upstream import HttpUpstream
 from almondspool.transport import http_pool
 from tests.protocol.raw_server import RawServer, line, make_leg, wait_until, whole
--- a/tools/stats.py
+++ b/tools/stats.py
@@ -6,7 +6,11 @@
 import subprocess
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-DECISION_PREFIXES = ("almondspool/coordination/", "almondspool/state/")
+DECISION_PREFIXES = (
+    "almondspool/coordination/",
+    "almondspool/routing/",
+    "almondspool/state/",
+)
 
 
 def count_lines(paths: list[str]) -> int:
