--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -177,6 +177,7 @@
         )
         context = RoutingContext(
             timers=self._timers,
+            rng=self._rng,
             log=self._log,
             sender=self._pools,
             form=self._form,
--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -54,8 +54,6 @@
         peer_port: Port for messages between instances, the same on all of them.
         seed_ips: Instances that may be asked when the store is away.
         store_address: ``ip:port`` of the platform's object store.
-        value_bytes: Largest object the store takes.
-        memory_bytes: A process over this is ended.
         extra_sends: Limit on extra sends.
         grace_s: Time from a stop signal until the process is ended, in seconds.
         ttl_max_s: Longest time that callers keep an address list, in seconds.
@@ -73,8 +71,6 @@
     peer_port: int
     seed_ips: tuple[str, ...]
     store_address: str
-    value_bytes: int
-    memory_bytes: int
     extra_sends: ExtraSendBounds
     grace_s: float
     ttl_max_s: float
@@ -127,10 +123,6 @@
             str(seed).rpartition(":")[0] for seed in values.get("seeds") or ()
         ),
         store_address=_text(store, "address"),
-        value_bytes=int(_number(store, "value_bytes", 1_048_576)),
-        memory_bytes=int(
-            _number(_table(values, "limits"), "memory_mb", 300.0) * 1_000_000
-        ),
         extra_sends=ExtraSendBounds(
             _number(bounds, "retry_ratio", _DEFAULT_RETRY_RATIO),
             _number(bounds, "retry_slack", _DEFAULT_RETRY_SLACK),
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from almondspool.logs import EventLog
@@ -27,14 +28,17 @@
 # A leg whose result is no longer needed may still end on its connection for this
 # long: longer than a pause of 120 ms with the legs that wait behind it.
 DETACH_S = 0.300
-# When a caller that was refused had better come back: two legs later.
-RETRY_AFTER_S = 0.25
+# When a caller that was refused had better come back: some legs later, and not all of
+# them together.
+MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 0.4
 
 
 class RoutingContext(NamedTuple):
     """Shared parts of one instance."""
 
     timers: TimerService
+    rng: random.Random
     log: EventLog
     sender: LegSender
     form: HttpForm
@@ -48,3 +52,7 @@
     note_leg: Callable[[str, str, str], None]
     note_pause: Callable[[], None]
     note_search_wait: Callable[[float], None]
+
+    def retry_after_s(self) -> float:
+        """Return when a refused caller had better come back, in seconds."""
+        return self.rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -11,7 +11,6 @@
     BUDGET_RETRY_S,
     DEFAULT_WAY_S,
     DETACH_S,
-    RETRY_AFTER_S,
 )
 from almondspool.routing.crashes import fingerprint
 from almondspool.routing.legs import FIRST, HEDGE
@@ -354,7 +353,7 @@
             body = merge_greatest((part.body for part in parts), self._route.top_k)
             return Answer(200, form.coverage_headers(note), body)
         if code in _NOT_RUN:
-            return refusal_answer(form, RETRY_AFTER_S)
+            return refusal_answer(form, self._context.retry_after_s())
         return failure_answer(code)
 
     def _missing_reasons(self) -> str:
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -6,7 +6,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.protocol.exchange import Answer, LegOutcome
-from almondspool.routing.context import BUDGET_RETRY_S, DETACH_S, RETRY_AFTER_S
+from almondspool.routing.context import BUDGET_RETRY_S, DETACH_S
 from almondspool.routing.crashes import fingerprint
 from almondspool.routing.legs import FIRST, HEDGE, OpenLeg
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
@@ -239,6 +239,6 @@
         self._close(Outcome(answer, code, reason, 0, 1, self._legs.extra))
 
     def _refuse(self, reason: str) -> None:
-        answer = refusal_answer(self._context.form, RETRY_AFTER_S)
+        answer = refusal_answer(self._context.form, self._context.retry_after_s())
         code = ResultCode.NOT_RUN_NO_UPSTREAM
         self._close(Outcome(answer, code, reason, 0, 1, self._legs.extra))
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -6,7 +6,6 @@
 
 from almondspool.codes import ResultCode
 from almondspool.protocol.exchange import ANSWERED_AT_ONCE, Answer, LegRequest
-from almondspool.routing.context import RETRY_AFTER_S
 from almondspool.routing.crashes import fingerprint
 from almondspool.routing.fan_out import FanOut
 from almondspool.routing.forward import Forward
@@ -117,9 +116,10 @@
         request: CallerRequest,
         answer: Callable[[Answer], None],
         code: ResultCode,
-        retry_after_s: float = RETRY_AFTER_S,
+        retry_after_s: float = 0.0,
     ) -> None:
-        refusal = refusal_answer(self._context.form, retry_after_s)
+        delay_s = retry_after_s or self._context.retry_after_s()
+        refusal = refusal_answer(self._context.form, delay_s)
         version = self._table.version if self._table else 0
         self._end(request, None, version, Outcome(refusal, code, code.name), answer)
 
--- a/almondspool/standins/hosted_store.py
+++ b/almondspool/standins/hosted_store.py
@@ -33,8 +33,6 @@
 _LIMITS = CallerLimits(65_536, 4_000_000, 30.0, 120.0)
 _JSON = ((b"Content-Type", b"application/json"),)
 
-Answering = "Callable[[Answer], None]"
-
 
 class _Event(NamedTuple):
     revision: int
--- a/bench/routed_leg_cost.py
+++ b/bench/routed_leg_cost.py
@@ -89,6 +89,7 @@
         registry.put(0.0, Replica(f"i-{number:08x}", service, address, zone, 4))
     context = RoutingContext(
         timers=timers,
+        rng=rng,
         log=log,
         sender=pools,
         form=form,
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -193,6 +193,7 @@
         self.waits = []
         self.context = RoutingContext(
             timers=self.timers,
+            rng=rng,
             log=log,
             sender=self.sender,
             form=PlatformHttpForm(),
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -5,6 +5,7 @@
 
 from almondspool.protocol.exchange import ReportedLoad
 from almondspool.routing.admission import MIN_TURNS, SearchAdmission
+from almondspool.routing.context import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from tests.routing.routed_bench import (
     RoutedBench,
     answer,
@@ -127,6 +128,14 @@
             retry_after = self.bench.header(reply, "Retry-After")
             self.assertThat(float(retry_after), GreaterThan(0.0))
 
+    def test_refused_callers_come_back_spread(self):
+        refused = [reply for _, reply in self.offer(load=1.5) if reply.status != 200]
+        delays = [float(self.bench.header(reply, "Retry-After")) for reply in refused]
+        width_s = (MAX_RETRY_AFTER_S - MIN_RETRY_AFTER_S) / 4
+        parts = [int((delay - MIN_RETRY_AFTER_S) / width_s) for delay in delays]
+        for part in range(4):
+            self.assertThat(parts.count(part), GreaterThan(len(refused) / 8))
+
     def test_nothing_is_refused_below_capacity(self):
         results = self.offer(load=0.8)
         self.assertEqual({200}, {reply.status for _, reply in results})
