--- a/almondspool/cli/document_commands.py
+++ b/almondspool/cli/document_commands.py
@@ -5,6 +5,7 @@
 import difflib
 from typing import TYPE_CHECKING
 
+from almondspool.cli.platform_commands import check_platform_file, is_platform_file
 from almondspool.cli.results import CommandContext, CommandResult
 from almondspool.cli.section_files import SectionFile, join_base, read_section_files
 from almondspool.cli.tables import format_table
@@ -18,10 +19,15 @@
 
 
 def check(context: CommandContext) -> CommandResult:
-    """Check section files by themselves and against each other, offline."""
-    files = read_section_files(context.arguments)
+    """Check section files by themselves and against each other, offline.
+
+    Files of the platform, told by their suffix, are checked each by itself.
+    """
+    paths = context.arguments
+    lines = [check_platform_file(path) for path in paths if is_platform_file(path)]
+    files = read_section_files([path for path in paths if not is_platform_file(path)])
     _check_together(files)
-    lines = [f"{file.path}: section {file.section.team} is valid" for file in files]
+    lines += [f"{file.path}: section {file.section.team} is valid" for file in files]
     teams = [file.section.team for file in files]
     return CommandResult(ResultCode.OK, lines, {"code": 0, "teams": teams})
 
--- a/almondspool/cli/main.py
+++ b/almondspool/cli/main.py
@@ -28,11 +28,13 @@
 MANY = 1000
 ANSWER_GROUP = 3
 
+EXPLAIN_REQUEST = "explain --request=ID"
+
 COMMANDS: tuple[Command, ...] = (
     Command(
         "check",
         "FILE...",
-        "Check section files, offline.",
+        "Check sections, or settings (.toml) and routes (.json), offline.",
         1,
         MANY,
         False,
@@ -102,22 +104,13 @@
         request_commands.explain,
     ),
     Command(
-        "trace",
-        "REQUEST [LOG...]",
-        "Print a request's log lines in order, from files or standard input.",
-        1,
-        MANY,
-        False,
-        platform_commands.trace,
-    ),
-    Command(
-        "check-platform",
-        "FILE...",
-        "Check settings (.toml) and configurations (.json) of the platform, offline.",
-        1,
+        EXPLAIN_REQUEST,
+        "[LOG...]",
+        "Tell a request's story in order, from log files or standard input.",
+        0,
         MANY,
         False,
-        platform_commands.check_platform,
+        platform_commands.explain_request,
     ),
     Command(
         "drain",
@@ -148,8 +141,8 @@
   almondspool search alert-desk --query=suburb=Bayswater --caller=flood-desk
   almondspool drain alert-desk-01-a --wait
   almondspool status --json
-  almondspool trace 9c41d07be2a35f68 instance-*.log
-  almondspool check-platform settings.toml config.json
+  almondspool explain --request=9c41d07be2a35f68 instance-*.log
+  almondspool check settings.toml config.json
 """
 
 
@@ -207,6 +200,8 @@
     if values.help or name == "help":
         text = format_help()
         return CommandResult(ResultCode.OK, text.splitlines(), {"help": text})
+    if name == "explain" and values.request:
+        name = EXPLAIN_REQUEST
     command = COMMANDS_BY_NAME.get(name)
     if command is None:
         names = ", ".join(COMMANDS_BY_NAME)
--- a/almondspool/cli/options.py
+++ b/almondspool/cli/options.py
@@ -29,6 +29,7 @@
     services: tuple[str, ...]
     shard: str
     request_id: str
+    request: str
     issued_at_ms: int
     deadline_ms: int
     idempotent: bool
@@ -77,6 +78,7 @@
     texts("service", "search: a service; may be repeated; all if left out.")
     text("shard", "", "search: the one shard of a non-idempotent request.")
     text("request_id", "", "search: id of the request; repeat it to repeat it.")
+    text("request", "", "explain: tell a request's story from log files or input.")
     number("issued_at_ms", "search: when a repeated request was first made.")
     number("deadline_ms", "search: time left for the answer, in milliseconds.")
     switch("idempotent", True, "search: --noidempotent runs it at most once.")
@@ -102,6 +104,7 @@
         services=tuple(values.service),
         shard=values.shard,
         request_id=values.request_id,
+        request=values.request,
         issued_at_ms=values.issued_at_ms,
         deadline_ms=values.deadline_ms,
         idempotent=values.idempotent,
--- a/almondspool/cli/platform_commands.py
+++ b/almondspool/cli/platform_commands.py
@@ -1,4 +1,4 @@
-"""The subcommands trace and check-platform, which need no instance."""
+"""Subcommands for logs and files of the platform, which need no instance."""
 
 from __future__ import annotations
 
@@ -22,9 +22,9 @@
 _EVENT = re.compile(r"\bevent=(\S+) ?(.*)")
 
 
-def trace(context: CommandContext) -> CommandResult:
+def explain_request(context: CommandContext) -> CommandResult:
     """Print the log lines of one request in order, from files or standard input."""
-    request_id, *paths = context.arguments
+    request_id, paths = context.options.request, context.arguments
     wanted = re.compile(rf"\brequest={re.escape(request_id)}(?=\s|$)")
     found = [line for line in _read_lines(paths) if wanted.search(line)]
     timed = sorted((time, event) for time, event in map(_parse, found) if event)
@@ -36,16 +36,21 @@
     return CommandResult(ResultCode.OK, lines, data)
 
 
-def check_platform(context: CommandContext) -> CommandResult:
-    """Check settings files (.toml) and configurations (.json) of the platform."""
-    lines = []
-    for path in context.arguments:
-        if path.endswith(".toml"):
-            settings = load_platform_settings(path)
-            lines.append(f"{path}: settings of {settings.instance} are valid")
-        else:
-            lines.append(f"{path}: {_check_configuration(path)}")
-    return CommandResult(ResultCode.OK, lines, {"code": 0, "checked": lines})
+def is_platform_file(path: str) -> bool:
+    """Return whether a file holds settings or routes of the platform."""
+    return path.endswith((".toml", ".json"))
+
+
+def check_platform_file(path: str) -> str:
+    """Check a file of the platform and return what it holds.
+
+    Raises:
+        AlmondspoolError: Naming the file, the place and what is allowed.
+    """
+    if path.endswith(".toml"):
+        settings = load_platform_settings(path)
+        return f"{path}: settings of {settings.instance} are valid"
+    return f"{path}: {_check_configuration(path)}"
 
 
 def _check_configuration(path: str) -> str:
--- a/tests/cli/test_platform_commands.py
+++ b/tests/cli/test_platform_commands.py
@@ -39,37 +39,44 @@
             code = main(["almondspool", *arguments])
         return code, output.getvalue()
 
-    def test_trace_tells_one_request_in_order(self):
-        code, text = self.run_tool("trace", "r1", self.write("a.log", LINES))
+    def explain(self, request_id, *paths):
+        return self.run_tool("explain", f"--request={request_id}", *paths)
+
+    def test_explain_tells_one_request_in_order(self):
+        code, text = self.run_tool(
+            "explain", "--request=r1", self.write("a.log", LINES)
+        )
         self.assertEqual(0, code)
         first, second = text.splitlines()
         self.assertIn("+0.0 ms  leg.extra request=r1 shard=s3", first)
         self.assertIn("+100.0 ms  request.partial", second)
 
-    def test_trace_reads_standard_input(self):
+    def test_explain_reads_standard_input(self):
         with mock.patch("sys.stdin", io.StringIO(LINES)):
-            code, text = self.run_tool("trace", "r10")
+            code, text = self.explain("r10")
         self.assertEqual((0, 1), (code, len(text.splitlines())))
 
-    def test_trace_of_an_unknown_request(self):
-        code, text = self.run_tool("trace", "r2", self.write("a.log", LINES))
+    def test_explain_of_an_unknown_request(self):
+        code, text = self.run_tool(
+            "explain", "--request=r2", self.write("a.log", LINES)
+        )
         self.assertNotEqual(0, code)
         self.assertIn("no line of request r2", text)
 
-    def test_check_platform(self):
+    def test_check_takes_files_of_the_platform(self):
         settings = self.write("settings.toml", TEXT)
         configuration = self.write("config.json", json.dumps(SPEC))
-        code, text = self.run_tool("check-platform", settings, configuration)
+        code, text = self.run_tool("check", settings, configuration)
         self.assertEqual(0, code)
         self.assertIn("settings of front-perth-north-1 are valid", text)
         self.assertIn("version 7 with 2 routes is valid", text)
 
-    def test_check_platform_names_file_and_place(self):
+    def test_check_names_file_and_place(self):
         bad = self.write("config.json", json.dumps({**SPEC, "version": "x"}))
-        code, text = self.run_tool("check-platform", bad)
+        code, text = self.run_tool("check", bad)
         self.assertNotEqual(0, code)
         self.assertIn("config.json", text)
         self.assertIn("version", text)
-        code, text = self.run_tool("check-platform", self.write("s.toml", "node = 5"))
+        code, text = self.run_tool("check", self.write("s.toml", "node = 5"))
         self.assertNotEqual(0, code)
         self.assertIn("s.toml", text)
