--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -7,12 +7,12 @@
 import eventlet
 from eventlet import hubs
 
-from almondspool.errors import PlatformError
 from almondspool.platform.mirror import KindMirror, MirrorCalls
 from almondspool.platform.store import ObjectStore
 from almondspool.platform.watches import (
     RELAY_SLACK_S,
     RELAY_WAIT_S,
+    BehindError,
     KindWatch,
     Source,
 )
@@ -98,9 +98,9 @@
         self._threads_by_kind[kind] = eventlet.spawn(watch.run)
 
     def read_again(self, kind: str) -> None:
-        """End a watch that may have lost its answer; it goes on where it was."""
+        """Read a kind anew of which a member knows more; ask members if that fails."""
         thread = self._threads_by_kind[kind]
-        error = PlatformError(f"a member knows a newer {kind}")
+        error = BehindError(f"a member knows a newer {kind}")
         hubs.get_hub().schedule_call_global(0, thread.throw, error)
 
     def _lenders(self) -> list[ObjectStore]:
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -35,6 +35,10 @@
 MIN_GAP_S = 0.05
 
 
+class BehindError(PlatformError):
+    """Thrown into a watch when a member knows a newer state of its kind."""
+
+
 class KindFollower(abc.ABC):
     """Takes what a watch reports."""
 
@@ -107,15 +111,16 @@
         self._failures = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._is_reachable = True
+        self._is_behind = False
 
     def run(self) -> None:
         """Follow the kind until the green thread is killed."""
         while True:
             try:
                 self._read_once()
-            except PlatformError as error:
-                # It was told to read again while it paused after a failure.
-                self._log.write("store.read_again", kind=self._kind, detail=error)
+            except BehindError as error:
+                # It paused after a failure.
+                self._read_again(error)
 
     def _read_once(self) -> None:
         source = self._choose_source(self._failures)
@@ -124,6 +129,8 @@
                 self._watch(source)
             else:
                 self._list(source)
+        except BehindError as error:
+            self._read_again(error)
         except PlatformError as error:
             self._on_failure(source, error)
         except Exception as error:
@@ -139,6 +146,12 @@
             self._revision = 0
             eventlet.sleep(MAX_BACKOFF_S)
 
+    def _read_again(self, error: BehindError) -> None:
+        """Read a whole list, as a watch may wait for long; ask others if it fails."""
+        self._log.write("store.read_again", kind=self._kind, detail=error)
+        self._is_behind = True
+        self._revision = 0
+
     def _list(self, source: Source) -> None:
         listed = source.client.list(self._kind)
         if listed.revision < self._known_revision:
@@ -178,27 +191,31 @@
             return
         self._mirror.set_fresh(False)
         self._note_reachable(False, str(error))
-        if not self._known_revision:
+        if not self._known_revision or self._is_behind:
             self._borrow()
         pause_s = max(self._backoff_s, error.retry_after_s)
         eventlet.sleep(pause_s * self._rng.uniform(1 - JITTER, 1 + JITTER))
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2.0)
 
     def _borrow(self) -> None:
-        """Begin with what another instance knows, until the store is back."""
+        """Take what another instance knows, until the store is back."""
         for lender in self._lenders():
             try:
                 listed = lender.borrow(self._kind)
             except PlatformError as error:
                 self._log.write("store.borrow_failed", kind=self._kind, detail=error)
                 continue
+            if listed.revision <= self._known_revision:
+                continue
             self._known_revision = listed.revision
+            self._is_behind = False
             self._follower.on_list(listed)
             self._log.write("store.borrowed", kind=self._kind, at=listed.revision)
             return
 
     def _note_success(self, source: Source) -> None:
         self._failures = 0
+        self._is_behind = False
         self._backoff_s = FIRST_BACKOFF_S
         self._mirror.set_fresh(not source.name)
         self._note_reachable(True, "")
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -157,6 +157,33 @@
         self.assertEqual([7, 8], self.versions())
         self.assertEqual(("watch", 80), calls[-1])
 
+    def test_instance_that_is_behind_and_turned_away_takes_what_a_member_knows(self):
+        class Lender:
+            def __init__(self, listed):
+                self.listed = listed
+
+            def borrow(self, kind):
+                return self.listed
+
+        lenders = [
+            Lender(StoredList((self.config(3),), 5)),
+            Lender(StoredList((self.config(9),), 20)),
+        ]
+        turned_away = PlatformError("busy")
+        calls = self.follow(
+            StoredList((self.config(3),), 5),
+            turned_away,
+            watches.BehindError("a member knows a newer config"),
+            turned_away,
+            turned_away,
+            StoredList((self.config(9),), 20),
+            lenders=lambda: lenders,
+        )
+        self.assertEqual([3, 9], self.versions()[:2])
+        borrowed = [line for line in self.lines if "store.borrowed" in line]
+        self.assertEqual(1, len(borrowed))
+        self.assertEqual([("list",), ("watch", 5), ("watch", 5), ("list",)], calls[:4])
+
     def test_running_instance_borrows_nothing(self):
         asked = []
         self.follow(
@@ -184,7 +211,7 @@
         self.assertTrue(any("store.internal_error" in line for line in self.lines))
 
     def test_watch_that_is_told_to_read_again_while_it_pauses_goes_on(self):
-        told = iter([PlatformError("a member knows a newer config")])
+        told = iter([watches.BehindError("a member knows a newer config")])
 
         def sleep(_):
             for error in told:
@@ -192,10 +219,12 @@
 
         self.patch(watches.eventlet, "sleep", sleep)
         calls = self.follow(
-            StoredList((), 5), PlatformError("down"), ((self.config(4),), 8)
+            StoredList((), 5),
+            PlatformError("down"),
+            StoredList((self.config(4),), 8),
         )
         self.assertEqual([4], self.versions())
-        self.assertEqual(("watch", 8), calls[-1])
+        self.assertEqual([("list",), ("watch", 8)], calls[-2:])
 
     def test_failed_relay_is_no_lost_store(self):
         self.name = "instance-1"
