Send callers of a large fleet to a part of it, the largest instances first

Change: routing/serving_set.py chooses who serves, alike on every instance; placement.py derives addresses, connections and shares of limits from it; busy_share.py tells the load, which a member record carries with the machine's power. Fleets of up to 16 behave as before. choose_addresses of the membership room moves there, its tests too.

--- a/almondspool/coordination/membership/entries.py
+++ b/almondspool/coordination/membership/entries.py
@@ -16,8 +16,6 @@
 MAX_ENTRIES = 6
 MAX_NEAR_ENTRIES = 4
 MAX_LOST_ENTRIES = 3
-# One instance alone could not take the load of its zone if it is slow or ends.
-MIN_NEAR_ADDRESSES = 2
 # A near instance above this load has no advantage over those of other zones.
 NEAR_LOAD_LIMIT = 0.85
 # Keeps a fully loaded instance in the list, as reported load may be old.
@@ -88,26 +86,3 @@
         for member in members
     ]
     return [member for _, _, member in sorted(keyed, key=lambda item: item[:2])]
-
-
-def choose_addresses(
-    view: View, own: Member, zone: str, limit: int, rng: random.Random
-) -> tuple[str, ...]:
-    """Return addresses for callers that connect to a random one of the list.
-
-    Callers of a zone get its instances only, as each hop between zones costs time
-    and money, unless too few of them are left to share the zone's load.
-
-    Args:
-        view: The membership.
-        own: The instance that answers; the last resort.
-        zone: The caller's availability zone; may be unknown.
-        limit: How many addresses to return at most.
-        rng: Draws the order.
-    """
-    members = view.serving() or view.present() or (own,)
-    near = [member for member in members if member.zone == zone]
-    if len(near) < MIN_NEAR_ADDRESSES:
-        near = list(members)
-    chosen = rng.sample(near, min(limit, len(near)))
-    return tuple(member.caller_address for member in chosen)
--- a/almondspool/coordination/membership/member_table.py
+++ b/almondspool/coordination/membership/member_table.py
@@ -16,6 +16,9 @@
 # Signature, envelope and message frame, with the longest instance name.
 FRAME_BYTES = 200
 MIN_RETRANSMISSIONS = 4
+# A load that crosses a multiple of this is spread at once; smaller changes travel with
+# the record's own heartbeats.
+LOAD_LEVEL = 0.25
 
 
 def record_bytes(member: Member) -> int:
@@ -177,9 +180,14 @@
         self._delta_by_instance[delta.instance] = delta._replace(sent=sent)
 
 
+def _load_level(member: Member) -> int:
+    return int(member.load / LOAD_LEVEL)
+
+
 def _is_news(former: Member, merged: Member) -> bool:
     return (
         former.incarnation != merged.incarnation
         or former.status != merged.status
         or former.ready != merged.ready
+        or _load_level(former) != _load_level(merged)
     )
--- a/almondspool/coordination/membership/membership_task.py
+++ b/almondspool/coordination/membership/membership_task.py
@@ -267,6 +267,7 @@
     events: Events,
     log: EventLog,
     registry: prometheus_client.CollectorRegistry,
+    power: float = 0.0,
 ) -> MembershipTask:
     """Build the task and bind its socket.
 
@@ -279,6 +280,7 @@
         events: Where changes are announced.
         log: The event log.
         registry: Takes the metrics.
+        power: The processor of this instance, in cores; 0.0 if it is not told.
 
     Raises:
         AlmondspoolError: With ADDRESS_IN_USE.
@@ -289,6 +291,7 @@
         zone=settings.zone,
         caller_address=settings.caller_address,
         peer_address=settings.peer_address,
+        power=power,
     )
     membership_settings = MembershipSettings(
         heartbeat_interval_s=settings.heartbeat_interval_s,
--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -5,23 +5,24 @@
 import random
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.membership.entries import choose_addresses
 from almondspool.coordination.membership.membership_task import LocalState
 from almondspool.events import SUSPECTED, VIEW_CHANGED, Events
 from almondspool.platform import configuration, entries
 from almondspool.platform.followers import ConfigurationFollower, EntryFollower
 from almondspool.platform.http_form import PlatformHttpForm
-from almondspool.platform.lookups import LOOKUP_TTL_S, LookupCalls, LookupServices
+from almondspool.platform.lookups import LookupCalls, LookupServices
 from almondspool.platform.membership import HEARTBEAT_S, make_platform_membership
 from almondspool.platform.settings import METRICS_PORT
 from almondspool.platform.store import ObjectStore
 from almondspool.platform.store_following import FollowingServices, StoreFollowing
 from almondspool.platform.watches import MIN_GAP_S
 from almondspool.routing.admission import SearchAdmission
+from almondspool.routing.busy_share import BusyShare
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
 from almondspool.routing.fleet_shares import FleetShares
+from almondspool.routing.placement import Placement
 from almondspool.routing.replicas import ReplicaRegistry
 from almondspool.routing.route_times import RouteTimes
 from almondspool.routing.router import Router
@@ -30,7 +31,6 @@
 from almondspool.routing.stop import PlannedStop
 from almondspool.routing.version_watch import VersionWatch
 from almondspool.routing.watch_duty import WatchDuty
-from almondspool.state.members import MemberStatus
 from almondspool.state.routes import CallerLimits
 from almondspool.transport.caller_server import CallerServer
 from almondspool.transport.route_metrics import RouteGauges, RouteMetrics
@@ -38,6 +38,8 @@
 from almondspool.transport.upstream_pools import UpstreamPools
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from almondspool.codes import ResultCode
     from almondspool.logs import EventLog
     from almondspool.platform.settings import PlatformSettings
@@ -47,6 +49,8 @@
 
 HOUSEKEEPING_S = 1.0
 LOCAL_STATE_S = 0.25
+# Changes of the membership come in bursts, as instances start or end together.
+SHARE_OUT_DELAY_S = 0.05
 # Changes of entries come in bursts, as searchers start together; one that drains is
 # left within two seconds, of the three that it goes on for.
 ENTRY_GAP_S = 1.0
@@ -72,7 +76,9 @@
         self._form = PlatformHttpForm()
         self._store = ObjectStore(settings.store_address, self._metrics.note_store_call)
         self._shares = FleetShares(settings.instance, settings.zone, timers.now())
-        self._records_taken: tuple[Member, ...] = ()
+        self._records_seen: tuple[Member, ...] = ()
+        self._is_sharing_out_due = False
+        self._busy = BusyShare(timers.now())
         self._version_watch = VersionWatch()
         self._watch_duty = WatchDuty(settings.instance, settings.zone, self._rng)
         self._membership = make_platform_membership(
@@ -98,7 +104,7 @@
         )
         self._turns = TurnWatch(LOCAL_STATE_S)
         self._metrics.show_gauges(self._gauges)
-        self._events.subscribe(VIEW_CHANGED, lambda _: self._share_out())
+        self._events.subscribe(VIEW_CHANGED, lambda _: self._share_out_soon())
         self._events.subscribe(SUSPECTED, self._crashes.merge)
 
     @property
@@ -168,7 +174,14 @@
         self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
         self._registry = ReplicaRegistry(self._log, self._drop_replica)
         self._budget = ExtraSendBudget(_limits(self._settings))
-        self._budget.set_instances(self._shares.count(now()))
+        self._budget.set_sharers(self._shares.sharers(now()))
+        self._placement = Placement(
+            self._settings.instance,
+            self._settings.zone,
+            self._shares,
+            self._registry,
+            self._rng,
+        )
         self._crashes = CrashWatch(
             self._timers.epoch_ms,
             self._pools.probe,
@@ -188,6 +201,7 @@
             admission=SearchAdmission(),
             splitter=Splitter(self._rng),
             crashes=self._crashes,
+            busy=self._busy,
             note_leg=self._metrics.note_leg,
             note_pause=self._metrics.paused_replicas.inc,
             note_search_wait=self._metrics.note_search_wait,
@@ -204,9 +218,9 @@
         )
         calls = LookupCalls(
             LookupServices(
-                self._addresses,
+                self._placement.addresses,
                 self._is_ready,
-                min(LOOKUP_TTL_S, self._settings.ttl_max_s),
+                self._address_ttl_s,
                 self._metrics.registry,
                 self._status,
             )
@@ -241,17 +255,12 @@
         self._warm_connections()
 
     def _warm_connections(self) -> None:
-        """Open a connection to every replica that requests may be sent to.
+        now = self._timers.now()
+        for replica in self._placement.replicas_to_connect(now, self._services()):
+            self._pools.warm(replica)
 
-        A hedge to another availability zone that must connect first takes three ways
-        there and back instead of one.
-        """
-        table = self._router.table
-        if table is None or not self._shares.is_settled(self._timers.now()):
-            return
-        for service in table.services_in_use:
-            for replica in self._registry.usable(service):
-                self._pools.warm(replica)
+    def _services(self) -> Iterable[str]:
+        return self._router.table.services_in_use if self._router.table else ()
 
     def _quota(self, replica: Replica) -> int:
         table = self._router.table
@@ -267,27 +276,42 @@
         self._selector.forget(replica_id)
 
     def _share_out(self) -> None:
-        """Work out the shares of connections and of the budget anew."""
+        """Work out who serves, and the shares of connections and budget, anew."""
+        self._is_sharing_out_due = False
         now = self._timers.now()
-        members = self._membership.view().members_by_instance.values()
-        present = {
-            member.instance: member.zone
-            for member in members
-            if member.status is not MemberStatus.DEAD
-        }
-        serving = self._membership.view().serving()
+        view = self._membership.view()
+        serving = view.serving()
         self._watch_duty.update({member.instance: member.zone for member in serving})
-        has_changed = self._shares.update(now, present)
-        recorded = self._membership.recorded()
-        if recorded is not self._records_taken:
-            self._records_taken = recorded
-            zones = {member.instance: member.zone for member in recorded}
-            has_changed = self._shares.take_records(now, zones) or has_changed
-        if has_changed:
-            count = self._shares.count(now)
-            self._budget.set_instances(count)
+        self._records_seen = self._membership.recorded()
+        placed = self._placement.update(
+            now, view, self._membership.own(), self._records_seen, self._services()
+        )
+        if placed.has_set_changed:
+            self._log.write(
+                "placement.changed",
+                serving=self._placement.serving_count(),
+                own=self._placement.is_serving(),
+                ready=len(serving),
+                version=self._version(),
+            )
+        if placed.has_shares_changed:
+            self._budget.set_sharers(self._shares.sharers(now))
             self._pools.refresh_quotas()
-            self._log.write("shares.changed", instances=count, present=len(present))
+            self._log.write(
+                "shares.changed",
+                instances=self._shares.count(now),
+                present=len(view.present()),
+            )
+
+    def _share_out_soon(self) -> None:
+        """Take changes of the membership together, which come in bursts."""
+        if not self._is_sharing_out_due:
+            self._is_sharing_out_due = True
+            self._timers.call_later(SHARE_OUT_DELAY_S, self._share_out)
+
+    def _address_ttl_s(self) -> float:
+        wanted_s = self._placement.ttl_s(self._timers.now())
+        return min(wanted_s, self._settings.ttl_max_s)
 
     def _housekeep(self) -> None:
         now = self._timers.now()
@@ -300,7 +324,7 @@
         self._turns.tick(self._timers.now())
         self._publish_local_state()
         self._compare_versions()
-        if self._membership.recorded() is not self._records_taken:
+        if self._membership.recorded() is not self._records_seen:
             self._share_out()
 
     def _compare_versions(self) -> None:
@@ -312,7 +336,9 @@
             self._following.read_again(configuration.KIND)
 
     def _publish_local_state(self) -> None:
-        state = LocalState(self._version(), 0.0, 0, self._can_serve())
+        self._busy.tick(self._timers.now())
+        load = self._busy.share()
+        state = LocalState(self._version(), load, 0, self._can_serve())
         self._membership.set_local(state)
 
     def _can_serve(self) -> bool:
@@ -322,11 +348,6 @@
     def _is_ready(self) -> bool:
         return self._can_serve()
 
-    def _addresses(self, zone: str, limit: int) -> tuple[str, ...]:
-        return choose_addresses(
-            self._membership.view(), self._membership.own(), zone, limit, self._rng
-        )
-
     def _limits(self) -> CallerLimits:
         table = self._router.table
         return table.limits if table else CallerLimits()
--- a/almondspool/platform/lookups.py
+++ b/almondspool/platform/lookups.py
@@ -22,10 +22,6 @@
 STATUS_PATH = "/v1/status"
 # Most addresses that a caller takes from one answer.
 MAX_ADDRESSES = 64
-# Callers look up in line with a request, on a connection of their own, so a short time
-# costs them more than a stopped instance in an old list: that one still serves for as
-# long.
-LOOKUP_TTL_S = 5.0
 _TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 
 
@@ -35,14 +31,14 @@
     Attributes:
         addresses: Returns caller addresses for an availability zone.
         is_ready: Whether callers may be sent here.
-        ttl_s: How long callers may keep the addresses, in seconds.
+        ttl_s: Returns how long callers may keep the addresses, in seconds.
         registry: The metrics.
         status: Returns the instance's status.
     """
 
     addresses: Callable[[str, int], tuple[str, ...]]
     is_ready: Callable[[], bool]
-    ttl_s: float
+    ttl_s: Callable[[], float]
     registry: CollectorRegistry
     status: Callable[[], dict[str, object]]
 
@@ -76,5 +72,5 @@
         addresses = self._services.addresses(zone, MAX_ADDRESSES)
         if not addresses:
             return Answer(503)
-        body = {"addrs": addresses, "ttl_s": self._services.ttl_s}
+        body = {"addrs": addresses, "ttl_s": self._services.ttl_s()}
         return json_answer(body)
--- a/almondspool/platform/membership.py
+++ b/almondspool/platform/membership.py
@@ -61,7 +61,14 @@
         _peer_key(settings),
     )
     return make_membership_task(
-        own, timers.epoch_ms(), StorePlatform(store), timers, events, log, registry
+        own,
+        timers.epoch_ms(),
+        StorePlatform(store),
+        timers,
+        events,
+        log,
+        registry,
+        settings.power,
     )
 
 
--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -23,6 +23,7 @@
 _DEFAULT_RETRY_SLACK = 50.0
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_TTL_MAX_S = 5.0
+_DEFAULT_DRAIN_S = 3.0
 
 
 class ExtraSendBounds(NamedTuple):
@@ -58,6 +59,8 @@
         grace_s: Time from a stop signal until the process is ended, in seconds.
         ttl_max_s: Longest time that callers keep an address list, in seconds.
         zones: Region by availability zone.
+        power: The machine's processor, in cores.
+        drain_s: How long a leaving searcher still serves, in seconds.
     """
 
     instance: str
@@ -75,6 +78,8 @@
     grace_s: float
     ttl_max_s: float
     zones: dict[str, str]
+    power: float = 1.0
+    drain_s: float = _DEFAULT_DRAIN_S
 
 
 def load_platform_settings(path: str) -> PlatformSettings:
@@ -105,6 +110,7 @@
     """
     listen = _table(values, "listen")
     bounds = _table(values, "bounds")
+    limits = _table(values, "limits")
     store = _table(values, "platform")
     ports = values.get("internal_ports")
     if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
@@ -131,6 +137,8 @@
         grace_s=_number(bounds, "grace_s", _DEFAULT_GRACE_S),
         ttl_max_s=_number(bounds, "ttl_max_s", _DEFAULT_TTL_MAX_S),
         zones={str(key): str(value) for key, value in _table(values, "zones").items()},
+        power=_number(limits, "cpu_share", 1.0) * _number(limits, "cores", 1.0),
+        drain_s=_number(bounds, "drain_ms", _DEFAULT_DRAIN_S * 1000.0) / 1000.0,
     )
 
 
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -11,6 +11,7 @@
     from almondspool.logs import EventLog
     from almondspool.protocol.exchange import HttpForm, LegSender
     from almondspool.routing.admission import SearchAdmission
+    from almondspool.routing.busy_share import BusyShare
     from almondspool.routing.crashes import CrashWatch
     from almondspool.routing.extra_sends import ExtraSendBudget
     from almondspool.routing.replicas import ReplicaRegistry
@@ -49,6 +50,7 @@
     admission: SearchAdmission
     splitter: Splitter
     crashes: CrashWatch
+    busy: BusyShare
     note_leg: Callable[[str, str, str], None]
     note_pause: Callable[[], None]
     note_search_wait: Callable[[float], None]
--- a/almondspool/routing/extra_sends.py
+++ b/almondspool/routing/extra_sends.py
@@ -47,16 +47,16 @@
     def __init__(self, limits: ExtraSendLimits) -> None:
         """Start as the only instance."""
         self._limits = limits
-        self._instances = 1
+        self._sharers = 1.0
         self._counts_by_service: dict[str, _Counts] = {}
 
     def set_limits(self, limits: ExtraSendLimits) -> None:
         """Take changed limits; what was counted stays."""
         self._limits = limits
 
-    def set_instances(self, count: int) -> None:
-        """Set how many instances share the slack."""
-        self._instances = max(1, count)
+    def set_sharers(self, count: float) -> None:
+        """Set how many equal parts the slack has, one of them for this instance."""
+        self._sharers = max(1.0, count)
 
     def note_request(self, now: float, service: str) -> None:
         """Count a request of a caller to a service."""
@@ -71,7 +71,7 @@
         counts.extras_sum -= _drop(counts.extras, oldest)
         # Requests of the last window only, so that the earned part is never ahead.
         counts.requests_sum -= _drop(counts.requests, now - self._limits.window_s)
-        slack = self._limits.slack / self._instances
+        slack = self._limits.slack / self._sharers
         earned = self._limits.ratio * counts.requests_sum
         return USED_SHARE * (slack + earned) - counts.extras_sum
 
--- a/almondspool/routing/fleet_shares.py
+++ b/almondspool/routing/fleet_shares.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.routing.quota import connection_quota
+from almondspool.routing.quota import Sharers, connection_quota
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -30,6 +30,17 @@
         self._seen_at_by_instance: dict[str, float] = {instance: now}
         self._settles_at = now + SETTLE_S
         self._was_settled = False
+        self._serving: frozenset[str] = frozenset()
+
+    def set_serving(self, serving: frozenset[str]) -> bool:
+        """Take the instances that callers are sent to; empty where all serve.
+
+        Returns:
+            Whether shares have changed.
+        """
+        has_changed = serving != self._serving
+        self._serving = serving
+        return has_changed
 
     def update(self, now: float, zone_by_present: Mapping[str, str]) -> bool:
         """Take the instances that are not known to be dead, with their zones.
@@ -79,8 +90,15 @@
             return len(self._zone_by_instance)
         return max(ASSUMED_INSTANCES, len(self._zone_by_instance))
 
+    def sharers(self, now: float) -> float:
+        """Return how many equal parts a divisible limit has, one of them the own."""
+        return 1.0 / self._sharers(now).part(self._instance)
+
     def connections(self, now: float, limit: int, replica: Replica) -> int:
         """Return how many connections may be open to a replica."""
-        return connection_quota(
-            limit, self._instance, self._zone_by_instance, replica, self.count(now)
-        )
+        return connection_quota(limit, self._instance, self._sharers(now), replica)
+
+    def _sharers(self, now: float) -> Sharers:
+        # Before the fleet is known, neither is who serves of it.
+        serving = self._serving if self.is_settled(now) else frozenset()
+        return Sharers(self._zone_by_instance, self.count(now), serving)
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -108,7 +108,9 @@
         else:
             service = context.splitter.choose(route)
             run = Forward(context, route, service, request, leg_request, on_end)
+        began_at = context.timers.now()
         run.start()
+        context.busy.note_first_turn(context.timers.now() - began_at)
         return run
 
     def _refuse(
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -33,6 +33,7 @@
             no connection and no lease. Refuting a suspicion leaves it as it is.
         ready: Whether its view and generation were confirmed since it joined, and
             callers may be sent to it.
+        power: Its processor, in cores; 0.0 if it does not tell.
     """
 
     instance: str
@@ -47,6 +48,7 @@
     revision: int = 0
     session: int = 0
     ready: bool = True
+    power: float = 0.0
 
     @property
     def is_disputed(self) -> bool:
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -17,6 +17,7 @@
     Room,
 )
 from almondspool.routing.admission import SearchAdmission
+from almondspool.routing.busy_share import BusyShare
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
@@ -182,7 +183,7 @@
         self.removed: list[str] = []
         self.registry = ReplicaRegistry(log, self.removed.append)
         self.budget = ExtraSendBudget(ExtraSendLimits(ratio, slack, 10.0))
-        self.budget.set_instances(instances)
+        self.budget.set_sharers(instances)
         self.published = []
         self.crashes = CrashWatch(
             self.timers.epoch_ms, self.sender.probe, self.published.append, log
@@ -204,6 +205,7 @@
             admission=SearchAdmission(),
             splitter=Splitter(rng),
             crashes=self.crashes,
+            busy=BusyShare(self.timers.now()),
             note_leg=lambda *labels: self.legs.append(labels),
             note_pause=lambda: self.legs.append(("pause",)),
             note_search_wait=self.waits.append,
--- a/tests/routing/test_extra_sends.py
+++ b/tests/routing/test_extra_sends.py
@@ -34,7 +34,7 @@
         rng = random.Random(seed)
         budgets = [ExtraSendBudget(LIMITS) for _ in range(instances)]
         for budget in budgets:
-            budget.set_instances(instances)
+            budget.set_sharers(instances)
         arrivals, extras = [], []
         now = 0.0
         while now < seconds:
@@ -77,7 +77,7 @@
     def test_more_instances_leave_each_a_smaller_part(self):
         budget = ExtraSendBudget(LIMITS)
         alone = budget.left(0.0, "shard")
-        budget.set_instances(9)
+        budget.set_sharers(9)
         self.assertAlmostEqual(alone / 9, budget.left(0.0, "shard"))
 
     def test_changed_limits_keep_the_counts(self):
--- /dev/null
+++ b/tests/routing/test_placement.py
@@ -0,0 +1,125 @@
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from almondspool.logs import EventLog
+from almondspool.routing.fleet_shares import SETTLE_S, FleetShares
+from almondspool.routing.placement import (
+    ADDRESS_TTL_S,
+    UNSETTLED_TTL_S,
+    Placement,
+)
+from almondspool.routing.replicas import ReplicaRegistry
+from almondspool.state.members import Member, MemberStatus, View
+from tests.routing.routed_bench import make_replicas
+
+SERVICES = ("shard-0", "shard-1")
+
+
+def member(number, zone, **changes):
+    name = f"i{number}"
+    found = Member(name, 1, zone, f"10.0.0.{number}:80", f"10.0.0.{number}:70")
+    return found._replace(**changes)
+
+
+class _Fixture(testtools.TestCase):
+    """Placements over one registry, with replicas in three zones."""
+
+    def setUp(self):
+        super().setUp()
+        self.registry = ReplicaRegistry(EventLog([].append), [].append)
+        for service in SERVICES:
+            for replica in make_replicas(service):
+                self.registry.put(0.0, replica)
+
+    def place(self, members, own=None):
+        own = own or members[0]
+        shares = FleetShares(own.instance, own.zone, 0.0)
+        placement = Placement(
+            own.instance, own.zone, shares, self.registry, random.Random(1)
+        )
+        view = View({each.instance: each for each in members})
+        for now in (0.0, SETTLE_S):
+            placement.update(now, view, own, (), SERVICES)
+        return placement
+
+
+class AddressTests(_Fixture):
+    def choose(self, members, zone="a", limit=64):
+        return self.place(members).addresses(zone, limit)
+
+    def test_callers_stay_in_their_zone(self):
+        members = [member(1, "a"), member(2, "a"), member(3, "b")]
+        self.assertEqual({"10.0.0.1:80", "10.0.0.2:80"}, set(self.choose(members)))
+
+    def test_one_instance_alone_does_not_carry_a_zone(self):
+        members = [member(1, "a"), member(2, "b"), member(3, "b")]
+        self.assertEqual(3, len(self.choose(members)))
+
+    def test_unknown_zone_gets_all(self):
+        members = [member(1, "a"), member(2, "b")]
+        self.assertEqual(2, len(self.choose(members, "elsewhere")))
+
+    def test_suspect_leaving_dead_and_unready_are_left_out(self):
+        members = [
+            member(1, "a"),
+            member(2, "a"),
+            member(3, "a", status=MemberStatus.SUSPECT),
+            member(4, "a", status=MemberStatus.LEAVING),
+            member(5, "a", status=MemberStatus.DEAD),
+            member(6, "a", ready=False),
+        ]
+        self.assertEqual({"10.0.0.1:80", "10.0.0.2:80"}, set(self.choose(members)))
+
+    def test_own_address_is_the_last_resort(self):
+        members = [member(1, "a", status=MemberStatus.LEAVING)]
+        self.assertEqual(("10.0.0.1:80",), self.choose(members))
+
+    def test_limit_and_spread(self):
+        overloaded = [member(n, "a", load=0.5, power=1.0) for n in range(1, 100)]
+        self.assertEqual(64, len(set(self.choose(overloaded))))
+
+    def test_addresses_are_kept_for_long_once_the_fleet_is_known(self):
+        members = [member(1, "a"), member(2, "a")]
+        placement = self.place(members)
+        self.assertEqual(UNSETTLED_TTL_S, placement.ttl_s(0.1))
+        self.assertEqual(ADDRESS_TTL_S, placement.ttl_s(SETTLE_S))
+
+
+class ConnectionTests(_Fixture):
+    ZONES = ("north", "south", "hills", "coast")
+
+    def fleet(self):
+        return [member(n, self.ZONES[n % 4], power=1.0) for n in range(80)]
+
+    def connected(self, own, now=SETTLE_S):
+        placement = self.place(self.fleet(), own)
+        replicas = list(placement.replicas_to_connect(now, SERVICES))
+        return placement.is_serving(), {replica.zone for replica in replicas}
+
+    def test_a_part_serves_and_connects_everywhere_the_next_ones_near(self):
+        rows = [(own.zone, *self.connected(own)) for own in self.fleet()]
+        serving = [zones for _, is_serving, zones in rows if is_serving]
+        self.assertEqual([{"north", "south", "hills"}] * 9, serving)
+        standby = [
+            (zone, zones)
+            for zone, is_serving, zones in rows
+            if zones and not is_serving
+        ]
+        self.assertEqual(6, len(standby))
+        for zone, zones in standby:
+            self.assertEqual({zone}, zones)
+
+    def test_nothing_is_connected_before_the_fleet_is_known(self):
+        own = self.fleet()[0]
+        placement = self.place(self.fleet(), own)
+        self.assertEqual([], list(placement.replicas_to_connect(0.1, SERVICES)))
+
+    def test_a_small_fleet_connects_to_every_replica(self):
+        members = self.fleet()[:9]
+        for own in members:
+            placement = self.place(members, own)
+            replicas = list(placement.replicas_to_connect(SETTLE_S, SERVICES))
+            self.assertEqual(6, len(replicas))
--- a/tests/routing/test_quota.py
+++ b/tests/routing/test_quota.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from almondspool.routing.quota import connection_quota
+from almondspool.routing.quota import Sharers, connection_quota
 from almondspool.state.routes import Replica
 
 ZONES = ("north", "south", "hills", "coast")
@@ -20,7 +20,8 @@
 class QuotaTests(testtools.TestCase):
     def total(self, limit, instances, asked):
         return sum(
-            connection_quota(limit, each, instances, asked) for each in instances
+            connection_quota(limit, each, Sharers(instances), asked)
+            for each in instances
         )
 
     def test_the_sum_keeps_each_replicas_limit(self):
@@ -36,8 +37,10 @@
         moved = 0
         for number in range(50):
             for instance in first(84):
-                before = connection_quota(74, instance, FLEET, replica(number))
-                after = connection_quota(74, instance, first(84), replica(number))
+                before = connection_quota(74, instance, Sharers(FLEET), replica(number))
+                after = connection_quota(
+                    74, instance, Sharers(first(84)), replica(number)
+                )
                 moved += before != after
         self.assertTrue(moved <= 50, moved)
 
@@ -46,7 +49,49 @@
             for instance, zone in FLEET.items():
                 if zone == "south":
                     asked = replica(number, "south")
-                    self.assertEqual(1, connection_quota(40, instance, FLEET, asked))
+                    quota = connection_quota(40, instance, Sharers(FLEET), asked)
+                    self.assertEqual(1, quota)
 
     def test_unknown_limit_opens_nothing(self):
-        self.assertEqual(0, connection_quota(0, "a", {"a": "x", "b": "x"}, replica(1)))
+        sharers = Sharers({"a": "x", "b": "x"})
+        self.assertEqual(0, connection_quota(0, "a", sharers, replica(1)))
+
+
+class ServingQuotaTests(testtools.TestCase):
+    """A fleet of which a part serves: who gets a limited number of connections."""
+
+    def total(self, limit, serving_by_instance, fleet):
+        return sum(
+            connection_quota(
+                limit,
+                instance,
+                Sharers(fleet, 0, frozenset(serving_by_instance(instance))),
+                replica(1),
+            )
+            for instance in fleet
+        )
+
+    def test_those_that_serve_get_several_each(self):
+        serving = frozenset(list(FLEET)[:9])
+        for instance in serving:
+            sharers = Sharers(FLEET, 0, serving)
+            self.assertEqual(2, connection_quota(67, instance, sharers, replica(1)))
+
+    def test_the_sum_holds_while_instances_believe_in_two_sets(self):
+        names = list(FLEET)
+        for limit in (10, 25, 67, 74, 125, 1200):
+            for size in (3, 9, 15, 30):
+                former, new = names[:size], names[size : 2 * size]
+                for split in range(0, len(names), 7):
+                    total = self.total(
+                        limit,
+                        lambda name, at=split, old=former, to=new: (
+                            old if names.index(name) < at else to
+                        ),
+                        FLEET,
+                    )
+                    self.assertTrue(total <= limit, (limit, size, split, total))
+
+    def test_a_set_too_large_to_favour_leaves_the_limit_to_all(self):
+        serving = list(FLEET)[:60]
+        self.assertEqual(74, self.total(74, lambda _: serving, FLEET))
