Obey searchers that leave or ask for time; bound replies that never end

A searcher that said Server-Leaving got requests until its entry changed; Retry-After of a rejection was not read; a reply's head had no bound and a body 8 MiB, so that 50 connections could hold 400 MB, twice the memory of a small instance.

Change: the adapter decodes both headers into Wishes; legs pass them on from any reply, also late ones and lost hedges. The registry leaves that start of a replica, whatever entries say later, and its end is not probed as a crash. A replica that rests gets nothing until its time is over; searches and requests that only it could serve are refused with the time left. Heads are bounded to 32 KiB, replies to 1 MiB, all unfinished replies together to 32 MiB. Counters almondspool_upstream_wishes, log lines replica.leaving and replica.rests. A hedge without anyone to send to no longer draws on the budget.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -186,6 +186,7 @@
             self._timers.epoch_ms,
             self._pools.probe,
             self._membership.broadcast,
+            self._registry.is_leaving,
             self._log,
         )
         context = RoutingContext(
@@ -205,6 +206,7 @@
             note_leg=self._metrics.note_leg,
             note_pause=self._metrics.paused_replicas.inc,
             note_search_wait=self._metrics.note_search_wait,
+            note_wish=self._metrics.note_wish,
         )
         self._router = Router(context, self._note_request)
 
--- a/almondspool/platform/http_form.py
+++ b/almondspool/platform/http_form.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from almondspool.errors import RequestError
-from almondspool.protocol.exchange import HttpForm, ReplyMarks, ReportedLoad
+from almondspool.protocol.exchange import (
+    NO_WISHES,
+    HttpForm,
+    ReplyMarks,
+    ReportedLoad,
+    Wishes,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -31,6 +37,14 @@
 _SIGNATURE = b"response-signature"
 # "running,waiting,slots".
 _LOAD = b"server-load"
+# "1" in every answer of a searcher that is about to end.
+_LEAVING = b"server-leaving"
+# Seconds, whole or not, for which a searcher that rejects wants nothing more.
+_RETRY_AFTER = b"retry-after"
+_UNAVAILABLE_STATUS = 503
+# The longest rest that is granted, in seconds: a searcher that asks for more has no
+# sane clock or means to end, which its entry tells.
+MAX_REST_S = 300.0
 _MISDIRECTED_STATUS = 421
 _MIN_DEADLINE_MS = 1
 
@@ -53,7 +67,13 @@
     _DEADLINE,
     _EXPECTED_REPLICA,
 }
-_KEPT_FROM_CALLERS = _HOP_BY_HOP | {b"content-length", _LOAD, _NOT_RUN, _REPLICA}
+_KEPT_FROM_CALLERS = _HOP_BY_HOP | {
+    b"content-length",
+    _LOAD,
+    _NOT_RUN,
+    _REPLICA,
+    _LEAVING,
+}
 
 
 class PlatformHttpForm(HttpForm):
@@ -107,6 +127,7 @@
             status == _MISDIRECTED_STATUS,
             _load(load) if load else None,
             _keep_alive_s(by_name.get(b"keep-alive")),
+            _wishes(status, by_name),
         )
 
     def coverage_headers(self, note: CoverageNote) -> Headers:
@@ -159,6 +180,31 @@
     return ReportedLoad(max(0, running), max(0, queued), max(1, slots))
 
 
+def _wishes(status: int, by_name: dict[bytes, bytes]) -> Wishes:
+    is_leaving = by_name.get(_LEAVING, b"").strip() == b"1"
+    if status != _UNAVAILABLE_STATUS:
+        return Wishes(True, note="leaving") if is_leaving else NO_WISHES
+    rest_s, note = _rest(by_name.get(_RETRY_AFTER))
+    return Wishes(is_leaving, rest_s, "leaving" if is_leaving else note)
+
+
+def _rest(value: bytes | None) -> tuple[float, str]:
+    """Return a rest in seconds and the name of what was asked for."""
+    if value is None:
+        return 0.0, "no_rest"
+    try:
+        rest_s = float(value)
+    except ValueError:
+        # The other form that HTTP allows is a date; the clocks here may differ.
+        is_date = value.strip()[:3].isalpha() and b":" in value
+        return 0.0, "rest_is_date" if is_date else "rest_malformed"
+    if not rest_s >= 0.0:
+        return 0.0, "rest_negative"
+    if rest_s > MAX_REST_S:
+        return MAX_REST_S, "rest_too_long"
+    return rest_s, "rest"
+
+
 def _keep_alive_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/almondspool/protocol/exchange.py
+++ b/almondspool/protocol/exchange.py
@@ -132,6 +132,23 @@
     slots: int
 
 
+class Wishes(NamedTuple):
+    """What an upstream asks of its callers with a reply.
+
+    Attributes:
+        is_leaving: Whether it wants no further requests, as it ends soon.
+        rest_s: For how long it wants no requests, in seconds; 0.0 if it does not ask.
+        note: Names a wish that was made, or one that cannot be read; empty without.
+    """
+
+    is_leaving: bool = False
+    rest_s: float = 0.0
+    note: str = ""
+
+
+NO_WISHES = Wishes()
+
+
 class LegReply(NamedTuple):
     """The end of one send.
 
@@ -143,6 +160,7 @@
         signature: The upstream's mark on a result of its own; empty without one.
         load: The load it reported, or None.
         detail: One word for the log.
+        wishes: What it asked of its callers.
     """
 
     outcome: LegOutcome
@@ -152,6 +170,7 @@
     signature: bytes = b""
     load: ReportedLoad | None = None
     detail: str = ""
+    wishes: Wishes = NO_WISHES
 
     @property
     def is_success(self) -> bool:
@@ -232,6 +251,10 @@
             on_known: Takes True if the connection was refused, False otherwise.
         """
 
+    @abc.abstractmethod
+    def hold(self, replica: Replica) -> None:
+        """End the sends to a replica that wait for a connection, as not sent."""
+
     @abc.abstractmethod
     def room(self, replica: Replica) -> Room:
         """Return what a send to a replica would find."""
@@ -247,6 +270,7 @@
         is_misdirected: Whether another upstream has this address now.
         load: The reported load, or None.
         keep_alive_s: How long the connection may stay idle, or None.
+        wishes: What the upstream asks of its callers.
     """
 
     request_id: str
@@ -255,6 +279,7 @@
     is_misdirected: bool
     load: ReportedLoad | None
     keep_alive_s: float | None
+    wishes: Wishes = NO_WISHES
 
 
 class CoverageNote(NamedTuple):
--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -54,6 +54,7 @@
     note_leg: Callable[[str, str, str], None]
     note_pause: Callable[[], None]
     note_search_wait: Callable[[float], None]
+    note_wish: Callable[[str], None]
 
     def retry_after_s(self) -> float:
         """Return when a refused caller had better come back, in seconds."""
--- a/almondspool/routing/crashes.py
+++ b/almondspool/routing/crashes.py
@@ -42,6 +42,7 @@
         epoch_ms: Callable[[], int],
         probe: Callable[[Replica, Callable[[bool], None]], None],
         publish: Callable[[Suspicion], None],
+        is_leaving: Callable[[Replica], bool],
         log: EventLog,
     ) -> None:
         """Start without suspicions.
@@ -50,11 +51,14 @@
             epoch_ms: Returns milliseconds since the epoch, as peers count them.
             probe: Opens a connection and tells whether it was refused.
             publish: Sends a suspicion to the other instances.
+            is_leaving: Whether an upstream said that it ends, so that its end is no
+                crash, and it gets no new connection.
             log: The event log.
         """
         self._epoch_ms = epoch_ms
         self._probe = probe
         self._publish = publish
+        self._is_leaving = is_leaving
         self._log = log
         self._quarantine = Quarantine(QUARANTINE_S)
 
@@ -88,6 +92,9 @@
                 self._note_crash(replica, digest)
             on_known(is_refused)
 
+        if self._is_leaving(replica):
+            known(False)
+            return
         self._probe(replica, known)
 
     def merge(self, suspicion: Suspicion) -> None:
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -83,6 +83,8 @@
         self._is_doomed = False
         self._breaks = 0
         self._digest = ""
+        # When the shards that rest may be asked again, in seconds from now.
+        self._rest_s = 0.0
 
     def start(self) -> None:
         """Send the first leg of every shard, or refuse the search at once."""
@@ -110,6 +112,10 @@
         """Refuse a search that too few shards can answer, or not in time."""
         turns = [each.queued_turns for each in choices if each.replica is not None]
         if len(turns) < self._needed:
+            rests_s = sorted(each.rest_s for each in choices if each.rest_s)
+            lacking = self._needed - len(turns)
+            if len(rests_s) >= lacking:
+                self._rest_s = rests_s[lacking - 1]
             self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
             return False
         verdict = self._context.admission.judge(self._route, turns, self._needed)
@@ -228,8 +234,12 @@
         has_others = bool(shard.candidates(usable, self._route.attempts))
         if self._is_doomed or not has_others or shard.rejections >= MAX_REJECTIONS:
             self._settle_missing(shard, shard.failure)
+            return
+        choice = self._choose(now, shard)
+        if choice.replica is None:
+            self._settle_missing(shard, choice.reason)
         elif self._context.budget.take(now, shard.service):
-            self._send(now, shard, "retry")
+            self._send_to(now, shard, "retry", choice)
         elif now < self._retry_until:
             self._call_later(BUDGET_RETRY_S, lambda: self._retry(shard))
         else:
@@ -250,6 +260,8 @@
             if not shard.candidates(usable, self._route.attempts):
                 continue
             choice = self._choose(now, shard)
+            if choice.replica is None:
+                continue
             if not self._context.admission.has_room(self._route, choice.queued_turns):
                 # It would wait as long there, and others behind it.
                 continue
@@ -341,7 +353,7 @@
             body = merge_greatest((part.body for part in parts), self._route.top_k)
             return Answer(200, form.coverage_headers(note), body)
         if code in _NOT_RUN:
-            return refusal_answer(form, self._context.retry_after_s())
+            return refusal_answer(form, self._rest_s or self._context.retry_after_s())
         return failure_answer(code)
 
     def _missing_reasons(self) -> str:
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -60,6 +60,8 @@
         self._open: list[OpenLeg] = []
         self._tried: set[str] = set()
         self._no_choice = ""
+        # When a replica that rests may be asked again, in seconds from now.
+        self._rest_s = 0.0
         self._runs = 0
         self._rejections = 0
         self._moves = 0
@@ -92,6 +94,7 @@
         )
         if choice.replica is None:
             self._no_choice = choice.reason
+            self._rest_s = choice.rest_s
             return False
         send = OpenLeg(choice.replica, now, reason, choice.queued_turns)
         self._tried.add(choice.replica.replica_id)
@@ -227,6 +230,7 @@
         self._close(Outcome(answer, code, reason, 0, 1, self._legs.extra))
 
     def _refuse(self, reason: str) -> None:
-        answer = refusal_answer(self._context.form, self._context.retry_after_s())
+        retry_after_s = self._rest_s or self._context.retry_after_s()
+        answer = refusal_answer(self._context.form, retry_after_s)
         code = ResultCode.NOT_RUN_NO_UPSTREAM
         self._close(Outcome(answer, code, reason, 0, 1, self._legs.extra))
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -9,7 +9,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from almondspool.protocol.exchange import CallerRequest, LegHandle, LegReply
+    from almondspool.protocol.exchange import (
+        CallerRequest,
+        LegHandle,
+        LegReply,
+        Wishes,
+    )
     from almondspool.routing.context import RoutingContext
     from almondspool.routing.replica_health import ReplicaHealth
     from almondspool.routing.selection import Choice
@@ -80,6 +85,8 @@
         health.in_flight -= 1
         if reply.load is not None:
             health.note_report(now, reply.load)
+        if reply.wishes.note:
+            self._take_wishes(now, leg, reply.wishes)
         if reply.outcome is LegOutcome.CANCELLED:
             return
         leg_s = now - leg.sent_at
@@ -108,6 +115,24 @@
             age_ms=leg_s * 1000.0,
         )
 
+    def _take_wishes(self, now: float, leg: OpenLeg, wishes: Wishes) -> None:
+        """Obey what a replica asked for; also a late reply's, and a lost hedge's."""
+        context = self._context
+        context.note_wish(wishes.note)
+        if wishes.is_leaving:
+            request_id = self._request.request_id
+            context.registry.note_leaving(now, leg.replica, request_id)
+        if wishes.rest_s:
+            context.selector.health(now, leg.replica).note_rest(now, wishes.rest_s)
+            context.sender.hold(leg.replica)
+            context.log.write(
+                "replica.rests",
+                request=self._request.request_id,
+                replica=leg.replica.replica_id,
+                rest_s=wishes.rest_s,
+                asked=wishes.note,
+            )
+
     def used(self, leg: OpenLeg, others: Iterable[OpenLeg]) -> None:
         """Count which of a hedge and the legs before it brought the result."""
         if leg.reason == HEDGE:
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -55,6 +55,7 @@
         "paused_until",
         "report",
         "reported_at",
+        "rests_until",
         "warm_at",
     )
 
@@ -71,6 +72,7 @@
         self.report: ReportedLoad | None = None
         self.reported_at = -math.inf
         self.warm_at = -math.inf
+        self.rests_until = -math.inf
 
     def slowness(self, now: float) -> float:
         """Return how many times the usual time a leg is expected to take."""
@@ -97,6 +99,14 @@
             return True
         return self.consecutive_failures > 0 and self.in_flight > 0
 
+    def rest_left_s(self, now: float) -> float:
+        """Return for how long the replica still wants no requests, in seconds."""
+        return max(0.0, self.rests_until - now)
+
+    def note_rest(self, now: float, rest_s: float) -> None:
+        """Take that the replica wants no requests for so many seconds."""
+        self.rests_until = max(self.rests_until, now + rest_s)
+
     def note_success(self, now: float, slowness: float) -> bool:
         """Take the slowness of a leg that was answered.
 
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -21,6 +21,9 @@
 MIN_LAPSED = 4
 # How long after an outage a removal may be such a lapse.
 OUTAGE_MEMORY_S = 4.0
+# How long an upstream that said it leaves is remembered: its entry may be read again
+# from a member that has not heard of its end.
+LEAVING_MEMORY_S = 1800.0
 
 
 class _Row(NamedTuple):
@@ -28,6 +31,14 @@
     drop_at: float = math.inf
 
 
+class _Start(NamedTuple):
+    """One start of a replica, which a later one at its address does not share."""
+
+    replica_id: str
+    address: str
+    started_ms: int
+
+
 class ReplicaRegistry:
     """Replicas by service, as the store and the sends tell.
 
@@ -49,6 +60,7 @@
         self._on_removed = on_removed
         self._rows_by_id: dict[str, _Row] = {}
         self._lost_address_by_id: dict[str, str] = {}
+        self._left_at_by_start: dict[_Start, float] = {}
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
         self._is_reachable = True
         self._regained_at = -math.inf
@@ -127,6 +139,11 @@
 
     def sweep(self, now: float) -> None:
         """Drop the replicas whose entries did not come back."""
+        self._left_at_by_start = {
+            start: left_at
+            for start, left_at in self._left_at_by_start.items()
+            if now - left_at < LEAVING_MEMORY_S
+        }
         due = [key for key, row in self._rows_by_id.items() if row.drop_at <= now]
         for replica_id in due:
             self._drop(replica_id, "entry_not_renewed")
@@ -143,6 +160,36 @@
             "replica.misdirected", replica=replica_id, address=replica.address
         )
 
+    def note_leaving(self, now: float, replica: Replica, request_id: str) -> None:
+        """Send nothing more to a replica that said that it leaves.
+
+        Args:
+            now: Monotonic seconds.
+            replica: The replica, as it was when the request was sent.
+            request_id: The request whose reply said so, for the log.
+        """
+        start = _start(replica)
+        if start in self._left_at_by_start:
+            return
+        self._left_at_by_start[start] = now
+        self._usable_by_service.pop(replica.service, None)
+        row = self._rows_by_id.get(replica.replica_id)
+        is_present = row is not None and _start(row.replica) == start
+        if is_present:
+            self._on_removed(replica.replica_id)
+        self._log.write(
+            "replica.leaving",
+            replica=replica.replica_id,
+            service=replica.service,
+            address=replica.address,
+            request=request_id,
+            known=is_present,
+        )
+
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether this start of a replica said that it leaves."""
+        return _start(replica) in self._left_at_by_start
+
     def usable(self, service: str) -> tuple[Replica, ...]:
         """Return the replicas of a service that may take new work."""
         usable = self._usable_by_service.get(service)
@@ -153,6 +200,7 @@
                 if row.replica.service == service
                 and not row.replica.is_draining
                 and replica_id not in self._lost_address_by_id
+                and _start(row.replica) not in self._left_at_by_start
             )
             usable = tuple(sorted(found, key=lambda replica: replica.replica_id))
             self._usable_by_service[service] = usable
@@ -180,6 +228,10 @@
             self._usable_by_service.pop(known.service, None)
 
 
+def _start(replica: Replica) -> _Start:
+    return _Start(replica.replica_id, replica.address, replica.started_ms)
+
+
 def _is_new_start(known: Replica, replica: Replica) -> bool:
     has_moved = known.address != replica.address or known.service != replica.service
     return has_moved or known.started_ms != replica.started_ms
--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -38,12 +38,15 @@
         expected_s: The expected time of the leg, in seconds.
         reason: One word.
         queued_turns: What is ahead of the leg, in turns of the replica's slots.
+        rest_s: Where every replica left asked for time, when the first of them may be
+            sent to again, in seconds.
     """
 
     replica: Replica | None
     expected_s: float
     reason: str
     queued_turns: float = 0.0
+    rest_s: float = 0.0
 
 
 class ReplicaSelector:
@@ -93,6 +96,15 @@
         allowed = [each for each in allowed if self._sender.room(each) is not Room.NONE]
         if not allowed:
             return Choice(None, 0.0, "no_connection_granted")
+        rests_s = [self._rest_left_s(now, each) for each in allowed]
+        if any(rests_s):
+            allowed = [
+                each
+                for each, rest_s in zip(allowed, rests_s, strict=True)
+                if not rest_s
+            ]
+        if not allowed:
+            return Choice(None, 0.0, "asked_for_time", rest_s=min(rests_s))
         fit = [each for each in allowed if not self._is_paused(now, each)]
         reason = "best" if fit else "only_paused"
         best = None
@@ -104,6 +116,10 @@
         turns = self.health(now, best).queued_turns(now, best.slots)
         return Choice(best, least_s, reason, turns)
 
+    def _rest_left_s(self, now: float, replica: Replica) -> float:
+        health = self._health_by_id.get(replica.replica_id)
+        return 0.0 if health is None else health.rest_left_s(now)
+
     def _is_paused(self, now: float, replica: Replica) -> bool:
         health = self._health_by_id.get(replica.replica_id)
         return health is not None and health.is_paused(now)
--- a/almondspool/standins/hosted_searchers.py
+++ b/almondspool/standins/hosted_searchers.py
@@ -80,6 +80,8 @@
         is_listed: Whether it keeps an entry.
         is_full: Whether it turns every request away.
         fails: Whether every request runs and fails.
+        is_leaving: Whether every answer says that it leaves.
+        rest: What a rejection asks its callers to wait; empty without.
     """
 
     replica_id: str
@@ -88,6 +90,8 @@
     is_listed: bool = True
     is_full: bool = False
     fails: bool = False
+    is_leaving: bool = False
+    rest: str = ""
 
 
 def records_of(service: str, request_id: str) -> list[bytes]:
@@ -149,7 +153,11 @@
         if expected != self.plan.replica_id:
             answer(Answer(421, ((b"Instance-Id", self.plan.replica_id.encode()),)))
         elif self.behaviour.is_full or self._running >= 4 * self.plan.slots:
-            answer(self._answer(request, 503, b"", ((b"Not-Executed", b"1"),)))
+            extra: tuple = ((b"Not-Executed", b"1"),)
+            if self.behaviour.rest:
+                extra += ((b"Retry-After", self.behaviour.rest.encode()),)
+            self._note(request, "rejected")
+            answer(self._answer(request, 503, b"", extra))
         else:
             self._running += 1
             self._note(request, "run")
@@ -177,6 +185,8 @@
     def _answer(
         self, request: CallerRequest, status: int, body: bytes, extra: tuple
     ) -> Answer:
+        if self.behaviour.is_leaving:
+            extra += ((b"Server-Leaving", b"1"),)
         load = f"{self._running},0,{self.plan.slots}".encode()
         return Answer(
             status,
--- a/almondspool/transport/route_metrics.py
+++ b/almondspool/transport/route_metrics.py
@@ -128,6 +128,12 @@
             registry=self.registry,
         )
         self.note_search_wait = self.search_wait_seconds.observe
+        self.upstream_wishes = Counter(
+            "almondspool_upstream_wishes",
+            "What upstreams asked for with a reply: to leave, to rest, or unreadably.",
+            ["wish"],
+            registry=self.registry,
+        )
         self.shards_missing = Counter(
             "almondspool_routed_shards_missing",
             "Shards left out of answers.",
@@ -176,6 +182,10 @@
             del self._legs_by_labels[labels]
             self.legs.remove(*labels)
 
+    def note_wish(self, wish: str) -> None:
+        """Count what an upstream asked for with a reply."""
+        self.upstream_wishes.labels(wish).inc()
+
     def note_store_call(self, verb: str, code: ResultCode) -> None:
         """Count a call to the store."""
         self.store_calls.labels(verb, code.name).inc()
--- a/almondspool/transport/upstream_connection.py
+++ b/almondspool/transport/upstream_connection.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from almondspool.protocol.exchange import LegOutcome, LegReply
+from almondspool.protocol.exchange import NO_WISHES, LegOutcome, LegReply
 from almondspool.transport.hub_socket import HubSocket
 
 if TYPE_CHECKING:
@@ -16,13 +16,33 @@
     from almondspool.protocol.exchange import HttpForm, LegRequest
 
 # Larger replies are not kept: records are a few hundred bytes, documents a few kB.
-MAX_REPLY_BYTES = 8 * 1024 * 1024
+MAX_REPLY_BYTES = 1024 * 1024
+# Heads have a dozen headers; one that is longer never ends.
+MAX_HEAD_BYTES = 32 * 1024
+# What the replies of all connections may hold together: a sixth of the memory of the
+# smallest machine. Over it, replies of more than a fair size are given up.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+FAIR_REPLY_BYTES = 64 * 1024
 # An upstream announces whole seconds; it may close a little before its own time.
 KEEP_ALIVE_MARGIN_S = 0.5
 # Without an announced time, an idle connection is given up after this.
 DEFAULT_IDLE_S = 8.0
 
 
+class HeldBytes:
+    """Counts what the unfinished replies of all connections hold.
+
+    Attributes:
+        total: Bytes held now.
+    """
+
+    __slots__ = ("total",)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.total = 0
+
+
 class _Reply:
     """A reply that is being read."""
 
@@ -50,14 +70,17 @@
     __slots__ = (
         "_clock",
         "_form",
+        "_held",
         "_is_spoiled",
         "_on_end",
         "_on_idle_closed",
         "_parser",
+        "_received",
         "_reply",
         "_replies",
         "_request_id",
         "_socket",
+        "_wishes",
         "idle_since",
         "idle_until",
         "is_open",
@@ -70,6 +93,7 @@
         form: HttpForm,
         clock: Callable[[], float],
         on_idle_closed: Callable[[UpstreamConnection], None],
+        held: HeldBytes,
     ) -> None:
         """Take over a connected socket.
 
@@ -78,12 +102,16 @@
             form: Reads and writes the upstream's headers.
             clock: Returns monotonic seconds.
             on_idle_closed: Called when the connection ends while it is idle.
+            held: What the replies of all connections hold.
         """
         self._form = form
         self._clock = clock
         self._on_idle_closed = on_idle_closed
         self._on_end: Callable[[LegReply], None] | None = None
         self._request_id = ""
+        self._held = held
+        self._received = 0
+        self._wishes = NO_WISHES
         self._reply: _Reply | None = None
         self._replies: list[_Reply] = []
         self._is_spoiled = False
@@ -154,6 +182,8 @@
             self._close()
             self._on_idle_closed(self)
             return
+        self._received += len(data)
+        self._held.total += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -163,10 +193,22 @@
             if self._on_end is not None:
                 self.abort(LegOutcome.MALFORMED, "unreadable")
             return
-        if self._reply is not None and self._reply.size > MAX_REPLY_BYTES:
-            self.abort(LegOutcome.MALFORMED, "too_large")
-            return
         self._take_replies()
+        excess = self._excess()
+        if excess and self._on_end is not None:
+            self.abort(LegOutcome.MALFORMED, excess)
+
+    def _excess(self) -> str:
+        """Return what an unfinished exchange has too much of; empty if nothing."""
+        if self._received > MAX_REPLY_BYTES:
+            return "too_large"
+        has_head = self._reply is not None and self._reply.status
+        if self._received > MAX_HEAD_BYTES and not has_head:
+            return "endless_head"
+        is_unfair = self._received > FAIR_REPLY_BYTES
+        if is_unfair and self._held.total > MAX_HELD_BYTES:
+            return "replies_hold_too_much"
+        return ""
 
     def _on_closed(self, is_orderly: bool) -> None:
         self.is_open = False
@@ -187,6 +229,8 @@
         replies, self._replies = self._replies, []
         for index, reply in enumerate(replies):
             marks = self._form.read_reply(reply.status, reply.headers)
+            if marks.wishes.note:
+                self._wishes = marks.wishes
             if marks.request_id != self._request_id and marks.request_id:
                 # A late reply to an earlier request; ours may still come.
                 self._is_spoiled = True
@@ -230,9 +274,13 @@
         )
 
     def _end(self, reply: LegReply) -> None:
+        self._held.total -= self._received
+        self._received = 0
+        wishes, self._wishes = self._wishes, NO_WISHES
         on_end, self._on_end = self._on_end, None
         if on_end is not None:
-            on_end(reply)
+            # Also what an earlier reply asked for that belongs to another request.
+            on_end(reply._replace(wishes=wishes) if wishes.note else reply)
 
     def _close(self) -> None:
         self.is_open = False
--- a/almondspool/transport/upstream_pools.py
+++ b/almondspool/transport/upstream_pools.py
@@ -19,7 +19,7 @@
     Connecting,
     parse_host_port,
 )
-from almondspool.transport.upstream_connection import UpstreamConnection
+from almondspool.transport.upstream_connection import HeldBytes, UpstreamConnection
 
 if TYPE_CHECKING:
     import socket
@@ -159,7 +159,7 @@
         while self._idle and self.open_count > limit:
             self._idle.pop(0).close()
         if not limit:
-            self._fail_waiting("no_quota")
+            self.fail_waiting("no_quota")
 
     def close_stale(self, now: float) -> None:
         stale = [each for each in self._idle if each.idle_until <= now]
@@ -176,7 +176,7 @@
         for connecting in self._connecting:
             connecting.cancel()
         self._connecting.clear()
-        self._fail_waiting("replica_gone")
+        self.fail_waiting("replica_gone")
 
     def _connect_for_waiting(self) -> None:
         missing = len(self._waiting) - len(self._connecting)
@@ -188,17 +188,22 @@
         self, sock: socket.socket | None, failure: ConnectFailure | None
     ) -> None:
         if sock is None:
-            self._fail_waiting(failure.value)
+            self.fail_waiting(failure.value)
             return
         if self._is_retired:
             sock.close()
             return
         connection = UpstreamConnection(
-            sock, self._owner.form, self._owner.clock, self._on_idle_closed
+            sock,
+            self._owner.form,
+            self._owner.clock,
+            self._on_idle_closed,
+            self._owner.held,
         )
         self._reuse(connection)
 
-    def _fail_waiting(self, detail: str) -> None:
+    def fail_waiting(self, detail: str) -> None:
+        """End the sends that wait for a connection, as not sent."""
         waiting = tuple(self._waiting)
         self._waiting.clear()
         for exchange in waiting:
@@ -272,6 +277,7 @@
         self._quota = quota
         self._pools_by_id: dict[str, _Pool] = {}
         self.connects = 0
+        self.held = HeldBytes()
 
     def send(
         self,
@@ -303,6 +309,12 @@
         hubs.get_hub().schedule_call_global(PROBE_S, known, None)
         self._pool(replica).connect(known)
 
+    def hold(self, replica: Replica) -> None:
+        """End the sends to a replica that wait for a connection, as not sent."""
+        pool = self._pools_by_id.get(replica.replica_id)
+        if pool is not None:
+            pool.fail_waiting("asked_for_time")
+
     def room(self, replica: Replica) -> Room:
         """Return what a send to a replica would find."""
         pool = self._pools_by_id.get(replica.replica_id)
--- a/bench/routed_leg_cost.py
+++ b/bench/routed_leg_cost.py
@@ -19,6 +19,7 @@
 from almondspool.platform.http_form import PlatformHttpForm
 from almondspool.protocol.exchange import CallerRequest
 from almondspool.routing.admission import SearchAdmission
+from almondspool.routing.busy_share import BusyShare
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashWatch
 from almondspool.routing.extra_sends import ExtraSendBudget, ExtraSendLimits
@@ -99,10 +100,14 @@
         budget=ExtraSendBudget(ExtraSendLimits(0.2, 200.0, 10.0)),
         admission=SearchAdmission(),
         splitter=Splitter(rng),
-        crashes=CrashWatch(timers.epoch_ms, pools.probe, lambda _: None, log),
+        crashes=CrashWatch(
+            timers.epoch_ms, pools.probe, lambda _: None, registry.is_leaving, log
+        ),
+        busy=BusyShare(timers.now()),
         note_leg=metrics.note_leg,
         note_pause=metrics.paused_replicas.inc,
         note_search_wait=metrics.note_search_wait,
+        note_wish=metrics.note_wish,
     )
     route = Route(
         "r", "host", "/a/", True, 2.0, 0.5, 1, 2, (), shards, 20, least_coverage=0.95
--- a/tests/platform/test_http_form.py
+++ b/tests/platform/test_http_form.py
@@ -3,7 +3,7 @@
 import testtools
 
 from almondspool.errors import RequestError
-from almondspool.platform.http_form import PlatformHttpForm
+from almondspool.platform.http_form import MAX_REST_S, PlatformHttpForm
 from almondspool.protocol.exchange import (
     CallerRequest,
     CoverageNote,
@@ -117,3 +117,44 @@
         headers = dict(self.form.coverage_headers(CoverageNote((b"a", b"b"), 1)))
         self.assertEqual(b"a, b", headers[b"Part-Stamps"])
         self.assertEqual(b"1", headers[b"Missing-Shards"])
+
+
+class WishTests(testtools.TestCase):
+    def wishes(self, status, *headers):
+        return PlatformHttpForm().read_reply(status, headers).wishes
+
+    def test_leaving_is_read_from_any_answer(self):
+        for status in (200, 500, 503, 421):
+            self.assertTrue(self.wishes(status, (b"server-leaving", b"1")).is_leaving)
+        for value in (b"0", b"", b"true"):
+            self.assertFalse(self.wishes(200, (b"Server-Leaving", value)).is_leaving)
+
+    def test_rest_is_read_from_a_refusal_only(self):
+        for status, rest_s in ((503, 2.0), (200, 0.0), (429, 0.0), (500, 0.0)):
+            wishes = self.wishes(status, (b"Retry-After", b"2"))
+            self.assertEqual(rest_s, wishes.rest_s)
+
+    def test_each_value_of_a_rest_has_a_name_and_a_bound(self):
+        for value, rest_s, note in (
+            (b"2", 2.0, "rest"),
+            (b"0.25", 0.25, "rest"),
+            (b" 1 ", 1.0, "rest"),
+            (b"0", 0.0, "rest"),
+            (b"-1", 0.0, "rest_negative"),
+            (b"nan", 0.0, "rest_negative"),
+            (b"1e9", MAX_REST_S, "rest_too_long"),
+            (b"inf", MAX_REST_S, "rest_too_long"),
+            (b"Fri, 04 Dec 2026 10:00:00 GMT", 0.0, "rest_is_date"),
+            (b"soon", 0.0, "rest_malformed"),
+            (b"", 0.0, "rest_malformed"),
+            (b"\xff", 0.0, "rest_malformed"),
+        ):
+            wishes = self.wishes(503, (b"Retry-After", value))
+            self.assertEqual((rest_s, note), (wishes.rest_s, wishes.note), value)
+        self.assertEqual("no_rest", self.wishes(503).note)
+
+    def test_leaving_is_kept_from_callers(self):
+        headers = ((b"Server-Leaving", b"1"), (b"X-Kept", b"1"))
+        reply = LegReply(LegOutcome.ANSWERED, 200, headers)
+        signed = PlatformHttpForm().signed_headers(reply)
+        self.assertEqual(((b"X-Kept", b"1"),), signed)
--- a/tests/routing/routed_bench.py
+++ b/tests/routing/routed_bench.py
@@ -86,6 +86,7 @@
         self.sent: list[Sent] = []
         self.handles: list[_Handle] = []
         self.refuses: set[str] = set()
+        self.held: list[str] = []
         self.room_by_id: dict[str, Room] = {}
 
     def send(self, replica, request, deadline_s, on_end):
@@ -103,6 +104,9 @@
         is_refused = replica.replica_id in self.refuses
         self.timers.call_later(0.002, lambda: on_known(is_refused))
 
+    def hold(self, replica):
+        self.held.append(replica.replica_id)
+
     def room(self, replica):
         return self.room_by_id.get(replica.replica_id, Room.IDLE)
 
@@ -186,12 +190,17 @@
         self.budget.set_sharers(instances)
         self.published = []
         self.crashes = CrashWatch(
-            self.timers.epoch_ms, self.sender.probe, self.published.append, log
+            self.timers.epoch_ms,
+            self.sender.probe,
+            self.published.append,
+            self.registry.is_leaving,
+            log,
         )
         self.times = RouteTimes()
         self.selector = ReplicaSelector("north", self.sender, rng)
         self.legs = []
         self.waits = []
+        self.wishes = []
         self.context = RoutingContext(
             timers=self.timers,
             rng=rng,
@@ -209,6 +218,7 @@
             note_leg=lambda *labels: self.legs.append(labels),
             note_pause=lambda: self.legs.append(("pause",)),
             note_search_wait=self.waits.append,
+            note_wish=self.wishes.append,
         )
         self.noted = []
         self.router = Router(self.context, lambda *row: self.noted.append(row))
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -70,12 +70,25 @@
         bench.run(path="/fetch/2")
         self.assertTrue(len(bench.sender.sent) > 2)
 
+    def test_upstream_that_leaves_gets_no_probe(self):
+        known, probed = [], []
+        watch = CrashWatch(
+            lambda: 0,
+            lambda replica, _: probed.append(replica),
+            lambda _: None,
+            lambda _: True,
+            EventLog(lambda _: None),
+        )
+        watch.note_broken(RoutedBench().request(), "digest", known.append)
+        self.assertEqual(([], [False]), (probed, known))
+
     def test_probe_that_says_nothing_is_no_crash(self):
         known = []
         watch = CrashWatch(
             lambda: 0,
             lambda _, on_known: on_known(False),
             lambda _: None,
+            lambda _: False,
             EventLog(lambda _: None),
         )
         watch.note_broken(RoutedBench().request(), "digest", known.append)
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -3,7 +3,11 @@
 import testtools
 
 from almondspool.logs import EventLog
-from almondspool.routing.replicas import LAPSE_GRACE_S, ReplicaRegistry
+from almondspool.routing.replicas import (
+    LAPSE_GRACE_S,
+    LEAVING_MEMORY_S,
+    ReplicaRegistry,
+)
 from tests.routing.routed_bench import make_replicas
 
 
@@ -111,3 +115,66 @@
         count = len(self.lines)
         self.registry.put(2.0, self.replicas[0])
         self.assertEqual(count, len(self.lines))
+
+
+class LeavingTests(testtools.TestCase):
+    """Replicas that said in a reply that they leave."""
+
+    def setUp(self):
+        super().setUp()
+        self.lines = []
+        self.removed = []
+        self.registry = ReplicaRegistry(
+            EventLog(self.lines.append), self.removed.append
+        )
+        self.replicas = [
+            each._replace(started_ms=1000) for each in make_replicas("shard")
+        ]
+        self.registry.replace_all(0.0, self.replicas)
+        self.left = self.replicas[0]
+        self.registry.note_leaving(1.0, self.left, "r1")
+
+    def is_used(self):
+        usable = self.registry.usable("shard")
+        return self.left.replica_id in [each.replica_id for each in usable]
+
+    def test_it_is_left_at_once_and_its_connections_go(self):
+        self.assertFalse(self.is_used())
+        self.assertEqual([self.left.replica_id], self.removed)
+        self.assertTrue(self.registry.is_leaving(self.left))
+        lines = [line for line in self.lines if "replica.leaving" in line]
+        self.assertEqual(1, len(lines))
+        self.assertIn("request=r1", lines[0])
+
+    def test_later_answers_say_nothing_new(self):
+        self.registry.note_leaving(1.1, self.left, "r2")
+        self.assertEqual([self.left.replica_id], self.removed)
+
+    def test_its_old_entry_read_again_does_not_bring_it_back(self):
+        self.registry.put(1.5, self.left)
+        self.registry.put(1.6, self.left._replace(warmup_s=1.0))
+        self.assertFalse(self.is_used())
+        self.registry.remove_all(2.0, [self.left.replica_id])
+        self.registry.replace_all(3.0, self.replicas)
+        self.assertFalse(self.is_used())
+
+    def test_a_new_start_is_not_held_back(self):
+        self.registry.put(9.0, self.left._replace(started_ms=2000))
+        self.assertTrue(self.is_used())
+
+    def test_another_replica_at_its_address_is_not_held_back(self):
+        other = self.left._replace(replica_id="i-new", started_ms=3000)
+        self.registry.put(9.0, other)
+        usable = self.registry.usable("shard")
+        self.assertIn("i-new", [each.replica_id for each in usable])
+
+    def test_word_of_a_former_start_does_not_stop_the_present_one(self):
+        present = self.replicas[1]._replace(started_ms=5000)
+        self.registry.put(2.0, present)
+        self.registry.note_leaving(2.1, self.replicas[1], "r3")
+        usable = self.registry.usable("shard")
+        self.assertIn(present, usable)
+
+    def test_memory_of_it_ends(self):
+        self.registry.sweep(1.0 + LEAVING_MEMORY_S)
+        self.assertFalse(self.registry.is_leaving(self.left))
--- /dev/null
+++ b/tests/routing/test_wishes.py
@@ -0,0 +1,132 @@
+"""Replicas that ask for time or say that they leave, as requests meet them."""
+
+from __future__ import annotations
+
+import testtools
+
+from almondspool.protocol.exchange import LegOutcome, LegReply, Wishes
+from tests.routing.routed_bench import (
+    RoutedBench,
+    answer,
+    fetch_route,
+    search_route,
+)
+
+REST_S = 2.0
+
+
+def resting(rest_s=REST_S):
+    return LegReply(LegOutcome.NOT_RUN, 503, wishes=Wishes(rest_s=rest_s, note="rest"))
+
+
+def leaving(replica):
+    return answer(replica)._replace(wishes=Wishes(True, note="leaving"))
+
+
+class RestTests(testtools.TestCase):
+    def test_a_replica_that_asked_for_time_gets_nothing_until_it_is_over(self):
+        bench = RoutedBench(fetch_route(), search_route(shards=1))
+        bench.sender.script = lambda replica: (
+            (0.002, resting()) if replica.zone == "north" else (0.005, answer(replica))
+        )
+        for number in range(200):
+            bench.run(path="/fetch/1", request_id=f"f{number}", seconds=0.01)
+            bench.run(path="/sweep/2f", request_id=f"s{number}", seconds=0.01)
+        sent_by_id = {}
+        for sent in bench.sender.sent:
+            sent_by_id.setdefault(sent.replica.replica_id, []).append(sent.at)
+        for replica_id in ("records-north", "shard-0-north"):
+            first, *others = sent_by_id[replica_id]
+            early = [at for at in others if at - first < REST_S]
+            self.assertEqual([], early)
+        self.assertTrue({"records-north", "shard-0-north"} <= set(bench.sender.held))
+
+    def test_a_search_whose_shards_all_rest_is_refused_with_the_time_left(self):
+        bench = RoutedBench(search_route(shards=4))
+        bench.sender.script = lambda _: (0.002, resting())
+        for number in range(4):
+            bench.run(request_id=f"a{number}", seconds=0.05)
+        self.assertEqual(12, len(bench.sender.sent))
+        bench.timers.advance(0.5)
+        reply = bench.run(request_id="b", seconds=0.05)
+        self.assertEqual(503, reply.status)
+        self.assertEqual(12, len(bench.sender.sent))
+        after_s = float(dict(reply.headers)[b"Retry-After"])
+        self.assertTrue(REST_S - 0.75 <= after_s <= REST_S - 0.4, after_s)
+
+    def test_a_search_with_enough_other_shards_is_answered_in_part(self):
+        bench = RoutedBench(search_route(shards=10))
+        bench.sender.script = lambda replica: (
+            (0.002, resting())
+            if replica.service == "shard-3"
+            else (0.005, answer(replica))
+        )
+        bench.run(request_id="a")
+        reply = bench.run(request_id="b")
+        self.assertEqual(200, reply.status)
+        self.assertIn((b"Missing-Shards", b"1"), reply.headers)
+
+    def test_a_single_request_is_refused_at_once_with_the_time_left(self):
+        bench = RoutedBench(fetch_route(attempts=3))
+        bench.sender.script = lambda _: (0.002, resting())
+        for number in range(4):
+            bench.run(path="/fetch/1", request_id=f"a{number}", seconds=0.05)
+        self.assertEqual(3, len(bench.sender.sent))
+        reply = bench.run(path="/fetch/1", request_id="b", seconds=0.05)
+        self.assertEqual(503, reply.status)
+        self.assertEqual(3, len(bench.sender.sent))
+        after_s = float(dict(reply.headers)[b"Retry-After"])
+        self.assertTrue(1.0 < after_s <= REST_S, after_s)
+
+    def test_a_hedge_without_anyone_to_send_to_costs_nothing_of_the_budget(self):
+        bench = RoutedBench(search_route(shards=1))
+        now = bench.timers.now()
+        for replica in bench.registry.usable("shard-0")[1:]:
+            bench.selector.health(now, replica).note_rest(now, REST_S)
+        before = bench.budget.left(now, "shard-0")
+        bench.sender.script = lambda replica: (0.2, answer(replica))
+        bench.run()
+        self.assertEqual(1, len(bench.sender.sent))
+        self.assertTrue(bench.budget.left(bench.timers.now(), "shard-0") >= before)
+
+
+class LeavingTests(testtools.TestCase):
+    def test_the_answer_counts_and_nothing_more_is_sent_there(self):
+        bench = RoutedBench(search_route(shards=2))
+        bench.sender.script = lambda replica: (
+            0.005,
+            leaving(replica) if replica.zone == "north" else answer(replica),
+        )
+        self.assertEqual(200, bench.run(request_id="a").status)
+        before = len(bench.sender.sent)
+        for number in range(30):
+            self.assertEqual(200, bench.run(request_id=f"b{number}").status)
+        zones = {sent.replica.zone for sent in bench.sender.sent[before:]}
+        self.assertNotIn("north", zones)
+        self.assertIn("leaving", bench.wishes)
+
+    def test_a_hedge_that_lost_is_heard_too(self):
+        bench = RoutedBench(search_route(shards=1))
+        delays = {"north": 0.120, "south": 0.004, "hills": 0.004}
+        bench.sender.script = lambda replica: (
+            delays[replica.zone],
+            leaving(replica) if replica.zone == "north" else answer(replica),
+        )
+        for number in range(5):
+            bench.run(request_id=f"a{number}")
+            bench.timers.advance(1.0)
+        asked = {sent.replica.zone for sent in bench.sender.sent}
+        if "north" in asked:
+            self.assertIn("leaving", bench.wishes)
+            usable = {each.zone for each in bench.registry.usable("shard-0")}
+            self.assertNotIn("north", usable)
+
+    def test_an_upstream_that_leaves_is_not_probed_for_a_crash(self):
+        bench = RoutedBench(fetch_route())
+        north = next(
+            each for each in bench.registry.usable("records") if each.zone == "north"
+        )
+        bench.registry.note_leaving(bench.timers.now(), north, "r")
+        known = []
+        bench.crashes.note_broken(north, "digest", known.append)
+        self.assertEqual([False], known)
