Believe the newer of two members at a start without the store

Cause: an instance that starts while the store is away took the first member's word; one that was cut off from the store for longer still names searchers that have left.

Change: two members are heard, and the newer of their lists holds.

--- a/almondspool/coordination/membership/membership.py
+++ b/almondspool/coordination/membership/membership.py
@@ -90,15 +90,11 @@
         state = (self.own, self._table.version, self._listings.version)
         if state != self._viewed_state:
             self._viewed_state = state
-            self._view = self._build_view()
+            members = (self.own, *self._table.members_by_instance.values())
+            marked = map(self._listings.marked, members)
+            self._view = View({member.instance: member for member in marked})
         return self._view
 
-    def _build_view(self) -> View:
-        members = (self.own, *self._table.members_by_instance.values())
-        return View(
-            {member.instance: self._listings.marked(member) for member in members}
-        )
-
     def listed(self) -> frozenset[str]:
         """Return the instances in the platform's list when it was last read."""
         return self._listings.listed
@@ -193,11 +189,9 @@
             load=round(round(load / LOAD_STEP) * LOAD_STEP, 2),
             shares_version=shares_version,
         )
-        own = self.own
-        if changed == own:
-            return self._check_ready(now)
-        self._table.own = changed._replace(revision=changed.revision + 1)
-        is_news = load_level(changed) != load_level(own)
+        is_news = load_level(changed) != load_level(self.own)
+        if changed != self.own:
+            self._table.own = changed._replace(revision=changed.revision + 1)
         told = self._gossip.to_some(JOIN_FANOUT) if is_news else []
         return [*told, *self._check_ready(now)]
 
--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -319,9 +319,7 @@
             self._timers.call_later(SHARE_OUT_DELAY_S, self._share_out)
 
     def _address_ttl_s(self) -> float:
-        return min(
-            self._placement.ttl_s(self._timers.now()), self._settings.ttl_max_s
-        )
+        return min(self._placement.ttl_s(self._timers.now()), self._settings.ttl_max_s)
 
     def _housekeep(self) -> None:
         now = self._timers.now()
@@ -356,8 +354,7 @@
         return is_informed and not self._stop.is_begun
 
     def _limits(self) -> CallerLimits:
-        table = self._router.table
-        return table.limits if table else CallerLimits()
+        return self._router.table.limits if self._router.table else CallerLimits()
 
     def _gauges(self) -> RouteGauges:
         now = self._timers.now()
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -31,6 +31,8 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 JITTER = 0.3
+# Instances whose answers are compared: one of two may have been cut off for longer.
+LENDERS_HEARD = 2
 # Changes that come in quick succession are fetched together.
 MIN_GAP_S = 0.05
 
@@ -210,20 +212,27 @@
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2.0)
 
     def _borrow(self) -> None:
-        """Take what another instance knows, until the store is back."""
+        """Take what other instances know, until the store is back.
+
+        The first answer serves at once; a newer one of another instance replaces it,
+        as the first may have been cut off from the store for longer.
+        """
+        answers = 0
         for lender in self._lenders():
+            if answers == LENDERS_HEARD:
+                return
             try:
                 listed = lender.borrow(self._kind)
             except PlatformError as error:
                 self._log.write("store.borrow_failed", kind=self._kind, detail=error)
                 continue
+            answers += 1
             if listed.revision <= self._known_revision:
                 continue
             self._known_revision = listed.revision
             self._is_behind = False
             self._follower.on_list(listed)
             self._log.write("store.borrowed", kind=self._kind, at=listed.revision)
-            return
 
     def _note_success(self, source: Source) -> None:
         self._failures = 0
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -157,6 +157,35 @@
         self.assertEqual([7, 8], self.versions())
         self.assertEqual(("watch", 80), calls[-1])
 
+    def test_newest_of_two_lenders_counts(self):
+        class Lender:
+            def __init__(self, listed):
+                self.listed = listed
+
+            def borrow(self, kind):
+                return self.listed
+
+        entry = StoredObject("servers", "i-left", 40, dict(ENTRY))
+        registry = ReplicaRegistry(EventLog(self.lines.append), lambda _: None)
+        follower = EntryFollower(
+            registry,
+            lambda: 0.0,
+            lambda: None,
+            lambda: None,
+            EventLog(self.lines.append),
+        )
+        down = PlatformError("down")
+        self.follow(
+            down,
+            follower=follower,
+            lenders=lambda: [
+                Lender(StoredList((entry,), 50)),
+                Lender(StoredList((), 60)),
+                Lender(StoredList((entry,), 55)),
+            ],
+        )
+        self.assertEqual((), registry.all())
+
     def test_instance_that_is_behind_and_turned_away_takes_what_a_member_knows(self):
         class Lender:
             def __init__(self, listed):
