Tell a restart of the whole fleet from its first start

Change: a fleet counts as new only until the own record of a former process is read, or a member is seen that serves.

Tests: NewFleetTests and two of FirstReadTests.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -14,7 +14,11 @@
 from almondspool.platform.membership import HEARTBEAT_S, make_platform_membership
 from almondspool.platform.settings import METRICS_PORT
 from almondspool.platform.store import ObjectStore
-from almondspool.platform.store_following import FollowingServices, StoreFollowing
+from almondspool.platform.store_following import (
+    FleetKnowledge,
+    FollowingServices,
+    StoreFollowing,
+)
 from almondspool.platform.watches import MIN_GAP_S
 from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.busy_share import BusyShare
@@ -74,9 +78,7 @@
         self._events = Events()
         self._form = PlatformHttpForm()
         self._store = ObjectStore(settings.store_address, self._metrics.note_store_call)
-        self._shares = FleetShares(
-            settings.instance, settings.zone, timers.now(), settings.is_first_start
-        )
+        self._shares = FleetShares(settings.instance, settings.zone, timers.now())
         self._records_seen: tuple[Member, ...] = ()
         self._is_sharing_out_due = False
         self._busy = BusyShare(timers.now())
@@ -153,12 +155,14 @@
         )
         self._following.follow(configuration.KIND, follower, MIN_GAP_S)
         self._following.follow(
-            entries.KIND, entry_follower, ENTRY_GAP_S, self._is_view_known
+            entries.KIND, entry_follower, ENTRY_GAP_S, self._fleet_knowledge
         )
 
-    def _is_view_known(self) -> bool:
-        is_settled = self._shares.is_settled(self._timers.now())
-        return self._membership.may_act() and is_settled
+    def _fleet_knowledge(self) -> FleetKnowledge:
+        self._share_out()
+        is_known = self._shares.is_settled(self._timers.now())
+        is_known = is_known and self._membership.may_act()
+        return FleetKnowledge(is_known, self._placement.is_new_fleet)
 
     def begin_stop(self) -> None:
         """Begin a planned stop."""
@@ -188,6 +192,7 @@
             self._shares,
             self._registry,
             self._rng,
+            self._settings.is_first_start,
         )
         self._crashes = CrashWatch(
             self._timers.epoch_ms,
--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -35,6 +35,18 @@
 MAX_LENDERS = 4
 
 
+class FleetKnowledge(NamedTuple):
+    """What an instance that starts knows of its fleet.
+
+    Attributes:
+        is_view_known: Whether the members are known.
+        is_new: Whether the whole fleet starts for the first time.
+    """
+
+    is_view_known: bool
+    is_new: bool
+
+
 class FollowingServices(NamedTuple):
     """What following needs of the instance.
 
@@ -83,7 +95,7 @@
         kind: str,
         follower: KindFollower,
         gap_s: float,
-        is_view_known: Callable[[], bool] | None = None,
+        knowledge: Callable[[], FleetKnowledge] | None = None,
     ) -> None:
         """Begin to follow a kind in a green thread of its own.
 
@@ -91,16 +103,18 @@
             kind: One of the mirrored kinds.
             follower: Takes what changes.
             gap_s: Least time between two watches of the store, in seconds.
-            is_view_known: Whether the members are known, for a kind whose first read
+            knowledge: Returns what is known of the fleet, for a kind whose first read
                 waits for that; None to read at once.
         """
-        first_read = FirstRead(self._settings.is_first_start)
 
         def first_read_delay_s(waited_s: float) -> float:
-            if is_view_known is None:
+            if knowledge is None:
                 return 0.0
             is_watcher = self._services.watch_duty.is_watcher(kind)
-            return first_read.delay_s(waited_s, is_view_known(), is_watcher)
+            known = knowledge()
+            return FirstRead(
+                waited_s, known.is_view_known, is_watcher, known.is_new
+            ).delay_s()
 
         watch = KindWatch(
             kind,
--- a/almondspool/routing/fleet_shares.py
+++ b/almondspool/routing/fleet_shares.py
@@ -23,19 +23,8 @@
 class FleetShares:
     """Keeps the instances that count, and works out the own part of a limit."""
 
-    def __init__(
-        self, instance: str, zone: str, now: float, is_first_start: bool = False
-    ) -> None:
-        """Start as an instance that knows no other.
-
-        Args:
-            instance: This instance.
-            zone: Its availability zone.
-            now: Monotonic seconds.
-            is_first_start: Whether all instances start for the first time, so that
-                the store has records of but a few.
-        """
-        self._is_first_start = is_first_start
+    def __init__(self, instance: str, zone: str, now: float) -> None:
+        """Start as an instance that knows no other."""
         self._instance = instance
         self._zone_by_instance = {instance: zone}
         self._seen_at_by_instance: dict[str, float] = {instance: now}
@@ -87,7 +76,7 @@
         Returns:
             Whether shares have changed.
         """
-        if zone_by_recorded.keys() - {self._instance} and not self._is_first_start:
+        if zone_by_recorded.keys() - {self._instance}:
             self._settles_at = min(self._settles_at, now)
         return self.update(now, zone_by_recorded)
 
--- a/almondspool/routing/placement.py
+++ b/almondspool/routing/placement.py
@@ -41,7 +41,12 @@
 
 
 class Placement:
-    """Decides for one instance; alike on all, from the membership."""
+    """Decides for one instance; alike on all, from the membership.
+
+    Attributes:
+        is_new_fleet: Whether no instance of the fleet has served before, as far as is
+            known; the store then has records of but a few.
+    """
 
     def __init__(
         self,
@@ -50,6 +55,7 @@
         shares: FleetShares,
         registry: ReplicaRegistry,
         rng: random.Random,
+        is_first_start: bool = False,
     ) -> None:
         """Start without members.
 
@@ -59,7 +65,10 @@
             shares: The parts of limits that all instances share.
             registry: The replicas, whose zones tell where requests run.
             rng: Draws the order of addresses.
+            is_first_start: Whether the platform takes this for the first start of
+                the whole fleet; it may go on to say so at a restart.
         """
+        self.is_new_fleet = is_first_start
         self._instance = instance
         self._zone = zone
         self._shares = shares
@@ -91,11 +100,14 @@
             if member.status is not MemberStatus.DEAD
         }
         has_shares_changed = self._shares.update(now, present)
-        if records is not self._records:
+        serving = view.serving()
+        if self.is_new_fleet:
+            self.is_new_fleet = not serving and not _has_former_start(own, records)
+        if records is not self._records and not self.is_new_fleet:
             self._records = records
             zones = {member.instance: member.zone for member in records}
             has_shares_changed |= self._shares.take_records(now, zones)
-        members = view.serving() or view.present() or (own,)
+        members = serving or view.present() or (own,)
         homes = home_zones(
             {
                 service: [each.zone for each in self._registry.usable(service)]
@@ -144,6 +156,13 @@
                     yield replica
 
 
+def _has_former_start(own: Member, records: tuple[Member, ...]) -> bool:
+    return any(
+        record.instance == own.instance and record.session < own.session
+        for record in records
+    )
+
+
 def _server(member: Member) -> Server:
     return Server(
         member.instance, member.zone, member.caller_address, member.power, member.load
--- a/almondspool/routing/watch_duty.py
+++ b/almondspool/routing/watch_duty.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.coordination.membership.rendezvous import weight
 
@@ -28,39 +28,36 @@
 # Members of a fleet that starts at once know each other after two seconds; those that
 # watch then read first. Callers come some seconds later.
 FIRST_START_WAIT_S = 4.0
-VIEW_POLL_S = 0.05
+VIEW_POLL_S = 0.02
 
 
-class FirstRead:
+class FirstRead(NamedTuple):
     """When an instance that started reads a large kind for the first time.
 
     Answers a large fleet that starts at once, and rolling restarts: an instance that
     knows its fleet reads from one that watches, in its own zone, instead of the store.
-    """
-
-    def __init__(self, is_first_start: bool) -> None:
-        """Decide for one start.
 
-        Args:
-            is_first_start: Whether the whole fleet starts for the first time, when
-                callers are still to come and watchers have yet to read.
-        """
-        self._is_first_start = is_first_start
+    Attributes:
+        waited_s: For how long the read was put off.
+        is_view_known: Whether the members are known.
+        is_watcher: Whether this instance reads from the store in any case.
+        is_new_fleet: Whether the whole fleet starts for the first time, when callers
+            are still to come and watchers have yet to read.
+    """
 
-    def delay_s(self, waited_s: float, is_view_known: bool, is_watcher: bool) -> float:
-        """Return for how much longer to wait, in seconds; 0.0 to read now.
+    waited_s: float
+    is_view_known: bool
+    is_watcher: bool
+    is_new_fleet: bool
 
-        Args:
-            waited_s: For how long the read was put off.
-            is_view_known: Whether the members are known.
-            is_watcher: Whether this instance reads from the store in any case.
-        """
-        limit_s = FIRST_START_WAIT_S if self._is_first_start else RESTART_WAIT_S
-        if waited_s >= limit_s or (is_view_known and is_watcher):
+    def delay_s(self) -> float:
+        """Return for how much longer to wait, in seconds; 0.0 to read now."""
+        limit_s = FIRST_START_WAIT_S if self.is_new_fleet else RESTART_WAIT_S
+        if self.waited_s >= limit_s:
             return 0.0
-        if is_view_known and not self._is_first_start:
+        if self.is_view_known and (self.is_watcher or not self.is_new_fleet):
             return 0.0
-        return min(VIEW_POLL_S, limit_s - waited_s)
+        return min(VIEW_POLL_S, limit_s - self.waited_s)
 
 
 class WatchDuty:
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -123,3 +123,32 @@
             placement = self.place(members, own)
             replicas = list(placement.replicas_to_connect(SETTLE_S, SERVICES))
             self.assertEqual(6, len(replicas))
+
+
+class NewFleetTests(_Fixture):
+    """A platform that says at each start that the fleet starts for the first time."""
+
+    def start(self, records=(), others=()):
+        own = member(1, "north", incarnation=2000, session=2000, ready=False)
+        shares = FleetShares(own.instance, own.zone, 0.0)
+        placement = Placement(
+            own.instance, own.zone, shares, self.registry, random.Random(1), True
+        )
+        view = View({each.instance: each for each in (own, *others)})
+        placement.update(0.1, view, own, tuple(records), SERVICES)
+        return placement, shares
+
+    def test_first_start_does_not_take_a_few_records_for_the_fleet(self):
+        placement, shares = self.start([member(2, "north", session=1990)])
+        self.assertTrue(placement.is_new_fleet)
+        self.assertFalse(shares.is_settled(0.1))
+
+    def test_own_record_of_a_former_process_tells_a_restart_of_all(self):
+        records = [member(1, "north", session=1000), member(2, "north", session=1000)]
+        placement, shares = self.start(records)
+        self.assertFalse(placement.is_new_fleet)
+        self.assertTrue(shares.is_settled(0.1))
+
+    def test_a_member_that_serves_tells_that_the_fleet_is_up(self):
+        placement, _ = self.start(others=[member(2, "north")])
+        self.assertFalse(placement.is_new_fleet)
--- a/tests/routing/test_watch_duty.py
+++ b/tests/routing/test_watch_duty.py
@@ -74,26 +74,35 @@
 
 
 class FirstReadTests(testtools.TestCase):
-    def wait(self, first_read, view_known_at=0.0, is_watcher=False):
+    def wait(self, is_new_fleet, view_known_at=0.0, is_watcher=False, old_at=60.0):
         """Return after how many seconds the first read is made."""
         waited_s = 0.0
         while True:
-            is_known = waited_s >= view_known_at
-            pause_s = first_read.delay_s(waited_s, is_known, is_watcher)
+            first_read = FirstRead(
+                waited_s,
+                waited_s >= view_known_at,
+                is_watcher,
+                is_new_fleet and waited_s < old_at,
+            )
+            pause_s = first_read.delay_s()
             if not pause_s:
                 return round(waited_s, 3)
             waited_s += pause_s
 
     def test_a_restarted_instance_waits_for_its_view_and_not_for_long(self):
-        first_read = FirstRead(False)
-        self.assertEqual(0.0, self.wait(first_read))
-        self.assertEqual(0.1, self.wait(first_read, 0.1))
-        self.assertEqual(RESTART_WAIT_S, self.wait(first_read, 60.0))
-        self.assertEqual(RESTART_WAIT_S, self.wait(first_read, 60.0, True))
+        self.assertEqual(0.0, self.wait(False))
+        self.assertEqual(0.1, self.wait(False, 0.1))
+        self.assertEqual(RESTART_WAIT_S, self.wait(False, 60.0))
+        self.assertEqual(RESTART_WAIT_S, self.wait(False, 60.0, True))
 
     def test_watchers_of_a_new_fleet_read_before_the_others(self):
-        first_read = FirstRead(True)
-        watcher_s = self.wait(first_read, 2.0, True)
-        other_s = self.wait(first_read, 2.0)
+        watcher_s = self.wait(True, 2.0, True)
+        other_s = self.wait(True, 2.0)
         self.assertTrue(watcher_s + 1.0 < other_s, (watcher_s, other_s))
         self.assertEqual(FIRST_START_WAIT_S, other_s)
+
+    def test_the_others_read_once_the_first_of_a_new_fleet_serve(self):
+        self.assertEqual(2.2, self.wait(True, 2.0, old_at=2.2))
+
+    def test_a_fleet_that_turns_out_to_have_served_before_is_a_restart(self):
+        self.assertEqual(RESTART_WAIT_S, self.wait(True, 60.0, old_at=0.05))
