Read anew soon where a first read met a store that was away

Change: the first two reads of a process that knows nothing are given up after 0.5 s; only a new fleet waits until it is settled.

Test: test_first_reads_are_given_up_soon_and_later_ones_get_their_time.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -160,9 +160,11 @@
 
     def _fleet_knowledge(self) -> FleetKnowledge:
         self._share_out()
-        is_known = self._shares.is_settled(self._timers.now())
-        is_known = is_known and self._membership.may_act()
-        return FleetKnowledge(is_known, self._placement.is_new_fleet)
+        is_new = self._placement.is_new_fleet
+        is_known = self._membership.may_act()
+        if is_new:
+            is_known = is_known and self._shares.is_settled(self._timers.now())
+        return FleetKnowledge(is_known, is_new)
 
     def begin_stop(self) -> None:
         """Begin a planned stop."""
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -102,13 +102,19 @@
         self._note_call = note_call
         self._idle: list[socket.socket] = []
 
-    def list(self, kind: str, may_be_stale: bool = False) -> StoredList:
+    def list(
+        self,
+        kind: str,
+        may_be_stale: bool = False,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> StoredList:
         """Read all objects of a kind, page by page.
 
         Args:
             kind: The kind.
             may_be_stale: Whether objects may be seconds old, for a tenth of the price.
                 Changes must not be watched from the revision of such a list.
+            timeout_s: How long to wait for each page, in seconds.
 
         Raises:
             PlatformError: If a page cannot be read.
@@ -118,7 +124,7 @@
         first: dict[str, object] = {_STALE_KEY: 1} if may_be_stale else {}
         query = first
         while True:
-            reply = self._call("list", "GET", _path(kind), query)
+            reply = self._call("list", "GET", _path(kind), query, None, timeout_s)
             page = _checked(reply, "items", list)
             objects += [_decode_object(kind, item) for item in page]
             # The first page's revision: what changes while we read is watched.
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -9,7 +9,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
-from almondspool.platform.store import WATCH_SLACK_S
+from almondspool.platform.store import CALL_TIMEOUT_S, WATCH_SLACK_S
 
 if TYPE_CHECKING:
     import random
@@ -33,6 +33,10 @@
 JITTER = 0.3
 # Instances whose answers are compared: one of two may have been cut off for longer.
 LENDERS_HEARD = 2
+# A process that knows nothing refuses every caller: a call that met a store which is
+# just coming back is soon made anew. A store that is slow for long gets its full time.
+URGENT_READS = 2
+URGENT_TIMEOUT_S = 0.5
 # Changes that come in quick succession are fetched together.
 MIN_GAP_S = 0.05
 
@@ -167,7 +171,9 @@
         self._revision = 0
 
     def _list(self, source: Source) -> None:
-        listed = source.client.list(self._kind)
+        is_urgent = not self._known_revision and self._failures < URGENT_READS
+        timeout_s = URGENT_TIMEOUT_S if is_urgent else CALL_TIMEOUT_S
+        listed = source.client.list(self._kind, timeout_s=timeout_s)
         if listed.revision < self._known_revision:
             raise PlatformError(f"list of {listed.revision} is older than known")
         self._note_success(source)
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -25,6 +25,7 @@
     def __init__(self, *replies):
         self.replies = list(replies)
         self.calls = []
+        self.timeouts = []
 
     def _next(self, call):
         self.calls.append(call)
@@ -35,7 +36,8 @@
             raise reply
         return reply
 
-    def list(self, kind):
+    def list(self, kind, timeout_s):
+        self.timeouts.append(timeout_s)
         return self._next(("list",))
 
     def watch(self, kind, revision, wait_s, slack_s):
@@ -66,6 +68,7 @@
             lenders=lenders,
         )
         self.assertRaises(eventlet.greenlet.GreenletExit, watch.run)
+        self.timeouts = store.timeouts
         return store.calls
 
     def config(self, version, name="main", deleted=False):
@@ -157,6 +160,15 @@
         self.assertEqual([7, 8], self.versions())
         self.assertEqual(("watch", 80), calls[-1])
 
+    def test_first_reads_are_given_up_soon_and_later_ones_get_their_time(self):
+        down = PlatformError("no answer")
+        gone = PlatformError("gone", ResultCode.PLATFORM_HISTORY_GONE)
+        self.follow(down, down, down, StoredList((), 5), gone, StoredList((), 9))
+        urgent_s, full_s = watches.URGENT_TIMEOUT_S, watches.CALL_TIMEOUT_S
+        self.assertEqual(
+            [urgent_s, urgent_s, full_s, full_s, full_s], self.timeouts[:5]
+        )
+
     def test_newest_of_two_lenders_counts(self):
         class Lender:
             def __init__(self, listed):
