--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -12,6 +12,7 @@
 from almondspool.platform.http_form import PlatformHttpForm
 from almondspool.platform.lookups import LookupCalls, LookupServices
 from almondspool.platform.membership import HEARTBEAT_S, make_platform_membership
+from almondspool.platform.reports import Reported
 from almondspool.platform.settings import METRICS_PORT
 from almondspool.platform.store import ObjectStore
 from almondspool.platform.store_following import (
@@ -37,7 +38,7 @@
 from almondspool.routing.watch_duty import WatchDuty
 from almondspool.state.routes import CallerLimits
 from almondspool.transport.caller_server import CallerServer
-from almondspool.transport.route_metrics import RouteGauges, RouteMetrics
+from almondspool.transport.route_metrics import RouteMetrics
 from almondspool.transport.turn_watch import TurnWatch
 from almondspool.transport.upstream_pools import UpstreamPools
 
@@ -101,12 +102,23 @@
             (configuration.KIND, entries.KIND),
         )
         self._build_routing()
+        self._turns = TurnWatch(LOCAL_STATE_S)
+        self._reported = Reported(
+            settings.instance,
+            self._router,
+            self._pools,
+            self._registry,
+            self._budget,
+            self._placement,
+            self._turns,
+            self._membership.view,
+            self._can_serve,
+        )
         self._build_servers()
         self._stop = PlannedStop(
             settings.grace_s, timers, log, self._front, self._membership
         )
-        self._turns = TurnWatch(LOCAL_STATE_S)
-        self._metrics.show_gauges(self._gauges)
+        self._metrics.show_gauges(lambda: self._reported.gauges(timers.now()))
         self._events.subscribe(VIEW_CHANGED, lambda _: self._share_out_soon())
         self._events.subscribe(SUSPECTED, self._crashes.merge)
 
@@ -238,7 +250,7 @@
                 self._can_serve,
                 self._address_ttl_s,
                 self._metrics.registry,
-                self._status,
+                self._reported.status,
             )
         )
         self._mirror_server = CallerServer(
@@ -308,7 +320,7 @@
                 serving=self._placement.serving_count(),
                 own=self._placement.is_serving(),
                 ready=len(serving),
-                version=self._version(),
+                version=self._router.version,
             )
         if placed.has_shares_changed:
             self._budget.set_sharers(self._shares.sharers(now))
@@ -343,7 +355,7 @@
             self._share_out()
 
     def _compare_versions(self) -> None:
-        own = self._version()
+        own = self._router.version
         members = self._membership.view().present()
         newest = max((member.generation for member in members), default=0)
         if self._version_watch.is_due(self._timers.now(), own, newest):
@@ -353,7 +365,7 @@
     def _publish_local_state(self) -> None:
         self._busy.tick(self._timers.now())
         self._membership.set_local(
-            LocalState(self._version(), self._busy.share(), 0, self._can_serve())
+            LocalState(self._router.version, self._busy.share(), 0, self._can_serve())
         )
 
     def _can_serve(self) -> bool:
@@ -363,38 +375,6 @@
     def _limits(self) -> CallerLimits:
         return self._router.table.limits if self._router.table else CallerLimits()
 
-    def _gauges(self) -> RouteGauges:
-        now = self._timers.now()
-        waiting, oldest_wait_s = self._pools.waiting()
-        return RouteGauges(
-            version=self._version(),
-            version_age_s=self._router.table_age_s(),
-            in_flight=self._router.in_flight,
-            connections_by_service=self._pools.connections_by_service(),
-            waiting=waiting,
-            oldest_wait_s=oldest_wait_s,
-            budget_left=self._budget.least_left(now),
-            longest_turn_s=self._turns.longest_s(),
-        )
-
-    def _version(self) -> int:
-        return self._router.table.version if self._router.table else 0
-
-    def _status(self) -> dict[str, object]:
-        view = self._membership.view()
-        return {
-            "instance": self._settings.instance,
-            "ready": self._can_serve(),
-            "version": self._version(),
-            "in_flight": self._router.in_flight,
-            "connections": self._pools.open_connections(),
-            "members": {
-                name: member.status.name
-                for name, member in sorted(view.members_by_instance.items())
-            },
-            "replicas": len(self._registry.all()),
-        }
-
 
 def _limits(settings: PlatformSettings) -> ExtraSendLimits:
     bounds = settings.extra_sends
--- /dev/null
+++ b/almondspool/platform/reports.py
@@ -0,0 +1,61 @@
+"""What an instance shows of itself: gauges for metrics, its status for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from almondspool.transport.route_metrics import RouteGauges
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondspool.routing.extra_sends import ExtraSendBudget
+    from almondspool.routing.placement import Placement
+    from almondspool.routing.replicas import ReplicaRegistry
+    from almondspool.routing.router import Router
+    from almondspool.state.members import View
+    from almondspool.transport.turn_watch import TurnWatch
+    from almondspool.transport.upstream_pools import UpstreamPools
+
+
+class Reported(NamedTuple):
+    """The parts of an instance that reports are made of."""
+
+    instance: str
+    router: Router
+    pools: UpstreamPools
+    registry: ReplicaRegistry
+    budget: ExtraSendBudget
+    placement: Placement
+    turns: TurnWatch
+    view: Callable[[], View]
+    can_serve: Callable[[], bool]
+
+    def gauges(self, now: float) -> RouteGauges:
+        """Return what the instance holds at a moment, in monotonic seconds."""
+        waiting, oldest_wait_s = self.pools.waiting()
+        return RouteGauges(
+            version=self.router.version,
+            version_age_s=self.router.table_age_s(),
+            in_flight=self.router.in_flight,
+            connections_by_service=self.pools.connections_by_service(),
+            waiting=waiting,
+            oldest_wait_s=oldest_wait_s,
+            budget_left=self.budget.least_left(now),
+            longest_turn_s=self.turns.longest_s(),
+            serving=self.placement.serving_count(),
+        )
+
+    def status(self) -> dict[str, object]:
+        """Return what operators are told."""
+        members = sorted(self.view().members_by_instance.items())
+        return {
+            "instance": self.instance,
+            "ready": self.can_serve(),
+            "serving": self.placement.is_serving(),
+            "version": self.router.version,
+            "in_flight": self.router.in_flight,
+            "connections": self.pools.open_connections(),
+            "members": {name: member.status.name for name, member in members},
+            "replicas": len(self.registry.all()),
+        }
--- a/almondspool/protocol/member_checks.py
+++ b/almondspool/protocol/member_checks.py
@@ -12,6 +12,8 @@
 # Leaves room to raise an incarnation, which is often milliseconds, for ever.
 MAX_NUMBER = 2**53
 MAX_PORT = 65_535
+# Cores; more than the largest machine that is built.
+MAX_POWER = 4096.0
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -47,6 +49,8 @@
             raise _nonsense(member, field, value)
     if not 0.0 <= member.load <= 1.0:
         raise _nonsense(member, "load", member.load)
+    if not 0.0 <= member.power <= MAX_POWER:
+        raise _nonsense(member, "power", member.power)
     if member.session > member.incarnation:
         raise _nonsense(member, "session", member.session)
     if len(member.zone) > MAX_NAME_LENGTH:
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -48,6 +48,11 @@
         """The configuration in force, or None before the first."""
         return self._table
 
+    @property
+    def version(self) -> int:
+        """Return the version in force, or 0 before the first."""
+        return self._table.version if self._table else 0
+
     def set_table(self, table: RouteTable) -> bool:
         """Put a configuration in force, unless it is older than the present one."""
         if self._table is not None and table.version <= self._table.version:
@@ -122,8 +127,9 @@
     ) -> None:
         delay_s = retry_after_s or self._context.retry_after_s()
         refusal = refusal_answer(self._context.form, delay_s)
-        version = self._table.version if self._table else 0
-        self._end(request, None, version, Outcome(refusal, code, code.name), answer)
+        self._end(
+            request, None, self.version, Outcome(refusal, code, code.name), answer
+        )
 
     def _end(
         self,
--- a/almondspool/transport/route_metrics.py
+++ b/almondspool/transport/route_metrics.py
@@ -32,6 +32,7 @@
         oldest_wait_s: How long the oldest of them has waited.
         budget_left: Extra sends left to the service that has the fewest.
         longest_turn_s: The longest delay of a timer by other work.
+        serving: Instances that callers are sent to.
     """
 
     version: int
@@ -42,6 +43,7 @@
     oldest_wait_s: float
     budget_left: float
     longest_turn_s: float
+    serving: int
 
 
 _HELP_BY_GAUGE = {
@@ -64,6 +66,7 @@
         "longest_turn_seconds",
         "Longest delay of a timer by other work in the last ten seconds.",
     ),
+    "serving": ("serving_instances", "Instances that callers are sent to."),
 }
 
 
--- a/tests/transport/test_route_metrics.py
+++ b/tests/transport/test_route_metrics.py
@@ -14,6 +14,7 @@
     oldest_wait_s=0.125,
     budget_left=11.0,
     longest_turn_s=0.25,
+    serving=9,
 )
 
 
@@ -39,6 +40,7 @@
             "almondspool_oldest_leg_wait_seconds 0.125",
             "almondspool_extra_sends_left 11.0",
             "almondspool_longest_turn_seconds 0.25",
+            "almondspool_serving_instances 9.0",
             'almondspool_upstream_connections{service="shard-0"} 4.0',
             'almondspool_upstream_connections{service="shard-1"} 2.0',
         ):
@@ -66,3 +68,10 @@
         self.assertNotIn('route="old"', text)
         self.metrics.note_leg("old", "first", "sent")
         self.assertIn('route="old"', self.text())
+
+    def test_wishes_are_counted_by_name(self):
+        for wish in ("leaving", "rest_is_date", "leaving"):
+            self.metrics.note_wish(wish)
+        text = self.text()
+        self.assertIn('upstream_wishes_total{wish="leaving"} 2.0\n', text)
+        self.assertIn('upstream_wishes_total{wish="rest_is_date"} 1.0\n', text)
