Say nothing of serving before the first configuration and entries are known

Cause: the first record that an instance sends said ready for a quarter of a second, as the membership assumes that it can serve until told otherwise. Callers were sent to instances that refuse them, and a fleet that starts looked as if it served already.

Change: the instance tells its membership before that starts.

Test: StartTests, over real processes; failed first.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -134,6 +134,8 @@
             OSError: If a listening address is in use.
         """
         settings = self._settings
+        # The first record that others get must not say that callers may come.
+        self._publish_local_state()
         self._membership.start(HEARTBEAT_S)
         self._start_following()
         self._front.listen(settings.caller_address)
--- a/tests/processes/test_hosted_path.py
+++ b/tests/processes/test_hosted_path.py
@@ -164,6 +164,35 @@
             wait_until(lambda: serves("instance-2"), "the restarted instance to serve")
 
 
+class StartTests(testtools.TestCase):
+    def test_instance_that_knows_nothing_tells_nobody_that_it_serves(self):
+        with HostedCluster(instances=3, shards=2) as cluster:
+            cluster.start()
+            cluster.control_store(mode="silent")
+            children = [cluster.children_by_name[f"instance-{n}"] for n in range(3)]
+            for child in children:
+                child.send(signal.SIGKILL)
+            for child in children:
+                child.wait()
+            marks = [child.log_path.stat().st_size for child in children]
+            for child in children:
+                child.start()
+
+            def logged(child, mark):
+                return child.log_path.read_text()[mark:]
+
+            for child, mark in zip(children, marks, strict=True):
+                wait_until(
+                    lambda child=child, mark=mark: (
+                        logged(child, mark).count("former=NEW") >= 2
+                    ),
+                    f"{child.name} to know the others",
+                )
+                lines = logged(child, mark).splitlines()
+                told = [each for each in lines if "ready=true" in each]
+                self.assertEqual([], told)
+
+
 class PlannedStopTests(testtools.TestCase):
     def test_stop_leaves_no_request_unanswered(self):
         with HostedCluster(instances=2, shards=3) as cluster:
