Remove dead state, a set worked out three times and code only a test used

ServingSet kept whether it had homes and read it nowhere, and built the map of its members anew for each question; CallerServer had a property for one test alone; two test classes set up the same registry.

Change: the members are kept as they are worked out; the test sends its second request on a connection that has served one, and fails as before without the read before the close; the classes share a fixture. Behaviour and assertions stay.

--- a/almondspool/routing/serving_set.py
+++ b/almondspool/routing/serving_set.py
@@ -81,7 +81,7 @@
     def __init__(self) -> None:
         """Start without instances."""
         self._zones_by_name: dict[str, _Zone] = {}
-        self._has_homes = False
+        self._zone_by_member: dict[str, str] = {}
         self._is_even = True
 
     def update(
@@ -97,12 +97,11 @@
         Returns:
             Whether other instances serve than before.
         """
-        former = self.members()
+        former = self._zone_by_member
         line_by_zone = _lines(servers)
         known = sum(len(line) for line in line_by_zone.values())
         self._is_even = known <= EVEN_FLEET
         homes = line_by_zone.keys() & home_zones
-        self._has_homes = bool(homes) and not self._is_even
         zones_by_name: dict[str, _Zone] = {}
         for name, line in line_by_zone.items():
             if self._is_even:
@@ -110,19 +109,20 @@
             elif not homes or name in homes:
                 zones_by_name[name] = self._sized(now, name, line)
         self._zones_by_name = zones_by_name
-        return self.members() != former
-
-    def members(self) -> dict[str, str]:
-        """Return the zones of the instances that serve, by name."""
-        return {
+        self._zone_by_member = {
             server.instance: server.zone
-            for zone in self._zones_by_name.values()
+            for zone in zones_by_name.values()
             for server in zone.serving()
         }
+        return self._zone_by_member != former
+
+    def members(self) -> dict[str, str]:
+        """Return the zones of the instances that serve, by name."""
+        return self._zone_by_member
 
     def is_member(self, instance: str) -> bool:
         """Return whether callers are sent to an instance."""
-        return instance in self.members()
+        return instance in self._zone_by_member
 
     def is_standby(self, instance: str) -> bool:
         """Return whether an instance is next in line."""
--- a/almondspool/transport/caller_server.py
+++ b/almondspool/transport/caller_server.py
@@ -369,11 +369,6 @@
         for connection in tuple(self._connections):
             connection.close()
 
-    @property
-    def connection_count(self) -> int:
-        """Return the open connections."""
-        return len(self._connections)
-
     @property
     def busy_count(self) -> int:
         """Return the requests that are being served."""
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -11,7 +11,9 @@
 from tests.routing.routed_bench import make_replicas
 
 
-class ReplicaRegistryTests(testtools.TestCase):
+class _RegistryFixture(testtools.TestCase):
+    """A registry without entries, its log and the replicas that it dropped."""
+
     def setUp(self):
         super().setUp()
         self.lines = []
@@ -19,6 +21,11 @@
         self.registry = ReplicaRegistry(
             EventLog(self.lines.append), self.removed.append
         )
+
+
+class ReplicaRegistryTests(_RegistryFixture):
+    def setUp(self):
+        super().setUp()
         self.replicas = make_replicas("shard")
         self.registry.replace_all(0.0, self.replicas)
 
@@ -117,16 +124,11 @@
         self.assertEqual(count, len(self.lines))
 
 
-class LeavingTests(testtools.TestCase):
+class LeavingTests(_RegistryFixture):
     """Replicas that said in a reply that they leave."""
 
     def setUp(self):
         super().setUp()
-        self.lines = []
-        self.removed = []
-        self.registry = ReplicaRegistry(
-            EventLog(self.lines.append), self.removed.append
-        )
         self.replicas = [
             each._replace(started_ms=1000) for each in make_replicas("shard")
         ]
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -194,7 +194,9 @@
 
     def test_request_that_waits_to_be_read_is_served_before_its_connection_closes(self):
         caller = self.connected()
-        wait_until(lambda: self.server.connection_count == 1)
+        caller.sendall(GET + b"\r\n")
+        self.assertTrue(wait_until(lambda: len(self.requests) == 1))
+        self.assertTrue(caller.recv(1000).startswith(b"HTTP/1.1 200"))
         caller.sendall(GET + b"\r\n")
         self.server.begin_close()
         self.server.close_idle()
