Make tests of searchers independent of load; give clusters addresses of their own

An instance prefers the searcher of its own zone; only on a busy machine did noise make it ask the others that the tests are about. Cause, the soak test: instance-0 ended at its start with ADDRESS_IN_USE.

Ruled out: the daemon.

Change: the other searchers are unlisted until the one in question has been asked. The first address of a cluster follows from its group's range of ports; the parameter for it, which nobody gave, goes. No assertion is loosened: the resting searcher's test now also asks for 20 refusals before others are back.

--- a/almondspool/standins/hosted_cluster.py
+++ b/almondspool/standins/hosted_cluster.py
@@ -15,7 +15,12 @@
     SearcherPlan,
     SearchersPlan,
 )
-from almondspool.standins.ports import free_ports, loopback_address, loopback_host
+from almondspool.standins.ports import (
+    first_host,
+    free_ports,
+    loopback_address,
+    loopback_host,
+)
 from almondspool.standins.processes import Child, answers_ok
 
 if TYPE_CHECKING:
@@ -64,7 +69,6 @@
         shards: int = 4,
         store_address_for: Callable[[HostedCluster, str], str] | None = None,
         address_for: Callable[[HostedCluster, str], str] | None = None,
-        first_host: int = 0,
         spare: int = 0,
     ) -> None:
         """Plan a cluster; nothing is started.
@@ -75,7 +79,6 @@
             store_address_for: Returns the store's address for an instance, as a
                 proxy's; the store's own unless given.
             address_for: Returns the address that a searcher's entry names.
-            first_host: Number of the first loopback address of an instance.
             spare: How many further ports to find, for proxies.
         """
         self._temporary = tempfile.TemporaryDirectory(prefix="almondspool-hosted-")
@@ -94,10 +97,7 @@
         self._version = 0
         self._probes: list[dict] = []
         self.instances_by_name = {
-            each.name: each
-            for each in (
-                self._plan_instance(number, first_host) for number in range(instances)
-            )
+            each.name: each for each in map(self._plan_instance, range(instances))
         }
         first = ports.start + _INSTANCE_PORTS + 3
         self.searchers_by_id = {
@@ -258,8 +258,8 @@
     def _child(self, name: str, *arguments: str, **environment: str) -> Child:
         return Child(name, arguments, str(self.directory), environment)
 
-    def _plan_instance(self, number: int, first_host: int) -> HostedInstance:
-        ip = loopback_host(first_host + number)
+    def _plan_instance(self, number: int) -> HostedInstance:
+        ip = loopback_host(first_host() + number)
         start = self._ports.start
         return HostedInstance(
             f"instance-{number}",
--- a/almondspool/standins/ports.py
+++ b/almondspool/standins/ports.py
@@ -12,6 +12,8 @@
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 PORT_ATTEMPTS = 100
+# Numbers of loopback_host() that clusters share among themselves.
+HOSTS = 240
 # Clusters that start side by side are given ranges of their own: "FIRST-LAST".
 PORTS_VARIABLE = "ALMONDSPOOL_PORTS"
 
@@ -40,6 +42,15 @@
     return range(int(first), int(last) + 1)
 
 
+def first_host() -> int:
+    """Return the number of the first loopback address for ports that are fixed.
+
+    Clusters that start side by side have ranges of ports, and so hosts, of their own.
+    """
+    offset = allowed_ports().start - LOWEST_PORT
+    return offset * HOSTS // (HIGHEST_PORT - LOWEST_PORT)
+
+
 def free_ports(count: int) -> range:
     """Return consecutive ports that are free for TCP and UDP.
 
--- a/tests/processes/test_searcher_wishes.py
+++ b/tests/processes/test_searcher_wishes.py
@@ -16,7 +16,7 @@
 
 # Well inside the time that a leaving searcher still serves.
 LEFT_WITHIN_S = 0.5
-REST_S = 3.0
+REST_S = 8.0
 COPY_DELAY_S = 0.03
 
 
@@ -35,9 +35,7 @@
 
     def is_complete(self, name):
         # Every searcher of a service must be known, or none is left to turn to.
-        address = self.cluster.instances_by_name[name].operator_address
-        status = self.http.request("GET", f"http://{address}/v1/status", timeout=10.0)
-        is_known = status.json()["replicas"] >= 9
+        is_known = self.known_entries(name) >= 9
         return is_known and self.call("/fetch/2f", name)[1].status == 200
 
     def call(self, path, name="instance-0"):
@@ -55,10 +53,36 @@
             if each["replica"] == replica_id
         ]
 
+    def list_others(self, replica_id, is_listed):
+        """List or unlist the other searchers of its service.
+
+        An instance prefers one of them: alone, each instance must ask the searcher
+        that a test is about, whatever its zone.
+        """
+        others = [
+            f"i-records-{zone}"
+            for zone in ("north", "south", "hills")
+            if f"i-records-{zone}" != replica_id
+        ]
+        for other in others:
+            self.cluster.behave(other, is_listed=is_listed)
+        known = 9 if is_listed else 9 - len(others)
+        for name in self.cluster.instances_by_name:
+            wait_until(
+                lambda name=name: self.known_entries(name) == known,
+                f"{name} to know {known} entries",
+            )
+
+    def known_entries(self, name):
+        address = self.cluster.instances_by_name[name].operator_address
+        status = self.http.request("GET", f"http://{address}/v1/status", timeout=10.0)
+        return status.json()["replicas"]
+
 
 class LeavingSearcherTests(_Cluster):
     def test_it_is_left_once_an_answer_said_so_and_stays_left(self):
         replica_id = "i-records-north"
+        self.list_others(replica_id, False)
         self.cluster.behave(replica_id, is_leaving=True)
         # Both instances must meet it, each for itself.
         for name in self.cluster.instances_by_name:
@@ -66,9 +90,9 @@
                 lambda name=name: self.is_told(name, replica_id), "its leave to be told"
             )
         told_at = time.time()
-        # The store goes on saying that it is ready, and says so anew.
-        self.cluster.behave(replica_id, is_leaving=True, work_ms=6.0)
-        deadline = told_at + 3.0
+        # The store goes on saying that it is ready.
+        self.list_others(replica_id, True)
+        deadline = time.time() + 3.0
         while time.time() < deadline:
             for name in self.cluster.instances_by_name:
                 self.assertEqual(200, self.call("/fetch/2f", name)[1].status)
@@ -91,14 +115,23 @@
 
     def test_at_most_two_requests_reach_it_before_the_end_of_its_time(self):
         replica_id = "i-records-south"
+        self.list_others(replica_id, False)
         self.cluster.behave(replica_id, is_full=True, rest=str(REST_S))
         wait_until(
             lambda: self.call("/fetch/2f") and self.events_of("rejected", replica_id),
             "a rejection",
         )
         asked_at = self.events_of("rejected", replica_id)[0]["at"]
+        # Nobody else is left to turn to, so without the rule it is asked each time.
+        for _ in range(20):
+            self.assertEqual(503, self.call("/fetch/2f")[1].status)
+            time.sleep(0.05)
+        self.list_others(replica_id, True)
+        served = 0
         while time.time() < asked_at + REST_S:
             self.assertEqual(200, self.call("/fetch/2f")[1].status)
+            served += 1
+        self.assertTrue(served > 0)
         reached = [
             each
             for each in self.events(replica_id)
@@ -202,6 +235,10 @@
         }
         store = ObjectStore(self.cluster.store_address, lambda *_: None)
         store.create("servers", "i-records-twice", entry)
+        wait_until(lambda: self.known_entries("instance-0") == 10, "its entry")
+        for zone in ("north", "south", "hills"):
+            self.cluster.behave(f"i-records-{zone}", is_listed=False)
+        wait_until(lambda: self.known_entries("instance-0") == 7, "it to be alone")
         from_twice = 0
         for _ in range(300):
             request_id, reply = self.call("/fetch/2f")
@@ -236,9 +273,7 @@
         self.assertEqual([], late)
 
     def is_gone(self, name):
-        address = self.cluster.instances_by_name[name].operator_address
-        status = self.http.request("GET", f"http://{address}/v1/status", timeout=10.0)
-        return status.json()["replicas"] == 8
+        return self.known_entries(name) == 8
 
     def serves(self, name):
         try:
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from almondspool.standins.hosted_cluster import HostedCluster
 from almondspool.standins.ports import (
     HIGHEST_PORT,
     LOWEST_PORT,
@@ -13,6 +14,7 @@
     format_ports,
     free_ports,
 )
+from tools.parallel_tests import WORKERS
 
 ALLOWED = range(20_000, 20_100)
 
@@ -31,3 +33,18 @@
                 ports = free_ports(3)
                 self.assertEqual(3, len(ports))
                 self.assertLessEqual(set(ports), set(ALLOWED))
+
+
+class HostTests(testtools.TestCase):
+    def addresses(self, start, stop):
+        value = format_ports(range(start, stop))
+        with mock.patch.dict(os.environ, {PORTS_VARIABLE: value}):
+            with HostedCluster(instances=3, shards=2) as cluster:
+                return {each.ip for each in cluster.instances_by_name.values()}
+
+    def test_clusters_side_by_side_have_addresses_of_their_own(self):
+        # Each instance listens on one port that is the same everywhere.
+        share = (HIGHEST_PORT - LOWEST_PORT) // WORKERS
+        starts = [LOWEST_PORT + number * share for number in range(WORKERS)]
+        groups = [self.addresses(start, start + share) for start in starts]
+        self.assertEqual(3 * WORKERS, len(set().union(*groups)))
