Run no request on a connection whose last answer is being sent

Cause: after an answer with "Connection: close" that the kernel had not accepted completely, the connection stayed readable for 0.5 s. A further byte fed the parser, whose request was still complete, and the same request was served again; a second request was parsed, and bytes after a rejection were answered once more. A large answer was cut off after 0.5 s although its caller was reading it, and a graceful shutdown exited while answers were unsent.

Change: HubSocket.close_when_sent() drops what is received, up to 4 MiB, and closes once everything is sent. A caller that reads nothing for ANSWER_READ_TIMEOUT_S is disconnected; one that reads is not. Connections with unsent answers count as busy in a shutdown. An attempt that is cancelled in the iteration in which its socket became ready ends quietly (it raised AttributeError).

Ruled out: the other servers that write a last answer (operators', callers' of the product's interface) use eventlet.wsgi, which serves a connection's requests one after the other and reads none after the last answer; peers use HTTP/2.

--- a/almondspool/transport/caller_server.py
+++ b/almondspool/transport/caller_server.py
@@ -36,11 +36,10 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-# Interval of the check for slow and idle callers. A connection that is to be closed
-# after its answer is kept open for as long if the answer is not sent completely.
+# Interval of the check for slow and idle callers.
 TIMEOUT_CHECK_INTERVAL_S = 0.5
-# A connection is closed if part of its last answer is still unsent after this time,
-# because its caller does not read or reads slowly.
+# A connection is closed if its caller has read nothing of an unsent answer for this
+# time.
 ANSWER_READ_TIMEOUT_S = 20.0
 # Most bytes of pipelined requests that one connection buffers while it serves another
 # request; a caller that sends more is disconnected.
@@ -60,7 +59,8 @@
 
     Attributes:
         state_since: When the current request's first byte arrived, or else when the
-            last answer was written or the connection accepted; in monotonic seconds.
+            caller last read from an unsent answer, the last answer was written or the
+            connection accepted; in monotonic seconds.
     """
 
     __slots__ = (
@@ -84,6 +84,7 @@
         "_socket",
         "_target",
         "_http_version",
+        "_unsent_bytes",
         "state_since",
     )
 
@@ -93,19 +94,25 @@
         self._handle: RequestHandle | None = None
         self._is_busy = False
         self._has_served = False
+        # Size of the unsent part of the answers at the last check, in bytes.
+        self._unsent_bytes = 0
         self._pipelined = b""
         self._socket = HubSocket(sock, self._on_data, self._on_closed)
         self._reset_request()
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request byte has arrived since the last answer."""
-        return not self._is_busy and not self._received_bytes
+        """Return whether no request byte has arrived since the last answer was sent."""
+        return (
+            not self._is_busy
+            and not self._received_bytes
+            and not self._socket.unsent_bytes
+        )
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being served."""
-        return self._is_busy
+        """Return whether a request is being served or an answer is not sent yet."""
+        return self._is_busy or self._socket.unsent_bytes > 0
 
     def read_available(self) -> None:
         """Read bytes that arrived but that the hub has not reported yet."""
@@ -123,10 +130,14 @@
             now: The time, in monotonic seconds.
             limits: The limits for callers.
         """
-        elapsed_s = now - self.state_since
         if self._is_busy:
             return
-        if self._socket.unsent_bytes:
+        unsent_bytes, previous = self._socket.unsent_bytes, self._unsent_bytes
+        self._unsent_bytes = unsent_bytes
+        if unsent_bytes < previous:
+            self.state_since = now
+        elapsed_s = now - self.state_since
+        if unsent_bytes:
             if elapsed_s > ANSWER_READ_TIMEOUT_S:
                 self.close()
         elif self.is_idle:
@@ -303,10 +314,11 @@
         self._close_after_answer()
 
     def _close_after_answer(self) -> None:
-        if self._socket.unsent_bytes:
-            self._server.close_later(self)
-        else:
-            self.close()
+        """Close the connection once its last answer is sent, and read no request."""
+        self.state_since = self._server.now()
+        self._socket.close_when_sent()
+        if not self._socket.is_open:
+            self._server.remove(self)
 
     def _on_closed(self, _is_orderly: bool) -> None:
         self._cancel_request()
@@ -392,19 +404,20 @@
         for connection in tuple(self._connections):
             connection.close()
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     @property
     def busy_count(self) -> int:
-        """Return the number of requests being served."""
+        """Return the number of requests that are served or whose answer is unsent."""
         return sum(connection.is_busy for connection in self._connections)
 
     def remove(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
 
-    def close_later(self, connection: CallerConnection) -> None:
-        """Close a connection after a delay, so that buffered bytes can be sent."""
-        self._timers.call_later(TIMEOUT_CHECK_INTERVAL_S, connection.close)
-
     def _on_accept(self, sock: socket.socket) -> None:
         self._connections.add(CallerConnection(sock, self))
 
--- a/almondspool/transport/hub_socket.py
+++ b/almondspool/transport/hub_socket.py
@@ -30,6 +30,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Most bytes that are received and dropped on a connection that closes after its last
+# write has been sent.
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 
 
 class HubSocket:
@@ -40,6 +43,8 @@
     """
 
     __slots__ = (
+        "_closes_when_sent",
+        "_discarded_bytes",
         "_hub",
         "_on_closed",
         "_on_data",
@@ -70,6 +75,8 @@
         self._unsent = bytearray()
         self._hub = hubs.get_hub()
         self._writer = None
+        self._closes_when_sent = False
+        self._discarded_bytes = 0
         self.is_open = True
         self._reader = self._hub.add(
             READ, sock.fileno(), self._on_readable, _ignore, _ignore
@@ -114,6 +121,16 @@
         if self.is_open:
             self._on_readable(self._socket.fileno())
 
+    def close_when_sent(self) -> None:
+        """Drop what is received from now on, and close once all bytes are sent.
+
+        ``on_closed`` is called unless the connection closes at once.
+        """
+        self._closes_when_sent = True
+        if not self._unsent:
+            self._discard_received()
+            self.close()
+
     def close(self, reset: bool = False) -> None:
         """Close the connection.
 
@@ -141,10 +158,14 @@
         except OSError:
             self._on_disconnect(False)
             return
-        if data:
+        if not data:
+            self._on_disconnect(True)
+        elif not self._closes_when_sent:
             self._on_data(data)
         else:
-            self._on_disconnect(True)
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self._on_disconnect(False)
 
     def _on_writable(self, _fileno: int) -> None:
         try:
@@ -155,10 +176,31 @@
             self._on_disconnect(False)
             return
         del self._unsent[:sent]
-        if not self._unsent and self._writer is not None:
+        if self._unsent:
+            return
+        if self._closes_when_sent:
+            self._discard_received()
+            self._on_disconnect(True)
+        elif self._writer is not None:
             self._hub.remove(self._writer)
             self._writer = None
 
+    def _discard_received(self) -> None:
+        """Drop bytes in the kernel's buffer.
+
+        A close with unread bytes resets the connection, and the peer might lose the
+        end of what was sent.
+        """
+        try:
+            while self._discarded_bytes <= MAX_DISCARDED_BYTES:
+                data = self._socket.recv(RECEIVE_BYTES)
+                if not data:
+                    return
+                self._discarded_bytes += len(data)
+        except OSError:
+            # Nothing more has arrived, or the peer has reset the connection.
+            return
+
     def _start_watching_writes(self) -> None:
         if self._writer is None:
             self._writer = self._hub.add(
@@ -239,6 +281,9 @@
             self._socket = None
 
     def _on_connected(self, _fileno: int) -> None:
+        if self._socket is None:
+            # Cancelled in the same iteration of the hub, after the event was polled.
+            return
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             self._fail(_connect_failure(error))
--- a/tests/transport/test_hub_socket.py
+++ b/tests/transport/test_hub_socket.py
@@ -34,6 +34,13 @@
             self.addCleanup(sock.close)
         return sock, failure
 
+    def test_attempt_cancelled_once_its_socket_is_ready_ends_quietly(self):
+        attempt = ConnectAttempt(self.listener.getsockname(), 5.0, self.results.append)
+        attempt.cancel()
+        # The hub had polled the event before the attempt was cancelled.
+        attempt._on_connected(0)
+        self.assertEqual([], self.results)
+
     def test_address_without_a_listener_is_refused(self):
         host, _, port = unused_address().rpartition(":")
         self.connect((host, int(port)))
