Send no probe after a request's second crash; report waits as overload

Cause: a first leg that was cut off after the request had crashed its second upstream was held and probed again, as only the first cut-off after a probe was compared with the quarantine. A search whose deadline passed while it waited inside the instance was answered 105, which states that the deadline had passed on arrival.

Change: the crash tracker remembers the quarantine and no shard gets another leg; a search that waited is refused with 201.

Before: both new tests fail (a second probe; 105). After: both pass.

--- a/almondspool/coordination/search/crash_tracker.py
+++ b/almondspool/coordination/search/crash_tracker.py
@@ -35,6 +35,8 @@
             the first crash.
         is_suspect: Whether the fingerprint was suspect at the start, or the request
             restarted after a cut-off before it was cleared.
+        is_quarantined: Whether the request has crashed a second upstream. No shard
+            gets another leg then.
     """
 
     def __init__(self, quarantine: Quarantine, fingerprint: str) -> None:
@@ -48,6 +50,7 @@
         self._max_probes = 1
         self._max_legs = 1
         self.is_suspect = False
+        self.is_quarantined = False
         self.suspicion: Suspicion | None = None
 
     @property
@@ -107,6 +110,7 @@
         self.suspicion = self._quarantine.record_cut_off(
             now_ms, self._fingerprint, leg.upstream_id
         )
+        self.is_quarantined = self.state(now_ms) is QuarantineState.QUARANTINED
         return True
 
     def needs_probe(self, run: ShardRun) -> bool:
--- a/almondspool/coordination/search/search.py
+++ b/almondspool/coordination/search/search.py
@@ -145,7 +145,13 @@
 
     def _begin(self, now: float, section: Section) -> None:
         if now >= self._deadline.finish_at:
-            self._refuse(now, ResultCode.DEADLINE_EXPIRED)
+            has_waited = self._deadline.finish_at > self._arrived_at
+            code = (
+                ResultCode.NOT_RUN_OVERLOADED
+                if has_waited
+                else ResultCode.DEADLINE_EXPIRED
+            )
+            self._refuse(now, code, "the deadline passed before the first leg")
             return
         snapshot = section.newest_snapshot()
         try:
@@ -293,6 +299,8 @@
     def _may_retry(self, now: float, run: ShardRun, code: ResultCode) -> bool:
         if code == ResultCode.LEG_SUSPECT or not has_attempts_left(run):
             return False
+        if self._crash_tracker.is_quarantined:
+            return False
         may_run_twice = self._request.idempotent and not self._crash_tracker.is_suspect
         return self._deadline.may_send(now) and (may_run_twice or not run.may_have_run)
 
@@ -300,7 +308,7 @@
         now_ms = self._epoch_ms(now)
         if not self._crash_tracker.record_cut_off(now_ms, run, leg):
             return
-        if self._crash_tracker.state(now_ms) != QuarantineState.QUARANTINED:
+        if not self._crash_tracker.is_quarantined:
             return
         # After the second crash, shards without a leg in flight get no further leg.
         for other in self._runs_by_shard.values():
--- a/tests/coordination/search/test_lost_replicas.py
+++ b/tests/coordination/search/test_lost_replicas.py
@@ -198,3 +198,12 @@
         reasons = [action.reason for action in driver.sent]
         self.assertEqual(SERVICES, sum("probe" in reason for reason in reasons))
         self.assertThat(driver.answers[0].elapsed_ms, LessThan(50))
+
+    def test_leg_cut_off_after_the_second_crash_is_not_probed(self):
+        driver = SearchSessionDriver(make_section(services=3))
+        lose_replicas(driver, CUT_OFF, "abc")
+        # The third first leg is still in flight when the probe crashes its upstream.
+        driver.reply_by_number = {3: CUT_OFF._replace(delay_s=0.050)}
+        driver.run()
+        reasons = [action.reason.partition(":")[0] for action in driver.sent]
+        self.assertEqual(["first"] * 3 + ["probe_after_cut_off"], reasons)
--- a/tests/coordination/search/test_search.py
+++ b/tests/coordination/search/test_search.py
@@ -6,6 +6,7 @@
 from almondspool.coordination.search import answers, search
 from almondspool.coordination.search.crash_tracker import CrashTracker
 from almondspool.coordination.search.quarantine import Quarantine, QuarantineState
+from almondspool.coordination.search.search import make_session
 from almondspool.coordination.search.search_context import renew_context
 from almondspool.coordination.search.shard_run import CheckedResult
 from almondspool.coordination.upstreams.budget import ExtraLegBudget
@@ -259,6 +260,26 @@
         driver.timers.call_later(0.008, lambda: setattr(driver, "section", swapped))
         self.assertEqual(ResultCode.PARTIAL, driver.run().code)
 
+    def test_search_that_waited_past_its_deadline_is_refused_as_overload(self):
+        driver = SearchSessionDriver()
+        now = driver.timers.now()
+        for waited_s, code in (
+            (2.0, ResultCode.NOT_RUN_OVERLOADED),
+            (0.0, ResultCode.OK),
+        ):
+            session = make_session(
+                driver.context,
+                make_request(deadline_ms=1000),
+                lambda: driver.section,
+                4,
+                now - waited_s,
+                driver.timers.wall_time() - waited_s,
+            )
+            driver.execute(session, session.start(driver.timers.now()))
+            driver.timers.advance(0.5)
+            now = driver.timers.now()
+            self.assertEqual(code, driver.answers[-1].code)
+
     def test_miscounted_coverage_is_an_internal_error(self):
         self.patch(answers, "count_coverage", lambda runs: NO_COVERAGE)
         answer = SearchSessionDriver().run()
