Keep watches alive through their first delay, and bound absurd numbers

Causes: EventletTimers called a subscriber once more after cancel(), as the sleep ended before the flag was read again. A watch that was told to list again during the delay of its first read ended, and so did one whose source could not be chosen. A Retry-After of "inf" stopped the reads of the store for good, "nan" raised in the sleep; settings took "nan" and "inf" as numbers.

Change: the flag is checked after the sleep; the delay and the choice of the source are inside the error handling; Retry-After is bounded to 10 s; settings must be finite.

Before: each new test fails. After: all pass.

--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 import tomllib
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -163,6 +164,8 @@
 
 def _number(values: Mapping[str, Any], key: str, default: float) -> float:
     value = values.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-        raise SettingsError(f"{key}: {value!r} is not a number of at least 0")
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    # The comparisons are false for "nan", too.
+    if not is_number or not 0 <= value < math.inf:
+        raise SettingsError(f"{key}: {value!r} is not a finite number of at least 0")
     return float(value)
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import urllib.parse
 import zlib
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -34,6 +35,9 @@
 WATCH_TIMEOUT_MARGIN_S = 3.0
 _MAX_IDLE_CONNECTIONS = 2
 _MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Longest delay taken over from a Retry-After header: a larger value would stop the
+# reads of the configuration for longer than an outage lasts.
+MAX_RETRY_AFTER_S = 10.0
 _CODE_BY_STATUS = {
     404: ResultCode.PLATFORM_NOT_FOUND,
     409: ResultCode.PLATFORM_CONFLICT,
@@ -358,11 +362,15 @@
 
 
 def _retry_after_s(value: bytes | None) -> float:
-    """Return the delay in a Retry-After header; 0.0 if missing or malformed."""
+    """Return the delay in a Retry-After header, up to MAX_RETRY_AFTER_S.
+
+    It is 0.0 if the header is missing or malformed.
+    """
     try:
-        return max(0.0, float(value)) if value else 0.0
+        delay_s = float(value) if value else 0.0
     except ValueError:
         return 0.0
+    return 0.0 if math.isnan(delay_s) else min(MAX_RETRY_AFTER_S, max(0.0, delay_s))
 
 
 def _decode_object(kind: str, item: Any, is_deleted: bool = False) -> StoredObject:
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -135,29 +135,27 @@
 
     def run(self) -> None:
         """Follow the kind until the green thread is killed."""
-        waited_s = 0.0
-        while (pause_s := self._first_read_delay_s(waited_s)) > 0.0:
-            eventlet.sleep(pause_s)
-            waited_s += pause_s
+        step = self._wait_for_first_read
         while True:
             try:
-                self._read_once()
+                step()
             except StaleWatchError as error:
-                # Raised during the pause after a failed read.
+                # Raised during the wait, or during the pause after a failed read.
                 self._schedule_relist(error)
+            step = self._read_once
+
+    def _wait_for_first_read(self) -> None:
+        waited_s = 0.0
+        while (pause_s := self._first_read_delay_s(waited_s)) > 0.0:
+            eventlet.sleep(pause_s)
+            waited_s += pause_s
 
     def _read_once(self) -> None:
         """List or watch the kind once, and pause before the next read."""
-        source = self._choose_source(self._failures)
         try:
-            if self._watch_revision:
-                self._watch(source)
-            else:
-                self._list(source)
-        except StaleWatchError as error:
-            self._schedule_relist(error)
-        except PlatformError as error:
-            self._on_failure(source, error)
+            self._read_from(self._choose_source(self._failures))
+        except StaleWatchError:
+            raise
         except Exception as error:
             # An unexpected object must not end the watch: the kind is listed again.
             self._log.write(
@@ -170,6 +168,17 @@
             self._watch_revision = 0
             eventlet.sleep(MAX_BACKOFF_S)
 
+    def _read_from(self, source: WatchSource) -> None:
+        try:
+            if self._watch_revision:
+                self._watch(source)
+            else:
+                self._list(source)
+        except StaleWatchError:
+            raise
+        except PlatformError as error:
+            self._on_failure(source, error)
+
     def _schedule_relist(self, error: StaleWatchError) -> None:
         """Make the next read a list, as a watch may wait for a long time.
 
--- a/almondspool/transport/timers.py
+++ b/almondspool/transport/timers.py
@@ -104,7 +104,8 @@
     ) -> None:
         while not handle.is_cancelled:
             eventlet.sleep(interval_s)
-            callback()
+            if not handle.is_cancelled:
+                callback()
 
 
 class _VirtualTimer(NamedTuple):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -58,6 +58,8 @@
             ('node = "front-perth-north-1"', "node = 5", "node"),
             ('zone = "perth-north"', 'zone = ""', "zone"),
             ("internal_ports = [7740,7755]", "internal_ports = []", "internal_ports"),
+            ("grace_s = 6", "grace_s = nan", "grace_s"),
+            ("retry_slack = 58", "retry_slack = inf", "retry_slack"),
             ("retry_slack = 58", 'retry_slack = "many"', "retry_slack"),
             ("grace_s = 6", "grace_s = -1", "grace_s"),
             ('address = "10.200.1.7:8229"', "", "address"),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from almondspool.errors import PlatformError
 from almondspool.platform import store as store_module
 from almondspool.platform.object_store_platform import ObjectStorePlatform
-from almondspool.platform.store import ObjectStoreClient
+from almondspool.platform.store import MAX_RETRY_AFTER_S, ObjectStoreClient
 from tests.transport.scripted_peer import ScriptedServer, unused_address
 
 
@@ -117,6 +117,17 @@
         reply = http_reply(429, {}, b"Retry-After: 0.5\r\n")
         self.assertEqual(0.5, self.error_of(reply).retry_after_s)
 
+    def test_retry_delay_is_bounded(self):
+        for value, delay_s in (
+            (b"inf", MAX_RETRY_AFTER_S),
+            (b"1e300", MAX_RETRY_AFTER_S),
+            (b"nan", 0.0),
+            (b"-1", 0.0),
+            (b"soon", 0.0),
+        ):
+            reply = http_reply(429, {}, b"Retry-After: " + value + b"\r\n")
+            self.assertEqual(delay_s, self.error_of(reply).retry_after_s)
+
     def test_malformed_replies_are_errors(self):
         for reply in (
             b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{x}",
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -53,19 +53,21 @@
         self.tables = []
         self.source_instance = ""
 
-    def follow(self, *replies, handler=None, fallback_peers=tuple):
-        store = ScriptedStore(*replies)
+    def follow(
+        self, *replies, handler=None, store=None, choose_source=None, **arguments
+    ):
+        store = store or ScriptedStore(*replies)
         log = EventLog(self.log_lines.append)
         handler = handler or ConfigurationHandler(self.tables.append, log)
         self.mirror = KindMirror(VirtualTimers())
         watch = KindWatch(
             "config",
-            lambda failures: WatchSource(self.source_instance, store),
+            choose_source or (lambda _: WatchSource(self.source_instance, store)),
             handler,
             self.mirror,
             random.Random(1),
             log,
-            fallback_peers=fallback_peers,
+            **arguments,
         )
         self.assertRaises(eventlet.greenlet.GreenletExit, watch.run)
         self.timeouts_s = store.timeouts_s
@@ -270,6 +272,34 @@
         self.assertEqual([4], self.versions())
         self.assertEqual([("list",), ("watch", 8)], calls[-2:])
 
+    def test_relist_during_the_first_delay_does_not_end_the_watch(self):
+        errors = iter([watches.StaleWatchError("a member knows a newer config")])
+
+        def sleep(_):
+            for error in errors:
+                raise error
+
+        self.patch(watches.eventlet, "sleep", sleep)
+        delays = iter([0.4, 0.0])
+        calls = self.follow(
+            StoredList((self.config(4),), 8),
+            first_read_delay_s=lambda _: next(delays, 0.0),
+        )
+        self.assertEqual([("list",), ("watch", 8)], calls)
+
+    def test_error_in_the_choice_of_a_source_does_not_end_the_watch(self):
+        store = ScriptedStore(StoredList((self.config(4),), 8))
+        sources = iter([None])
+
+        def choose_source(failures):
+            for _ in sources:
+                raise KeyError("unexpected")
+            return WatchSource("", store)
+
+        calls = self.follow(choose_source=choose_source, store=store)
+        self.assertEqual([("list",), ("watch", 8)], calls)
+        self.assertTrue(any("store.internal_error" in line for line in self.log_lines))
+
     def test_failed_call_to_an_instance_is_no_loss_of_the_store(self):
         self.source_instance = "instance-1"
         self.follow(StoredList((), 5), PlatformError("down"), ((), 6))
--- a/tests/transport/test_timers.py
+++ b/tests/transport/test_timers.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
+import eventlet
 import testtools
 
-from almondspool.transport.timers import VirtualTimers
+from almondspool.transport.timers import EventletTimers, VirtualTimers
 from tests.golden_session import verify_session
 
 
@@ -21,3 +22,13 @@
         repeating.cancel()
         timers.advance(5.0)
         verify_session("virtual_timers", lines)
+
+
+class EventletTimersTests(testtools.TestCase):
+    def test_subscription_is_not_called_after_its_cancellation(self):
+        calls = []
+        handle = EventletTimers().subscribe(0.02, lambda: calls.append(1))
+        eventlet.sleep(0.005)
+        handle.cancel()
+        eventlet.sleep(0.05)
+        self.assertEqual([], calls)
