Say what is known when a reply to apply, or the status after it, is lost

A lost reply to apply or search was reported as 506, although the instance may have run it. Any OSError at the start was reported as ADDRESS_IN_USE.

Change: the parsed flag decides on JSON; 406 DOCUMENT_FORCE_UNKNOWN and 407 DOCUMENT_OUTCOME_UNKNOWN (exit codes 46 and 47) print the acceptance or the token to repeat; a search whose reply is lost ends with 302; 507 START_FAILED is any other error at the start.

--- a/almondspool/cli/client.py
+++ b/almondspool/cli/client.py
@@ -31,6 +31,11 @@
 _Answer = TypeVar("_Answer")
 
 
+# After these errors the instance may have received the request.
+_REPLY_LOST_ERRORS = (
+    urllib3.exceptions.ProtocolError,
+    urllib3.exceptions.ReadTimeoutError,
+)
 # An instance answers late while the platform fails: it retries the write of a section.
 MIN_APPLY_TIMEOUT_S = 30.0
 
@@ -40,8 +45,9 @@
 
     An instance that answers with an error ends the call: the others are not tried.
     Every method raises InstanceError if no instance answers or the answer cannot be
-    decoded. An error answer is raised as InstanceError with its code, except by
-    get_entries() and search(), which return it.
+    decoded; with the code OUTCOME_UNKNOWN if an instance may have received a request
+    other than a GET. An error answer is raised as InstanceError with its code, except
+    by get_entries() and search(), which return it.
     """
 
     def __init__(self, addresses: Sequence[str], timeout_s: float) -> None:
@@ -122,6 +128,7 @@
         timeout_s: float | None = None,
     ) -> bytes:
         failures = []
+        code = ResultCode.INSTANCE_UNREACHABLE
         for address in addresses or self._addresses:
             try:
                 response = self._pool.request(
@@ -132,9 +139,12 @@
                 )
             except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
                 failures.append(f"{address}: {error}")
+                if method != "GET" and isinstance(error, _REPLY_LOST_ERRORS):
+                    code = ResultCode.OUTCOME_UNKNOWN
                 continue
             return response.data
-        raise InstanceError(f"no instance answered {path}: " + "; ".join(failures))
+        message = f"no instance answered {path}: " + "; ".join(failures)
+        raise InstanceError(message, code)
 
     def _decode(self, path: str, body: bytes, answer_type: type[_Answer]) -> _Answer:
         try:
--- a/almondspool/cli/document_commands.py
+++ b/almondspool/cli/document_commands.py
@@ -97,9 +97,22 @@
     for file in files:
         token = context.options.token or context.new_token()
         base = _choose_base(context, file)
-        answer = context.client.apply_section(
-            file.section.team, file.text.encode(), base, token
-        )
+        try:
+            answer = context.client.apply_section(
+                file.section.team, file.text.encode(), base, token
+            )
+        except InstanceError as error:
+            if error.code is not ResultCode.OUTCOME_UNKNOWN:
+                raise
+            code = ResultCode.DOCUMENT_OUTCOME_UNKNOWN
+            lines += [
+                f"unknown, {int(code)} {code.name}: {error}",
+                _describe_repetition(token),
+            ]
+            answers.append(
+                {"code": int(code), "team": file.section.team, "token": token}
+            )
+            break
         answers.append(answer)
         code = ResultCode(answer["code"])
         lines += describe_apply(answer, token)
@@ -167,5 +180,9 @@
             f" {answer['current_version']}; edit that one and apply it again"
         )
     if code is ResultCode.OUTCOME_UNKNOWN:
-        lines.append(f"repeat the same command with --token={token}")
+        lines.append(_describe_repetition(token))
     return lines
+
+
+def _describe_repetition(token: str) -> str:
+    return f"repeat the same command with --token={token}"
--- a/almondspool/cli/main.py
+++ b/almondspool/cli/main.py
@@ -175,32 +175,43 @@
     Args:
         argv: The program's name and its arguments.
     """
-    # Not read from the parsed flags: a parsing error is printed as JSON, too.
-    as_json = "--json" in argv
+    values = make_flags()
     try:
-        result = _run_command(argv)
+        result = _run_command(values, argv)
     except AlmondspoolError as error:
         result = _describe_error(error)
-    if as_json:
+    if values.json if values.is_parsed() else _is_json_requested(argv):
         print(json.dumps(result.data))
     elif result.lines:
         print("\n".join(result.lines), file=_choose_stream(result.code))
     return exit_code(result.code)
 
 
+def _is_json_requested(argv: Sequence[str]) -> bool:
+    """Return whether a command line that could not be parsed asks for JSON."""
+    return any(
+        argument.lstrip("-").partition("=")[0] == "json"
+        for argument in argv
+        if argument.startswith("-")
+    )
+
+
 def _choose_stream(code: ResultCode) -> TextIO:
     """Return stdout for the result of a command, complete or not, else stderr."""
     is_result = code is ResultCode.OK or code // 100 == INCOMPLETE_RESULT_GROUP
     return sys.stdout if is_result else sys.stderr
 
 
-def _run_command(argv: Sequence[str]) -> CommandResult:
+def _run_command(values: flags.FlagValues, argv: Sequence[str]) -> CommandResult:
     """Parse the command line and run the subcommand that it names.
 
+    Args:
+        values: The flags, not yet parsed.
+        argv: The program's name and its arguments.
+
     Raises:
         AlmondspoolError: If the command line is invalid or the subcommand fails.
     """
-    values = make_flags()
     try:
         name, *arguments = values(list(argv))[1:] or [""]
     except flags.Error as error:
--- a/almondspool/cli/waiting.py
+++ b/almondspool/cli/waiting.py
@@ -6,6 +6,7 @@
 
 from almondspool.cli.results import CommandContext, CommandResult
 from almondspool.codes import ResultCode
+from almondspool.errors import InstanceError
 
 if TYPE_CHECKING:
     from almondspool.protocol.operator import MemberRow, StatusAnswer
@@ -26,11 +27,15 @@
 
     Returns:
         The result with code DOCUMENT_NOT_IN_FORCE if an instance has not adopted the
-        generation after the timeout.
+        generation after the timeout, or with code DOCUMENT_FORCE_UNKNOWN if no
+        instance tells the status.
     """
     waited_s = 0.0
     while True:
-        live = live_members(context.client.get_status())
+        try:
+            live = live_members(context.client.get_status())
+        except InstanceError as error:
+            return _extend_result_without_status(result, generation, error)
         behind = [row for row in live if row["generation"] < generation]
         if not behind or waited_s >= context.options.timeout_s:
             break
@@ -44,6 +49,20 @@
     return [row for row in status["members"] if row["status"] in LIVE_STATUSES]
 
 
+def _extend_result_without_status(
+    result: CommandResult, generation: int, error: InstanceError
+) -> CommandResult:
+    """Add to a result that the instances which run a generation are not known."""
+    code = ResultCode.DOCUMENT_FORCE_UNKNOWN
+    lines = [
+        *result.lines,
+        f"accepted, but it is not known which instances run generation {generation}:"
+        f" {error}",
+    ]
+    data = {**result.data, "code": int(code), "message": str(error)}
+    return CommandResult(code, lines, data)
+
+
 def _extend_result(
     result: CommandResult,
     generation: int,
--- a/almondspool/codes.py
+++ b/almondspool/codes.py
@@ -41,6 +41,8 @@
     DOCUMENT_TOO_LARGE = 403
     DOCUMENT_NOT_IN_FORCE = 404
     DOCUMENT_UNKNOWN_TEAM = 405
+    DOCUMENT_FORCE_UNKNOWN = 406
+    DOCUMENT_OUTCOME_UNKNOWN = 407
 
     SETTINGS_INVALID = 501
     SETTINGS_UNREADABLE = 502
@@ -48,6 +50,7 @@
     INTERRUPTED = 504
     USAGE = 505
     INSTANCE_UNREACHABLE = 506
+    START_FAILED = 507
     INTERNAL = 599
 
     PLATFORM_UNAVAILABLE = 601
@@ -109,12 +112,19 @@
     ResultCode.DOCUMENT_TOO_LARGE: "A section exceeds the platform's value size.",
     ResultCode.DOCUMENT_NOT_IN_FORCE: "Accepted, but not yet run by every instance.",
     ResultCode.DOCUMENT_UNKNOWN_TEAM: "No section of this team is in the document.",
+    ResultCode.DOCUMENT_FORCE_UNKNOWN: (
+        "Accepted, but which instances run it could not be read."
+    ),
+    ResultCode.DOCUMENT_OUTCOME_UNKNOWN: (
+        "The section was sent, but whether it was accepted is unknown."
+    ),
     ResultCode.SETTINGS_INVALID: "A setting has a wrong name, type or value.",
     ResultCode.SETTINGS_UNREADABLE: "The settings file cannot be read.",
     ResultCode.ADDRESS_IN_USE: "A listening address is already in use.",
     ResultCode.INTERRUPTED: "A second stop signal cut requests in flight.",
     ResultCode.USAGE: "The command line is wrong.",
     ResultCode.INSTANCE_UNREACHABLE: "No instance answered the command-line tool.",
+    ResultCode.START_FAILED: "The process could not start; see the log.",
     ResultCode.INTERNAL: "An unexpected error; see the log.",
     ResultCode.PLATFORM_UNAVAILABLE: "The platform did not answer.",
     ResultCode.PLATFORM_CONFLICT: "The object's version is not the expected one.",
--- a/almondspool/coordination/membership/membership_task.py
+++ b/almondspool/coordination/membership/membership_task.py
@@ -294,7 +294,7 @@
         cpu_cores: The processor capacity of this instance in cores; 0.0 if unknown.
 
     Raises:
-        AlmondspoolError: With ADDRESS_IN_USE.
+        AlmondspoolError: With ADDRESS_IN_USE or START_FAILED.
     """
     own = Member(
         instance=settings.instance,
--- a/almondspool/daemon.py
+++ b/almondspool/daemon.py
@@ -20,7 +20,11 @@
 from almondspool.absl_logs import AbslLineFormatter, AbslSink  # noqa: E402
 from almondspool.application import Application, make_application  # noqa: E402
 from almondspool.codes import ResultCode, exit_code  # noqa: E402
-from almondspool.errors import AlmondspoolError, SettingsError  # noqa: E402
+from almondspool.errors import (  # noqa: E402
+    AlmondspoolError,
+    SettingsError,
+    start_failure_code,
+)
 from almondspool.logs import EventLog  # noqa: E402
 from almondspool.settings import load_settings  # noqa: E402
 
@@ -66,8 +70,9 @@
         application = make_application(settings, log)
         application.start()
     except (OSError, AlmondspoolError) as error:
-        log.write("daemon.refused", detail=str(error))
-        return exit_code(ResultCode.ADDRESS_IN_USE)
+        code = start_failure_code(error)
+        log.write("daemon.refused", code=code.name, detail=str(error))
+        return exit_code(code)
     return _run_until_stopped(application, signals, log)
 
 
--- a/almondspool/errors.py
+++ b/almondspool/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+
 from almondspool.codes import ResultCode
 
 
@@ -107,3 +109,12 @@
     """No instance answered the command-line tool, or one answered with an error."""
 
     code = ResultCode.INSTANCE_UNREACHABLE
+
+
+def start_failure_code(error: OSError | AlmondspoolError) -> ResultCode:
+    """Return the result code of an error that prevents the start of a process."""
+    if isinstance(error, AlmondspoolError):
+        return error.code
+    if error.errno == errno.EADDRINUSE:
+        return ResultCode.ADDRESS_IN_USE
+    return ResultCode.START_FAILED
--- a/almondspool/platform/__main__.py
+++ b/almondspool/platform/__main__.py
@@ -15,7 +15,11 @@
 import eventlet  # noqa: E402
 
 from almondspool.codes import ResultCode, exit_code  # noqa: E402
-from almondspool.errors import AlmondspoolError, SettingsError  # noqa: E402
+from almondspool.errors import (  # noqa: E402
+    AlmondspoolError,
+    SettingsError,
+    start_failure_code,
+)
 from almondspool.platform.application import (  # noqa: E402
     PlatformApplication,
     make_platform_application,
@@ -101,10 +105,8 @@
         settings = load_platform_settings(path)
         application = make_platform_application(settings, timers, log)
         application.start()
-    except SettingsError as error:
-        return _report_failed_start(log, str(error), error.code)
     except (OSError, AlmondspoolError) as error:
-        return _report_failed_start(log, str(error), ResultCode.ADDRESS_IN_USE)
+        return _report_failed_start(log, str(error), start_failure_code(error))
     log.start()
     gc.collect()
     gc.freeze()
--- a/almondspool/transport/heartbeats.py
+++ b/almondspool/transport/heartbeats.py
@@ -8,7 +8,7 @@
 from eventlet.green import socket
 
 from almondspool.codes import ResultCode
-from almondspool.errors import AlmondspoolError, PeerError
+from almondspool.errors import AlmondspoolError, PeerError, start_failure_code
 from almondspool.protocol.member_checks import (
     MAX_INTEGER_VALUE,
     check_member,
@@ -206,7 +206,7 @@
             metrics: The counters.
 
         Raises:
-            AlmondspoolError: With ADDRESS_IN_USE.
+            AlmondspoolError: With ADDRESS_IN_USE or START_FAILED.
         """
         self._codec = codec
         self._timers = timers
@@ -220,7 +220,7 @@
         except OSError as error:
             self._socket.close()
             raise AlmondspoolError(
-                f"cannot bind UDP {address}: {error}", ResultCode.ADDRESS_IN_USE
+                f"cannot bind UDP {address}: {error}", start_failure_code(error)
             ) from error
 
     def send(self, sender: str, action: SendDatagram) -> None:
--- a/tests/cli/loopback.py
+++ b/tests/cli/loopback.py
@@ -8,6 +8,8 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+import urllib3
+
 from almondspool.coordination.configuration.document_answers import (
     apply_section,
     describe_document,
@@ -103,11 +105,16 @@
 
     Attributes:
         unreachable_instances: Names of the instances whose connections are refused.
+        after_apply: Called after each write of a section.
+        silent_instances: Names of the instances that run a request but send no reply,
+            except to a GET.
         search_requests: Bodies of the search requests received by any instance.
     """
 
     def __init__(self, session: ConfigurationSession, search_answer=b"{}"):
         self.unreachable_instances = set()
+        self.silent_instances = set()
+        self.after_apply = lambda: None
         self.search_requests = []
         self._servers_by_name = {}
         self._search_answer = search_answer
@@ -129,6 +136,10 @@
             "wsgi.input": io.BytesIO(body or b""),
         }
         response = self._servers_by_name[url_parts.hostname]._respond(environ)
+        if method == "PUT":
+            self.after_apply()
+        if method != "GET" and url_parts.hostname in self.silent_instances:
+            raise urllib3.exceptions.ProtocolError("connection reset by peer")
         return types.SimpleNamespace(data=response.body, status=response.status)
 
     def _search(self, request):
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -151,6 +151,38 @@
         self.run_tool(*search_call, expected=ResultCode.INSTANCE_UNREACHABLE)
         self.assertEqual([], self.pool.search_requests)
 
+    def test_json_with_a_value_prints_json(self):
+        for argument in ("--json=true", "--json"):
+            json.loads(self.run_tool("status", argument))
+        self.assertIn("instance perth-1", self.run_tool("status", "--json=false"))
+        error = self.run_tool("--json=true", "--frob", expected=ResultCode.USAGE)
+        self.assertEqual(int(ResultCode.USAGE), json.loads(error)["code"])
+
+    def test_acceptance_is_reported_if_no_instance_tells_the_status(self):
+        self.write("desk.yaml", section_text("alert-desk", 1))
+        self.pool.after_apply = lambda: self.pool.unreachable_instances.update(
+            ("perth-1", "perth-2")
+        )
+        code = ResultCode.DOCUMENT_FORCE_UNKNOWN
+        self.run_tool("apply", "desk.yaml", "--wait", expected=code)
+        output = "\n".join(self.lines)
+        self.assertIn("document generation 1", output)
+        self.assertIn("not known which instances run generation 1", output)
+
+    def test_lost_reply_to_apply_says_that_the_outcome_is_unknown(self):
+        self.write("desk.yaml", section_text("alert-desk", 1))
+        self.pool.silent_instances.update(("perth-1", "perth-2"))
+        code = ResultCode.DOCUMENT_OUTCOME_UNKNOWN
+        output = self.run_tool("apply", "desk.yaml", "--json", expected=code)
+        section = json.loads(output)["sections"][0]
+        self.pool.silent_instances.clear()
+        self.run_tool("apply", "desk.yaml", f"--token={section['token']}")
+        self.assertIn("document generation 1", self.lines[-2])
+
+    def test_lost_reply_to_a_search_is_not_reported_as_unreachable(self):
+        self.pool.silent_instances.update(("perth-1", "perth-2"))
+        self.run_tool("search", "alert-desk", expected=ResultCode.OUTCOME_UNKNOWN)
+
     def test_check_lists_every_invalid_file(self):
         out = io.StringIO()
         paths = sorted(map(str, DOCUMENTS_DIR.glob("*.yaml")))
