Count only executed requests as runs in the soak's booking checks

Change: the two booking checks take the entries of the event "run"; work after a drain still counts both. is_dead needs an answer; a rate of 0 has no arrivals.

--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -139,7 +139,12 @@
 
 
 def schedule_arrivals(plan: LoadPlan) -> Iterator[Arrival]:
-    """Yield the arrivals of a plan, which depend on its seed and not on answers."""
+    """Yield the arrivals of a plan, which depend on its seed and not on answers.
+
+    There are none at a rate of 0, which is a share of a capacity of 0.
+    """
+    if plan.rate_per_s <= 0.0:
+        return
     rng = random.Random(plan.seed)
     weights = [request_class.weight for request_class in plan.classes]
     interval_s = 1.0 / plan.rate_per_s
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -133,7 +133,7 @@
 def duplicate_bookings(runs: Iterable[dict], attempts: Iterable[Attempt]) -> list[str]:
     """Return the request ids of the bookings that ran more than once."""
     bookings = {attempt.request_id for attempt in attempts if attempt.kind == "book"}
-    counts = collections.Counter(run["request"] for run in runs)
+    counts = collections.Counter(_ids_of_executed_requests(runs))
     return sorted(booking for booking in bookings if counts[booking] > 1)
 
 
@@ -141,7 +141,7 @@
     runs: Iterable[dict], attempts: Iterable[Attempt]
 ) -> list[str]:
     """Return the request ids of the bookings that ran despite a "not run" status."""
-    ran = {run["request"] for run in runs}
+    ran = set(_ids_of_executed_requests(runs))
     return sorted(
         attempt.request_id
         for attempt in attempts
@@ -151,6 +151,11 @@
     )
 
 
+def _ids_of_executed_requests(runs: Iterable[dict]) -> list[str]:
+    """Return the id of each run; the journal has an entry for each rejection, too."""
+    return [run["request"] for run in runs if run["event"] == "run"]
+
+
 def work_after_drain(runs: Iterable[dict], drains: Iterable[Drain]) -> list[str]:
     """Return the requests that ran at a searcher too long after it began to drain."""
     return [
--- a/tests/bench/test_traffic.py
+++ b/tests/bench/test_traffic.py
@@ -42,3 +42,7 @@
         plan = make_plan(rate_per_s=4.0, duration_s=1.1, is_poisson=False)
         due = [arrival.due_s for arrival in schedule_arrivals(plan)]
         self.assertEqual([0.25, 0.5, 0.75, 1.0], due)
+
+    def test_rate_of_zero_has_no_arrivals(self):
+        plan = make_plan(rate_per_s=0.0)
+        self.assertEqual([], list(schedule_arrivals(plan)))
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -248,11 +248,12 @@
 
 
 def is_dead(cluster: Cluster, name: str) -> bool:
-    """Return whether all other instances that answer consider an instance dead."""
+    """Return whether other instances answer and all consider an instance dead."""
     others = [other for other in cluster.instances_by_name if other != name]
-    return all(
+    statuses = statuses_by_name(cluster, others).values()
+    return bool(statuses) and all(
         member["status"] == "dead"
-        for status in statuses_by_name(cluster, others).values()
+        for status in statuses
         for member in status["members"]
         if member["instance"] == name
     )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -27,8 +27,8 @@
     return attempt._replace(**changes)
 
 
-def make_run(request_id="b1", replica_id="x", at=1.0):
-    return {"request": request_id, "replica": replica_id, "at": at}
+def make_run(request_id="b1", replica_id="x", at=1.0, event="run"):
+    return {"request": request_id, "replica": replica_id, "at": at, "event": event}
 
 
 class CheckTests(testtools.TestCase):
@@ -77,12 +77,18 @@
         self.assertEqual(
             ["b1"], checks.duplicate_bookings([make_run(), make_run()], [booking])
         )
+        rejected = make_run(event="rejected")
+        self.assertEqual(
+            [], checks.duplicate_bookings([rejected, make_run()], [booking])
+        )
 
     def test_booking_that_ran_despite_refusal(self):
         booking = Attempt("b1", "book", "i0", 1.0, 503)
         self.assertEqual(
             ["b1"], checks.bookings_run_despite_refusal([make_run()], [booking])
         )
+        rejected = make_run(event="rejected")
+        self.assertEqual([], checks.bookings_run_despite_refusal([rejected], [booking]))
         failed = booking._replace(status=502)
         self.assertEqual(
             [], checks.bookings_run_despite_refusal([make_run()], [failed])
