--- a/almondspool/standins/hosted_cluster.py
+++ b/almondspool/standins/hosted_cluster.py
@@ -16,10 +16,9 @@
     SearcherProcessPlan,
 )
 from almondspool.standins.ports import (
-    first_host_number,
     free_ports,
     loopback_address,
-    loopback_host,
+    reserve_hosts,
 )
 from almondspool.standins.processes import ChildProcess, answers_ok
 
@@ -105,6 +104,7 @@
         used_ports = _INSTANCE_PORT_COUNT + 3 + searcher_count
         ports = free_ports(used_ports + spare_ports)
         self._ports = ports
+        self._hosts = reserve_hosts(instances)
         self.spare_ports = iter(ports[used_ports:])
         self.store_address = loopback_address(ports.start + _INSTANCE_PORT_COUNT)
         self._searcher_control_address = loopback_address(
@@ -292,7 +292,7 @@
         return ChildProcess(name, arguments, str(self.directory), environment)
 
     def _plan_instance(self, number: int) -> HostedInstance:
-        ip = loopback_host(first_host_number() + number)
+        ip = self._hosts[number]
         start = self._ports.start
         return HostedInstance(
             f"instance-{number}",
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
 import os
+import subprocess
+import sys
 from unittest import mock
 
 import testtools
+from testtools.matchers import GreaterThan
 
 from almondspool.standins.hosted_cluster import HostedCluster
 from almondspool.standins.ports import (
@@ -35,6 +38,35 @@
                 self.assertLessEqual(set(ports), set(ALLOWED))
 
 
+class ReservationTests(testtools.TestCase):
+    """Two test runs beside each other use the same range of ports."""
+
+    RESERVE = (
+        "from almondspool.standins.ports import free_ports, reserve_hosts\n"
+        "print(free_ports(40).start, *reserve_hosts(3), flush=True)\n"
+        "input()\n"
+    )
+
+    def reserve(self):
+        ports = range(ALLOWED.start, ALLOWED.start + 1000)
+        environment = {**os.environ, PORTS_VARIABLE: format_ports(ports)}
+        process = subprocess.Popen(
+            [sys.executable, "-c", self.RESERVE],
+            env=environment,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.communicate, "\n")
+        return process.stdout.readline().split()
+
+    def test_concurrent_processes_get_different_ports_and_hosts(self):
+        first_port, *first_hosts = self.reserve()
+        second_port, *second_hosts = self.reserve()
+        self.assertThat(abs(int(first_port) - int(second_port)), GreaterThan(39))
+        self.assertEqual(set(), set(first_hosts) & set(second_hosts))
+
+
 class HostTests(testtools.TestCase):
     def instance_ips(self, start, stop):
         value = format_ports(range(start, stop))
