Cancel legs that nobody needs if their slot or connection is worth it

Hypothesis: under overload, legs that are left open when a search ends or loses to a hedge occupy slots that queued legs need.

Change: routing/unneeded_legs decides; a leg is cancelled if its replica has a queue or if another connection to it is idle, else detached for its late reply as before. It holds for searches and for single requests.

--- a/almondspool/routing/context.py
+++ b/almondspool/routing/context.py
@@ -53,7 +53,7 @@
         crashes: Detects requests that crash upstreams.
         utilization: Measures the utilization of this instance.
         record_leg: Called with the name of the route, the reason of a leg and its state
-            ("sent", "won" or "lost"), or with "failed" and the outcome.
+            ("sent", "won", "lost" or "cancelled"), or with "failed" and the outcome.
         record_pause: Called when sends to an unreachable replica are paused.
         record_search_wait: Called with the expected queue wait of each search, in
             seconds.
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -10,7 +10,6 @@
     ANSWER_MARGIN_S,
     BUDGET_RETRY_DELAY_S,
     DEFAULT_NETWORK_DELAY_S,
-    DETACHED_LEG_TIMEOUT_S,
 )
 from almondspool.routing.crashes import request_fingerprint
 from almondspool.routing.legs import FIRST, HEDGE
@@ -215,9 +214,8 @@
             return
         self._settle(shard)
         for other in tuple(shard.open_legs):
-            # Keeping the connection for a late reply costs less than opening a new one.
-            other.handle.detach(DETACHED_LEG_TIMEOUT_S)
             self._leg_recorder.record_pending(now, other)
+            self._abandon_leg(now, other)
         if self._unsettled_count == 0 or self._is_partial_answer_due(now):
             self._finish(
                 ResultCode.OK, "whole" if not self._unsettled_count else "enough"
@@ -379,7 +377,7 @@
         now = self._context.timers.now()
         for leg in self._list_open_legs():
             self._leg_recorder.record_pending(now, leg)
-            leg.handle.detach(DETACHED_LEG_TIMEOUT_S)
+            self._abandon_leg(now, leg)
         results = [shard.result for shard in self._shards if shard.result is not None]
         missing = len(self._shards) - len(results)
         if code is ResultCode.OK and missing:
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -6,7 +6,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.protocol.exchange import Answer, LegOutcome
-from almondspool.routing.context import BUDGET_RETRY_DELAY_S, DETACHED_LEG_TIMEOUT_S
+from almondspool.routing.context import BUDGET_RETRY_DELAY_S
 from almondspool.routing.crashes import request_fingerprint
 from almondspool.routing.legs import FIRST, HEDGE, OpenLeg
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
@@ -216,8 +216,9 @@
 
     def _forward_reply(self, reply: LegReply, replica: Replica) -> None:
         self._is_finished = True
+        now = self._context.timers.now()
         for other in tuple(self._open_legs):
-            other.handle.detach(DETACHED_LEG_TIMEOUT_S)
+            self._abandon_leg(now, other)
         answer = Answer(
             reply.status, self._context.codec.forwarded_headers(reply), reply.body
         )
--- a/almondspool/routing/timed_request.py
+++ b/almondspool/routing/timed_request.py
@@ -7,8 +7,10 @@
 
 from almondspool.codes import ResultCode
 from almondspool.protocol.exchange import RequestHandle
+from almondspool.routing.context import DETACHED_LEG_TIMEOUT_S
 from almondspool.routing.legs import LegRecorder
 from almondspool.routing.outcome import Outcome
+from almondspool.routing.unneeded_legs import should_cancel
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +75,17 @@
         for leg in self._list_open_legs():
             leg.handle.cancel()
 
+    def _abandon_leg(self, now: float, leg: OpenLeg) -> None:
+        """Cancel a leg whose result is not needed, or detach it for a late reply."""
+        context = self._context
+        health = context.selector.health(now, leg.replica)
+        queue_rounds = health.queue_rounds(now, leg.replica.slots)
+        if should_cancel(queue_rounds, context.sender.connection_state(leg.replica)):
+            context.record_leg(self._route.name, leg.reason, "cancelled")
+            leg.handle.cancel()
+        else:
+            leg.handle.detach(DETACHED_LEG_TIMEOUT_S)
+
     def _start_leg(
         self,
         leg: OpenLeg,
--- a/tests/routing/overload_play.py
+++ b/tests/routing/overload_play.py
@@ -41,6 +41,12 @@
 STRAGGLER_SHARE = 0.01
 STRAGGLER_FACTOR = 5.0
 WARM_UP_S = 2.0
+# Time after an overload in which the load of before must be served as before.
+RECOVERY_S = 2.0
+# Load before and after an overload, as a share of what the slots can run.
+CALM_LOAD = 0.3
+# Factor of the searchers that turn slow.
+SLOW_FACTOR = 11.0
 
 LOOKUP = search_route(
     name="lookup",
@@ -352,9 +358,7 @@
             )
             for searcher in self.searchers_by_id.values():
                 harness.registry.put(self.timers.now(), searcher.replica)
-            harness.router.set_table(
-                make_table(*(item.route for item in self.classes))
-            )
+            harness.router.set_table(make_table(*(item.route for item in self.classes)))
             self.harnesses.append(harness)
         self.results = []
         self._request_count = 0
@@ -503,3 +507,77 @@
         sum(result.status not in (200, 503) for result in results) / count,
         credit / max(1e-9, owed),
     )
+
+
+class OverloadOutcome(NamedTuple):
+    """Outcome of a play with a steady overload.
+
+    Attributes:
+        during: What the callers of the overload got.
+        after: What the callers got who came two seconds or more after its end.
+        goodput_share: Answers within the latency target of the attempt that got them,
+            as a share of what the slots can run.
+        late_share: Share of the admitted searches that were answered late.
+    """
+
+    during: Summary
+    after: Summary
+    goodput_share: float
+    late_share: float
+
+
+def play_overload(load, seed=1, duration_s=4.0, **options):
+    """Offer a multiple of what the slots can run, after and before a calm load."""
+    play = Play(seed=seed, **options)
+    capacity_per_s = play.capacity_per_s()
+    play.run(CALM_LOAD * capacity_per_s, WARM_UP_S)
+    started_at = play.timers.now()
+    play.run(load * capacity_per_s, duration_s)
+    ended_at = play.timers.now()
+    play.run(CALM_LOAD * capacity_per_s, RECOVERY_S + 1.0)
+    play.finish()
+    during = [
+        result for result in play.results if started_at <= result.started_at < ended_at
+    ]
+    after = [
+        result for result in play.results if result.started_at >= ended_at + RECOVERY_S
+    ]
+    summary = summarize(during)
+    good_share = summary.in_time + summary.repeated_in_time
+    admitted_share = good_share + summary.late
+    return OverloadOutcome(
+        summary,
+        summarize(after),
+        good_share * len(during) / duration_s / capacity_per_s,
+        summary.late / max(1e-9, admitted_share),
+    )
+
+
+def play_slow_and_leaving(seed=1, rate_per_s=97.0, burst=1.7, slow_count=5):
+    """Let some searchers turn slow and others leave, and then callers burst.
+
+    Returns:
+        What callers got from the first slow searcher to the last, and what they got
+        afterwards.
+    """
+    play = Play(seed=seed)
+    play.run(rate_per_s, WARM_UP_S)
+    started_at = play.timers.now()
+    searchers = list(play.searchers_by_id.values())
+    play.rng.shuffle(searchers)
+    slow, leaving = searchers[:slow_count], searchers[slow_count : 2 * slow_count]
+    play.slow(slow, SLOW_FACTOR)
+    play.run(rate_per_s, 0.6)
+    play.remove(leaving)
+    play.run(rate_per_s, 1.5)
+    play.run(rate_per_s * burst, 3.7)
+    play.run(rate_per_s, 2.0)
+    ended_at = play.timers.now()
+    play.slow(slow, 1.0)
+    play.run(rate_per_s, RECOVERY_S)
+    play.finish()
+    during = [
+        result for result in play.results if started_at <= result.started_at < ended_at
+    ]
+    after = [result for result in play.results if result.started_at >= ended_at]
+    return summarize(during), summarize(after)
--- a/tests/routing/test_fan_out.py
+++ b/tests/routing/test_fan_out.py
@@ -5,7 +5,7 @@
 import testtools
 from testtools.matchers import GreaterThan, LessThan
 
-from almondspool.protocol.exchange import LegOutcome
+from almondspool.protocol.exchange import ConnectionState, LegOutcome
 from almondspool.routing.context import ANSWER_MARGIN_S, DEFAULT_NETWORK_DELAY_S
 from tests.routing.routing_harness import (
     RoutingHarness,
@@ -71,11 +71,38 @@
         self.assertThat(answered_at - started_at, LessThan(0.06))
         self.assertEqual(11, len(self.sender.sent))
 
-    def test_leg_that_lost_to_a_hedge_keeps_its_connection(self):
+    def test_leg_that_lost_to_a_hedge_keeps_its_connection_if_no_other_is_idle(self):
+        states = self.sender.connection_state_by_id
+        states["shard-3-north"] = ConnectionState.CONNECT
         self.test_paused_replica_is_hedged_and_the_answer_is_complete_in_time()
         self.assertTrue(any(handle.is_detached for handle in self.sender.handles))
         self.assertFalse(any(handle.is_cancelled for handle in self.sender.handles))
 
+    def test_leg_that_lost_to_a_hedge_is_cancelled_if_a_connection_is_idle(self):
+        self.test_paused_replica_is_hedged_and_the_answer_is_complete_in_time()
+        cancelled = [
+            sent.replica.replica_id
+            for sent, handle in zip(self.sender.sent, self.sender.handles, strict=True)
+            if handle.is_cancelled
+        ]
+        self.assertEqual(["shard-3-north"], cancelled)
+        self.assertFalse(any(handle.is_detached for handle in self.sender.handles))
+
+    def test_open_leg_of_a_partial_answer_is_cancelled_at_a_busy_replica(self):
+        states = self.sender.connection_state_by_id
+        for replica in make_replicas("shard-3"):
+            states[replica.replica_id] = ConnectionState.CONNECT
+            health = self.harness.selector.health(self.harness.timers.now(), replica)
+            # Its own legs alone fill the slots.
+            health.in_flight = replica.slots
+        self.sender.script = lambda replica: (
+            None if replica.service == "shard-3" else (0.01, leg_reply(replica))
+        )
+        answer = self.harness.run()
+        self.assertEqual(1, self.missing_count(answer))
+        self.assertTrue(any(handle.is_cancelled for handle in self.sender.handles))
+        self.assertFalse(any(handle.is_detached for handle in self.sender.handles))
+
     def test_silent_shard_makes_the_answer_partial_just_before_the_latency_target(self):
         self.sender.script = lambda replica: (
             None if replica.service == "shard-3" else (0.01, leg_reply(replica))
@@ -367,7 +394,9 @@
         self.assertEqual(["won"], self.hedge_results(first_s=2.0, hedge_s=0.005))
 
     def test_hedge_that_was_not_needed_is_counted_as_lost(self):
-        self.assertEqual(["lost"], self.hedge_results(first_s=0.06, hedge_s=2.0))
+        self.assertEqual(
+            ["lost", "cancelled"], self.hedge_results(first_s=0.06, hedge_s=2.0)
+        )
 
     def test_pause_and_return_of_a_replica_are_logged(self):
         harness = RoutingHarness(search_route(shards=1))
--- a/tests/routing/test_upstream_hints.py
+++ b/tests/routing/test_upstream_hints.py
@@ -4,8 +4,14 @@
 
 import testtools
 
-from almondspool.protocol.exchange import LegOutcome, LegReply, UpstreamHints
+from almondspool.protocol.exchange import (
+    ConnectionState,
+    LegOutcome,
+    LegReply,
+    UpstreamHints,
+)
 from tests.routing.routing_harness import (
+    ZONES,
     RoutingHarness,
     fetch_route,
     leg_reply,
@@ -120,6 +126,10 @@
 
     def test_hint_of_a_losing_leg_is_applied(self):
         harness = RoutingHarness(search_route(shards=1))
+        # The losing leg is detached, not cancelled.
+        harness.sender.connection_state_by_id = {
+            f"shard-0-{zone}": ConnectionState.CONNECT for zone in ZONES
+        }
         delay_s_by_zone = {"north": 0.120, "south": 0.004, "hills": 0.004}
         harness.sender.script = lambda replica: (
             delay_s_by_zone[replica.zone],
