Read the entries at once after a restart of a small fleet

Hypothesis: after a loss of power of all, the first instances refuse searches for 0.3 s because they wait for members before they read the entries, although no instance of a small fleet follows another.

Change: once the store's records show 16 instances or fewer, the first read of a restarted instance no longer waits for its view.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -191,9 +191,12 @@
         self._rebalance()
         is_new = self._placement.is_new_fleet
         is_known = self._membership.may_act()
+        now = self._timers.now()
+        is_converged = self._shares.is_converged(now)
         if is_new:
-            is_known = is_known and self._shares.is_converged(self._timers.now())
-        return FleetStartState(is_known, is_new)
+            is_known = is_known and is_converged
+        known_count = self._shares.instance_count(now) if is_converged else 0
+        return FleetStartState(is_known, is_new, known_count)
 
     def begin_shutdown(self) -> None:
         """Begin a graceful shutdown."""
--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -43,10 +43,13 @@
             one to read from.
         is_new: Whether the whole fleet starts for the first time, not this instance
             alone.
+        known_instance_count: Number of instances according to their records; 0 if the
+            records have not been read yet.
     """
 
     is_view_known: bool
     is_new: bool
+    known_instance_count: int
 
 
 class StoreFollowerDependencies(NamedTuple):
@@ -118,7 +121,11 @@
             is_watcher = self._dependencies.watcher_selector.is_watcher(kind)
             start_state = fleet_start_state()
             return InitialReadDelay(
-                waited_s, start_state.is_view_known, is_watcher, start_state.is_new
+                waited_s,
+                start_state.is_view_known,
+                is_watcher,
+                start_state.is_new,
+                start_state.known_instance_count,
             ).delay_s()
 
         watch = KindWatch(
--- a/almondspool/routing/watcher_selector.py
+++ b/almondspool/routing/watcher_selector.py
@@ -51,12 +51,15 @@
         is_watcher: Whether this instance reads from the store in any case.
         is_new_fleet: Whether the whole fleet starts for the first time, so that
             callers have not arrived yet and watchers have yet to read.
+        known_instance_count: Number of instances according to their records in the
+            store; 0 if the records have not been read yet.
     """
 
     waited_s: float
     is_view_known: bool
     is_watcher: bool
     is_new_fleet: bool
+    known_instance_count: int = 0
 
     def delay_s(self) -> float:
         """Return the remaining delay in seconds, or 0.0 to read now."""
@@ -65,6 +68,10 @@
             return 0.0
         if self.is_view_known and (self.is_watcher or not self.is_new_fleet):
             return 0.0
+        # Nobody is followed in a small fleet, so there is no member to wait for.
+        is_small = 0 < self.known_instance_count <= MAX_FLEET_SIZE_WITHOUT_FOLLOWERS
+        if is_small and not self.is_new_fleet:
+            return 0.0
         return min(MEMBERS_POLL_INTERVAL_S, limit_s - self.waited_s)
 
 
--- a/tests/routing/test_watcher_selector.py
+++ b/tests/routing/test_watcher_selector.py
@@ -80,16 +80,23 @@
 
 class InitialReadDelayTests(testtools.TestCase):
     def read_delay_s(
-        self, is_new_fleet, view_known_at=0.0, is_watcher=False, served_before_at=60.0
+        self,
+        is_new_fleet,
+        view_known_at=0.0,
+        is_watcher=False,
+        served_before_at=60.0,
+        records=(60.0, 0),
     ):
         """Return the seconds after the start at which the first read is made."""
         waited_s = 0.0
+        records_read_at, recorded_count = records
         while True:
             initial_read = InitialReadDelay(
                 waited_s,
                 waited_s >= view_known_at,
                 is_watcher,
                 is_new_fleet and waited_s < served_before_at,
+                recorded_count if waited_s >= records_read_at else 0,
             )
             delay_s = initial_read.delay_s()
             if not delay_s:
@@ -102,6 +109,17 @@
         self.assertEqual(MAX_RESTART_DELAY_S, self.read_delay_s(False, 60.0))
         self.assertEqual(MAX_RESTART_DELAY_S, self.read_delay_s(False, 60.0, True))
 
+    def test_restarted_instance_of_a_small_fleet_does_not_wait_for_its_view(self):
+        self.assertEqual(0.06, self.read_delay_s(False, 60.0, records=(0.06, 6)))
+        self.assertEqual(
+            MAX_RESTART_DELAY_S, self.read_delay_s(False, 60.0, records=(0.06, 17))
+        )
+
+    def test_first_start_of_a_small_fleet_waits(self):
+        self.assertEqual(
+            MAX_FIRST_START_DELAY_S, self.read_delay_s(True, 60.0, records=(0.06, 6))
+        )
+
     def test_watchers_of_a_new_fleet_read_before_the_others(self):
         watcher_s = self.read_delay_s(True, 2.0, True)
         other_s = self.read_delay_s(True, 2.0)
