Count legs sent since a load report as outstanding

Hypothesis: many of the late searches of an overload were admitted on the same load report. Until the next reply of a replica, each search saw the queue of the last one and none of those sent meanwhile, unless this instance alone had more legs there.

Change: a replica's outstanding requests are what it reported plus the legs that this instance has sent since; admission, selection and hedges use the sum.

Tests: the scripted upstreams of test_admission report their load when they reply, not when the leg arrived, as real ones do; the bounds stay and hold with the old code too.

--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -91,7 +91,7 @@
             service: The service that the replica belongs to.
         """
         context = self._context
-        context.selector.health(leg.sent_at, leg.replica).in_flight += 1
+        context.selector.health(leg.sent_at, leg.replica).record_sent()
         context.record_leg(self._route.name, leg.reason, "sent")
         if leg.reason == FIRST:
             return
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -51,6 +51,7 @@
         backoff_until: When the backoff that the replica requested ends.
         consecutive_failures: Number of pauses since the last success, at most 8.
         in_flight: Number of this instance's legs at the replica.
+        legs_since_report: Number of these legs that were sent after the load report.
         load_report: The load in the replica's latest reply that had one, or None.
         paused_until: When the pause of an unreachable replica ends.
         reported_at: When that load report arrived.
@@ -65,6 +66,7 @@
         "avoided_until",
         "consecutive_failures",
         "in_flight",
+        "legs_since_report",
         "paused_until",
         "load_report",
         "reported_at",
@@ -80,6 +82,7 @@
         self._consecutive_slow_legs = 0
         self.avoided_until = -math.inf
         self.in_flight = 0
+        self.legs_since_report = 0
         self.consecutive_failures = 0
         self.paused_until = -math.inf
         self.load_report: ReportedLoad | None = None
@@ -120,6 +123,11 @@
         """Set the backoff that the replica requested, in seconds from now."""
         self.backoff_until = max(self.backoff_until, now + backoff_s)
 
+    def record_sent(self) -> None:
+        """Count a leg that is sent to the replica."""
+        self.in_flight += 1
+        self.legs_since_report += 1
+
     def record_success(self, now: float, slowness: float) -> bool:
         """Record the slowness of a leg that succeeded.
 
@@ -171,14 +179,19 @@
         """Record the load reported in a reply."""
         self.load_report = report
         self.reported_at = now
+        self.legs_since_report = 0
 
     def outstanding(self, now: float) -> int:
-        """Return the expected number of requests that the replica runs or queues."""
+        """Return the expected number of requests that the replica runs or queues.
+
+        A report does not contain the legs that were sent after it: in a burst, several
+        searches would otherwise be admitted on the same report.
+        """
         if self.load_report is None or now - self.reported_at > LOAD_REPORT_TTL_S:
             return self.in_flight
-        return max(
-            self.in_flight, self.load_report.running + self.load_report.queued - 1
-        )
+        # The reply that brought the report ended one of the running requests.
+        reported = self.load_report.running + self.load_report.queued - 1
+        return max(self.in_flight, reported + self.legs_since_report)
 
     def queue_rounds(self, now: float, slots: int) -> float:
         """Return the queue ahead of a new request, in multiples of the slots."""
--- a/tests/routing/overload_play.py
+++ b/tests/routing/overload_play.py
@@ -40,6 +40,8 @@
 WORK_SIGMA = 0.34
 STRAGGLER_SHARE = 0.01
 STRAGGLER_FACTOR = 5.0
+# Interval of a searcher's pauses.
+PAUSE_INTERVAL_S = 4.5
 WARM_UP_S = 2.0
 # Time after an overload in which the load of before must be served as before.
 RECOVERY_S = 2.0
@@ -85,13 +87,12 @@
 class Searcher:
     """A replica with slots, a FIFO queue, pauses and a factor of slowness."""
 
-    def __init__(self, replica, timers, rng, pause_s=0.2, pause_every_s=4.5):
+    def __init__(self, replica, timers, rng, pause_s):
         self.replica = replica
         self.timers = timers
         self.rng = rng
         self.pause_s = pause_s
-        self.pause_every_s = pause_every_s
-        self.pause_offset_s = rng.random() * pause_every_s
+        self.pause_offset_s = rng.random() * PAUSE_INTERVAL_S
         self.slowness = 1.0
         self.is_up = True
         self.running = set()
@@ -129,9 +130,9 @@
         if not self.pause_s:
             return work_s
         now = self.timers.now()
-        cycle_s = (now + self.pause_offset_s) % self.pause_every_s
+        cycle_s = (now + self.pause_offset_s) % PAUSE_INTERVAL_S
         left_of_pause_s = max(0.0, self.pause_s - cycle_s)
-        until_next_s = self.pause_every_s - max(cycle_s, self.pause_s)
+        until_next_s = PAUSE_INTERVAL_S - max(cycle_s, self.pause_s)
         pauses = 0 if work_s < until_next_s else 1
         return left_of_pause_s + work_s + pauses * self.pause_s
 
@@ -330,6 +331,7 @@
         self.timers = VirtualTimers(start=100.0)
         self.rng = random.Random(seed)
         self.repeats = repeats
+        self.pause_s = pause_s
         services = tuple(f"shard-{number}" for number in range(shards))
         self.classes = [
             item._replace(route=item.route._replace(shards=services))
@@ -364,12 +366,17 @@
         self._request_count = 0
 
     def capacity_per_s(self):
-        """Return the searches a second that the slots of one shard can run."""
+        """Return the searches a second that the slots of one shard can run.
+
+        A paused searcher runs nothing.
+        """
         mean_work_s = sum(item.share * item.work_s for item in self.classes)
         mean_factor = math.exp(WORK_SIGMA**2 / 2) * (
             1 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1)
         )
-        return len(ZONES) * self.slots / (mean_work_s * mean_factor)
+        paused_share = self.pause_s / PAUSE_INTERVAL_S
+        slots = len(ZONES) * self.slots * (1.0 - paused_share)
+        return slots / (mean_work_s * mean_factor)
 
     def searchers_of(self, service):
         return [
--- a/tests/routing/routing_harness.py
+++ b/tests/routing/routing_harness.py
@@ -76,7 +76,8 @@
 
     Attributes:
         script: Called with the replica of each leg. Returns the delay of the reply, in
-            seconds, and the reply; or None if there is no reply.
+            seconds, and the reply or a function that makes it then; or None if there
+            is no reply.
         sent: Every leg, in order.
         handles: The handles of these legs.
         refusing_ids: Ids of the replicas that refuse new connections.
@@ -101,7 +102,9 @@
         scripted = self.script(replica)
         if scripted is not None:
             delay_s, reply = scripted
-            self.timers.call_later(delay_s, lambda: handle.end(reply))
+            self.timers.call_later(
+                delay_s, lambda: handle.end(reply() if callable(reply) else reply)
+            )
         return handle
 
     def probe(self, replica, on_result):
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -44,9 +44,15 @@
         if len(ends) >= replica.slots:
             starts_at = sorted(ends)[-replica.slots]
         ends.append(starts_at + self.leg_s)
-        queued = max(0, len(ends) - replica.slots)
-        load = ReportedLoad(len(ends) - queued, queued, replica.slots)
-        return ends[-1] - now, leg_reply(replica, load=load)
+        return ends[-1] - now, lambda: self.reply(replica)
+
+    def reply(self, replica):
+        """Return a reply with the load at this moment, including its own leg."""
+        now = self.harness.timers.now()
+        count = sum(end >= now for end in self.ends_by_id[replica.replica_id])
+        queued = max(0, count - replica.slots)
+        load = ReportedLoad(count - queued, queued, replica.slots)
+        return leg_reply(replica, load=load)
 
 
 class SearchAdmissionTests(testtools.TestCase):
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -5,9 +5,11 @@
 from unittest import mock
 
 import testtools
-from testtools.matchers import GreaterThan
+from testtools.matchers import GreaterThan, LessThan
 
+from almondspool.protocol.exchange import ReportedLoad
 from almondspool.routing import timed_request
+from almondspool.routing.replica_health import ReplicaHealth
 from tests.routing.overload_play import play_overload, play_slow_and_leaving
 
 
@@ -36,3 +38,33 @@
                 play_slow_and_leaving(seed)[0].in_time for seed in range(1, 4)
             )
         self.assertThat(cancelling, GreaterThan(waiting))
+
+
+class LegsSinceReportTests(testtools.TestCase):
+    """Legs sent after a load report count as outstanding, although it lacks them."""
+
+    def test_legs_are_added_to_the_report_until_the_next_one(self):
+        health = ReplicaHealth(0.0)
+        for _ in range(4):
+            health.record_sent()
+        health.in_flight -= 1
+        health.record_load(0.0, ReportedLoad(2, 3, 2))
+        self.assertEqual(4, health.outstanding(0.0))
+        health.record_sent()
+        self.assertEqual(5, health.outstanding(0.0))
+        health.record_load(0.1, ReportedLoad(1, 0, 2))
+        # Its own legs in flight exceed what the replica reported.
+        self.assertEqual(4, health.outstanding(0.1))
+
+    def test_fewer_searches_are_late_and_more_in_time_under_overload(self):
+        counting = play_overload(2.0, duration_s=2.0)
+        with mock.patch.object(ReplicaHealth, "record_sent", _record_sent_in_flight):
+            ignoring = play_overload(2.0, duration_s=2.0)
+        self.assertThat(counting.late_share, LessThan(0.5 * ignoring.late_share))
+        self.assertThat(
+            counting.goodput_share, GreaterThan(1.05 * ignoring.goodput_share)
+        )
+
+
+def _record_sent_in_flight(health):
+    health.in_flight += 1
