Admit searches up to half of the shortest latency target

Hypothesis: with cancelled legs and counted ones the queue is predicted well enough for a shorter limit, which makes fewer admitted searches late at the same throughput.

Change: the longest expected wait is 0.5 instead of 0.65 of the target.

Kept for what callers get: a refusal at once instead of a late answer.

--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -20,7 +20,7 @@
 # target among the routes with the same shards. A longer queue would not increase the
 # throughput, as the upstreams are never idle with this one. The rest of the target
 # covers network, execution, pauses and the variation between shards.
-MAX_WAIT_TARGET_SHARE = 0.65
+MAX_WAIT_TARGET_SHARE = 0.5
 # Share of that wait allowed to searches of less urgent routes. It reserves the end of
 # the queue for the most urgent ones: about one of the six rounds (see SearchAdmission)
 # that a searcher's queue holds.
