Ignore and count implausible load reports; take a goal of 0 as none

Cause: a report of a million waiting requests was believed for half a second, and kept every search away from the searcher; malformed reports left no trace. A goal_ms of 0 made the whole configuration invalid.

Change: a report without slots, with a negative number or with a queue of over 100 rounds is ignored, and counted with malformed ones as load_malformed among the upstreams' hints. A route without a positive goal has its timeout as latency target.

Before: the extended tests fail. After: they pass.

--- a/almondspool/platform/configuration.py
+++ b/almondspool/platform/configuration.py
@@ -37,7 +37,8 @@
     path_prefix: str
     kind: str
     timeout_ms: Annotated[float, msgspec.Meta(gt=0)]
-    goal_ms: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    # Without a positive goal, answers are in time until the timeout.
+    goal_ms: float | None = None
     priority: int = _DEFAULT_PRIORITY
     # Limit on the replicas tried for one attempt of a caller, or for one shard of it.
     attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
@@ -115,15 +116,14 @@
             f"route {stored_route.name} names no service", ResultCode.DOCUMENT_INVALID
         )
     timeout_s = stored_route.timeout_ms / 1000.0
+    goal_ms = stored_route.goal_ms or 0.0
     return Route(
         name=stored_route.name,
         host=stored_route.host.lower(),
         path_prefix=stored_route.path_prefix,
         is_idempotent=stored_route.kind == _IDEMPOTENT_KIND,
         timeout_s=timeout_s,
-        latency_target_s=min(
-            timeout_s, (stored_route.goal_ms or stored_route.timeout_ms) / 1000.0
-        ),
+        latency_target_s=min(timeout_s, goal_ms / 1000.0) if goal_ms > 0 else timeout_s,
         priority=stored_route.priority,
         attempts=stored_route.attempts,
         weighted_services=weighted_services,
--- a/almondspool/platform/header_codec.py
+++ b/almondspool/platform/header_codec.py
@@ -39,6 +39,9 @@
 _SIGNATURE = b"response-signature"
 # Load report in the form "running,queued,slots"; see ReportedLoad.
 _LOAD = b"server-load"
+# Longest queue, in multiples of the slots, that a load report may have. A longer one
+# would keep all requests away from the searcher.
+MAX_REPORTED_QUEUE_ROUNDS = 100
 # "1" in every reply of a searcher that is about to stop.
 _LEAVING = b"server-leaving"
 # Time in seconds, whole or fractional, for which a searcher that rejects a request
@@ -130,15 +133,18 @@
     ) -> ReplyMetadata:
         """Return the decoded headers of a reply."""
         by_name = {name.lower(): value for name, value in headers}
-        load = by_name.get(_LOAD)
+        load = _parse_load(by_name.get(_LOAD))
+        hints = _parse_hints(status, by_name)
+        if load is None and _LOAD in by_name and not hints.kind:
+            hints = hints._replace(kind="load_malformed")
         return ReplyMetadata(
             by_name.get(_REQUEST_ID, b"").decode("latin-1"),
             by_name.get(_SIGNATURE, b""),
             _NOT_RUN in by_name,
             status == _MISDIRECTED_STATUS,
-            _parse_load(load) if load else None,
+            load,
             _parse_keep_alive(by_name.get(b"keep-alive")),
-            _parse_hints(status, by_name),
+            hints,
         )
 
     def coverage_headers(self, summary: CoverageSummary) -> Headers:
@@ -191,11 +197,16 @@
     if value is None:
         return None
     try:
-        running, queued, slots = (int(number) for number in value.split(b","))
-    except ValueError:
-        # A malformed report is ignored: this instance's own counts are used instead.
+        load = ReportedLoad(*(int(number) for number in value.split(b",")))
+    except (TypeError, ValueError):
         return None
-    return ReportedLoad(max(0, running), max(0, queued), max(1, slots))
+    # This instance's own counts are used instead of a malformed or implausible report.
+    is_plausible = (
+        load.slots > 0
+        and load.running >= 0
+        and 0 <= load.queued <= MAX_REPORTED_QUEUE_ROUNDS * load.slots
+    )
+    return load if is_plausible else None
 
 
 def _parse_hints(status: int, by_name: dict[bytes, bytes]) -> UpstreamHints:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -66,6 +66,13 @@
         )
         self.assertEqual(0.4, route.latency_target_s)
 
+    def test_goal_of_zero_is_no_goal(self):
+        for goal_ms in (0, -5):
+            spec = copy.deepcopy(CONFIGURATION_SPEC)
+            spec["routes"][0]["goal_ms"] = goal_ms
+            route = decode_configuration(spec).find("shop.example", "/s/2f")
+            self.assertEqual(route.timeout_s, route.latency_target_s)
+
     def test_unusable_configurations_are_rejected(self):
         for change in (
             lambda spec: spec.pop("version"),
