--- a/tests/routing/routing_harness.py
+++ b/tests/routing/routing_harness.py
@@ -185,27 +185,16 @@
 class RoutingHarness:
     """The router of one instance, with virtual time and scripted upstreams.
 
-    Every service of the routes has one replica in each of ZONES, with two slots unless
-    given otherwise; the instance is in the zone "north" unless given otherwise.
+    Every service of the routes has one replica in each of ZONES; the instance is in the
+    zone "north".
     """
 
-    def __init__(
-        self,
-        *routes,
-        ratio=0.2,
-        slack=50.0,
-        instances=1,
-        zone="north",
-        timers=None,
-        sender=None,
-        seed=3,
-        slots=2,
-    ):
-        self.timers = timers or VirtualTimers(start=100.0)
+    def __init__(self, *routes, ratio=0.2, slack=50.0, instances=1):
+        self.timers = VirtualTimers(start=100.0)
         self.log_lines: list[str] = []
         log = EventLog(self.log_lines.append)
-        rng = random.Random(seed)
-        self.sender = sender or ScriptedSender(self.timers)
+        rng = random.Random(3)
+        self.sender = ScriptedSender(self.timers)
         self.removed: list[str] = []
         self.registry = ReplicaRegistry(log, self.removed.append)
         self.budget = RetryBudget(RetryBudgetLimits(ratio, slack, 10.0))
@@ -219,7 +208,7 @@
             log,
         )
         self.latencies = RouteLatencies()
-        self.selector = ReplicaSelector(zone, self.sender, rng)
+        self.selector = ReplicaSelector("north", self.sender, rng)
         self.recorded_legs = []
         self.recorded_waits = []
         self.recorded_hints = []
@@ -252,7 +241,7 @@
                 *(share.service for share in route.weighted_services),
             ]
             for service in services:
-                for replica in make_replicas(service, slots=slots):
+                for replica in make_replicas(service):
                     self.registry.put(self.timers.now(), replica)
         if routes:
             self.router.set_table(make_table(*routes))
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -11,7 +11,7 @@
 from almondspool.protocol.exchange import ReportedLoad
 from almondspool.routing import timed_request
 from almondspool.routing.replica_health import ReplicaHealth
-from tests.routing.overload_play import play_overload, play_slow_and_leaving
+from bench.overload import play_overload, play_slow_and_leaving
 
 
 class SteadyOverloadTests(testtools.TestCase):
