Remove the avoidance of replicas after a slow leg

The ablation showed that it costs more than it gives: a replica that had paused for 0.1 to 0.2 s was healthy again while all instances kept away from it for a second or more, and the load met the others.

--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -24,16 +24,6 @@
 LOAD_REPORT_TTL_S = 0.5
 # Slowness that is assumed at least while a replica warms up; its legs may show more.
 WARMUP_SLOWNESS = 1.6
-# A leg that takes at least this multiple of the median was delayed by a short pause of
-# the replica, or the replica is slow; only the next leg can tell which. The replica is
-# therefore avoided for a while: a pause ends within a tenth of a second, and a replica
-# that is slow again is avoided for twice as long.
-SLOW_LEG_SLOWNESS = 3.0
-INITIAL_AVOIDANCE_S = 1.0
-MAX_AVOIDANCE_S = 8.0
-# Added to the slowness of an avoided replica, which is thus used only if the others are
-# slower by more than this.
-AVOIDANCE_SLOWNESS = 4.0
 # Bounds on one observed slowness: a pause of 100 ms is ten times a short leg.
 MIN_SLOWNESS = 0.3
 MAX_SLOWNESS = 40.0
@@ -47,7 +37,6 @@
     if there is none.
 
     Attributes:
-        avoided_until: When the replica stops being avoided because of a slow leg.
         backoff_until: When the backoff that the replica requested ends.
         consecutive_failures: Number of pauses since the last success, at most 8.
         in_flight: Number of this instance's legs at the replica.
@@ -62,8 +51,6 @@
         "_failure_share",
         "_failure_share_at",
         "_decayed_slowness",
-        "_consecutive_slow_legs",
-        "avoided_until",
         "consecutive_failures",
         "in_flight",
         "legs_since_report",
@@ -79,8 +66,6 @@
         self._decayed_slowness = DecayedPeak(now, 1.0)
         self._failure_share = 0.0
         self._failure_share_at = now
-        self._consecutive_slow_legs = 0
-        self.avoided_until = -math.inf
         self.in_flight = 0
         self.legs_since_report = 0
         self.consecutive_failures = 0
@@ -93,8 +78,6 @@
     def slowness(self, now: float) -> float:
         """Return the expected latency of a leg, in multiples of its route's median."""
         slowness = max(MIN_SLOWNESS, self._decayed_slowness.value(now))
-        if now < self.avoided_until:
-            slowness += AVOIDANCE_SLOWNESS
         if now < self.warmup_ends_at:
             slowness = max(slowness, WARMUP_SLOWNESS)
         return slowness
@@ -136,7 +119,6 @@
         """
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
         self._decayed_slowness.add(now, bounded)
-        self._update_avoidance(now, slowness)
         is_back = self.consecutive_failures > 0
         self.consecutive_failures = 0
         self.paused_until = -math.inf
@@ -146,8 +128,6 @@
     def record_pending(self, now: float, slowness: float) -> None:
         """Record the slowness so far of a leg without a reply, as a lower bound."""
         self._decayed_slowness.raise_to(now, min(MAX_SLOWNESS, slowness))
-        if slowness >= SLOW_LEG_SLOWNESS:
-            self._update_avoidance(now, slowness)
 
     def record_failure(self, now: float) -> None:
         """Record a leg that ran and failed, or was rejected."""
@@ -197,16 +177,6 @@
         """Return the queue ahead of a new request, in multiples of the slots."""
         return max(0, self.outstanding(now) - slots + 1) / slots
 
-    def _update_avoidance(self, now: float, slowness: float) -> None:
-        if slowness < SLOW_LEG_SLOWNESS:
-            self._consecutive_slow_legs = 0
-        elif now >= self.avoided_until:
-            avoidance_s = min(
-                MAX_AVOIDANCE_S, INITIAL_AVOIDANCE_S * 2.0**self._consecutive_slow_legs
-            )
-            self.avoided_until = now + avoidance_s
-            self._consecutive_slow_legs += 1
-
     def _update_failure_share(self, now: float, failed: float) -> None:
         share = self.failure_share(now)
         self._failure_share = share + OUTCOME_WEIGHT * (failed - share)
