--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -104,10 +104,6 @@
         if queue is not None:
             queue.round_s += ROUND_AVERAGE_LEG_WEIGHT * (leg_s - queue.round_s)
 
-    def has_capacity(self, route: Route, queue_rounds: float) -> bool:
-        """Return whether a leg behind a queue of so many rounds is answered in time."""
-        return self.decide(route, (queue_rounds,), 1).is_admitted
-
     def decide(
         self, route: Route, queue_rounds: Sequence[float], required_count: int
     ) -> AdmissionDecision:
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -303,11 +303,6 @@
             choice = self._choose(now, shard)
             if choice.replica is None:
                 continue
-            if not self._context.admission.has_capacity(
-                self._route, choice.queue_rounds
-            ):
-                # The hedge would wait in that queue too, and delay the legs behind it.
-                continue
             if self._context.budget.try_acquire(now, shard.service):
                 self._send_to(now, shard, HEDGE, choice)
             else:
