--- a/almondspool/coordination/shares/shares.py
+++ b/almondspool/coordination/shares/shares.py
@@ -45,8 +45,8 @@
 RATE_LIMIT_BACKOFF_S = 1.0
 # The count of failed calls stops here, which bounds the exponent of the backoff.
 MAX_COUNTED_FAILURES = 8
-# Number of ticks without a change after which checks are reduced. Exceeds every waiting
-# time of the policy.
+# Number of ticks without a change after which one bucket is checked per tick. A waiting
+# time of the policy that is longer ends up to one round of the buckets later.
 QUIET_TICKS = 16
 
 
