--- a/bench/simulated_searchers.py
+++ b/bench/simulated_searchers.py
@@ -43,7 +43,6 @@
     Attributes:
         replica: What instances know of the searcher.
         slowness: Factor of the time that a leg takes.
-        is_up: Whether it accepts connections.
     """
 
     def __init__(
@@ -67,7 +66,6 @@
         self.pause_s = pause_s
         self.pause_offset_s = rng.random() * PAUSE_INTERVAL_S
         self.slowness = 1.0
-        self.is_up = True
         self.running: set[_Leg] = set()
         self.queue: collections.deque[_Leg] = collections.deque()
 
@@ -238,12 +236,6 @@
         deadline_at = self.timers.now() + deadline_s
         work_s = self.work_by_path[target]
         leg = _Leg(self, searcher, work_s, deadline_at, on_end)
-        if not searcher.is_up:
-            delay_s = 2 * leg.delay_s
-            self.timers.call_later(
-                delay_s, lambda: leg.finish(LegReply(LegOutcome.NOT_SENT))
-            )
-            return leg
         connections = self._by_id[replica.replica_id]
         if connections.idle:
             connections.idle -= 1
@@ -281,10 +273,9 @@
                 self._connect(replica)
 
     def probe(self, replica: Replica, on_result: Callable[[bool], None]) -> None:
-        """Report whether a searcher refuses connections."""
-        searcher = self.searchers_by_id[replica.replica_id]
+        """Report that the searcher accepts connections, as all of them do."""
         round_trip_s = 2 * self.delay_s(replica)
-        self.timers.call_later(round_trip_s, lambda: on_result(not searcher.is_up))
+        self.timers.call_later(round_trip_s, lambda: on_result(False))
 
     def drop_waiting(self, replica: Replica) -> None:
         """Do nothing: these searchers ask for no backoff."""
