Wait until the accepted document runs before the searches of a test

It searched right after the acceptance, which is answered before the other instances have adopted the document; a search that went to the other instance was answered from the document of before, as documented.

Shown: in 40 acceptances with one instance frozen, the two others ran different generations right after the answer 16 times. Ruled out: the frozen instance, whose answers the assertion that failed does not look at.

Change: the set-up waits until both others run the accepted generation; assertions and bounds are unchanged.

--- a/tests/processes/test_instance_faults.py
+++ b/tests/processes/test_instance_faults.py
@@ -18,6 +18,7 @@
     TEAM,
     ClusterTestCase,
     apply_section,
+    generations_by_name,
     is_dead,
     read_log,
     read_metric,
@@ -89,6 +90,15 @@
     return len(detecting_names()), len(others)
 
 
+def run_generation(cluster, names, generation):
+    """Return whether all named instances have adopted a generation.
+
+    An acceptance is answered before the other instances adopt the document.
+    """
+    found = generations_by_name(cluster, names)
+    return all(found.get(name) == generation for name in names)
+
+
 def freeze_during_snapshot_change(cluster):
     """Freeze an instance during a snapshot change.
 
@@ -105,7 +115,11 @@
     try:
         wait_until(lambda: is_dead(cluster, name), f"{name} is considered dead")
         text = with_snapshots(cluster.deployment.section_texts_by_team[TEAM], (1, 2))
-        apply_section(cluster, TEAM, text, *others)
+        accepted = apply_section(cluster, TEAM, text, *others)
+        wait_until(
+            lambda: run_generation(cluster, others, accepted["generation"]),
+            "the others run the accepted document",
+        )
         with concurrent.futures.ThreadPoolExecutor(WAITING_SEARCH_COUNT) as pool:
             searches = [make_search(number) for number in range(WAITING_SEARCH_COUNT)]
             waiting = [pool.submit(post, address, search) for search in searches]
