Decide on searches by the shards that are reachable

Cause: a shard whose replicas all refuse connections counted in the admission as one with an empty queue.

Ruled out: load reports that are too old (0.5 to 0.7 s at the replica that rejects, but the admission did not look at that shard at all).

Change: the choice of a replica says whether it is only chosen because all others are unreachable as well; such shards are left out of the expected wait. If fewer shards are reachable than required, the others decide, and the search finds out whether they are back.

Tests: LostShardTests plays the load; test_search_is_decided_on_by_the_reachable_shards fails on the code before.

--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -111,14 +111,16 @@
 
         Args:
             route: A route with shards.
-            queue_rounds: Queue at the replica chosen for each available shard, in
-                rounds; at least as many items as ``required_count``.
-            required_count: Number of shards that must reply.
+            queue_rounds: Queue at the replica chosen for each reachable shard, in
+                rounds.
+            required_count: Number of shards that must reply. If fewer are reachable,
+                the search is decided on by their queues: it is also what finds out
+                that the others are back.
         """
         queue = self._queue_by_shards.get(route.shards)
-        if queue is None:
+        if queue is None or not queue_rounds:
             return AdmissionDecision(True, 0.0, 0.0, False)
-        rounds = sorted(queue_rounds)[required_count - 1]
+        rounds = sorted(queue_rounds)[min(required_count, len(queue_rounds)) - 1]
         wait_s = rounds * queue.round_s
         allowed_s = MAX_WAIT_TARGET_SHARE * queue.min_latency_target_s
         if route.priority > queue.most_urgent_priority:
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -132,20 +132,18 @@
         Returns:
             Whether the search was admitted.
         """
-        queue_rounds = [
-            choice.queue_rounds for choice in choices if choice.replica is not None
-        ]
-        if len(queue_rounds) < self._required_count:
+        usable_count = sum(choice.replica is not None for choice in choices)
+        if usable_count < self._required_count:
             backoffs_s = sorted(
                 choice.backoff_s for choice in choices if choice.backoff_s
             )
-            shortfall = self._required_count - len(queue_rounds)
+            shortfall = self._required_count - usable_count
             if len(backoffs_s) >= shortfall:
                 self._backoff_s = backoffs_s[shortfall - 1]
             self._finish(ResultCode.NOT_RUN_NO_UPSTREAM, "least_coverage_unreachable")
             return False
         decision = self._context.admission.decide(
-            self._route, queue_rounds, self._required_count
+            self._route, _reachable_rounds(choices), self._required_count
         )
         self._context.record_search_wait(decision.wait_s)
         if decision.is_backlogged:
@@ -418,6 +416,15 @@
         return self._cached_fingerprint
 
 
+def _reachable_rounds(choices: list[ReplicaChoice]) -> list[float]:
+    """Return the queue in rounds of each shard with a replica that is reachable."""
+    return [
+        choice.queue_rounds
+        for choice in choices
+        if choice.replica is not None and not choice.is_paused
+    ]
+
+
 def _required_shard_count(route: Route, shard_count: int) -> int:
     """Return the smallest number of partial results with the minimum coverage."""
     required = max(1, int(route.min_coverage * shard_count))
--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -42,6 +42,8 @@
         expected_s: Expected latency of the leg, in seconds; 0.0 without a replica.
         reason: Why this replica or none was chosen, in one word for the log.
         queue_rounds: Queue ahead of the leg, in multiples of the replica's slots.
+        is_paused: Whether the replica was chosen although it is unreachable, as all
+            others are.
         backoff_s: Seconds until the first backoff ends, if every replica that could be
             chosen requested one; otherwise 0.0.
     """
@@ -50,6 +52,7 @@
     expected_s: float
     reason: str
     queue_rounds: float = 0.0
+    is_paused: bool = False
     backoff_s: float = 0.0
 
 
@@ -130,7 +133,9 @@
             if expected_s < least_expected_s:
                 best, least_expected_s = replica, expected_s
         queue_rounds = self.health(now, best).queue_rounds(now, best.slots)
-        return ReplicaChoice(best, least_expected_s, reason, queue_rounds)
+        return ReplicaChoice(
+            best, least_expected_s, reason, queue_rounds, is_paused=not available
+        )
 
     def _backoff_left_s(self, now: float, replica: Replica) -> float:
         health = self._health_by_id.get(replica.replica_id)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -27,6 +27,8 @@
 # Highest credit of a late answer; others have more, also if the minimum of the shards
 # is in them.
 MAX_LATE_CREDIT = 0.2
+# How long searchers are lost.
+LOST_S = 4.0
 LOADS = (1.2, 1.5, 2.0, 3.0)
 SEEDS = (1, 2, 3)
 
@@ -176,6 +178,37 @@
     return summarize(during), summarize(after)
 
 
+def play_lost_shard(seed: int = 1, rate_per_s: float = 97.0) -> Summary:
+    """Lose all searchers of one shard, and all but a slow one of another.
+
+    Args:
+        seed: Seed of the play.
+        rate_per_s: Searches a second.
+
+    Returns:
+        What callers got while the searchers were lost.
+    """
+    play = Play(seed=seed)
+    play.run(rate_per_s, WARM_UP_S)
+    started_at = play.timers.now()
+    lost, scarce, *_ = play.classes[0].route.shards
+    searchers = play.searchers_by_id.values()
+    play.crash([item for item in searchers if item.replica.service == lost])
+    left, *crashing = [item for item in searchers if item.replica.service == scarce]
+    play.crash(crashing)
+    play.slow([left], SLOW_FACTOR)
+    play.run(rate_per_s, LOST_S)
+    ended_at = play.timers.now()
+    play.finish()
+    return summarize(
+        [
+            result
+            for result in play.results
+            if started_at <= result.started_at < ended_at
+        ]
+    )
+
+
 def format_outcomes(load: float, outcomes: Sequence[OverloadOutcome]) -> str:
     """Return a line with the means over several seeds."""
 
--- a/bench/simulated_callers.py
+++ b/bench/simulated_callers.py
@@ -167,6 +167,7 @@
         self.slots = slots
         work_by_path = {item.route.name: item.work_s for item in self.classes}
         limit = connections // instances
+        self._senders: list[SearcherConnections] = []
         self.routers: list[Router] = []
         self.registries: list[ReplicaRegistry] = []
         for number in range(instances):
@@ -174,6 +175,7 @@
             sender = SearcherConnections(
                 zone, self.searchers_by_id, self.timers, limit, work_by_path
             )
+            self._senders.append(sender)
             self._add_instance(zone, sender, random.Random(seed * 100 + number))
             self.registries[-1].replace_all(
                 self.timers.now(),
@@ -244,6 +246,13 @@
             for registry in self.registries:
                 registry.remove_all(self.timers.now(), [searcher.replica.replica_id])
 
+    def crash(self, searchers: Iterable[Searcher]) -> None:
+        """Let searchers crash; their entries stay."""
+        for searcher in searchers:
+            searcher.crash()
+            for sender in self._senders:
+                sender.lose(searcher.replica)
+
     def run(self, rate_per_s: float, duration_s: float) -> None:
         """Offer searches at a rate; their results are appended to ``results``."""
         end = self.timers.now() + duration_s
--- a/bench/simulated_searchers.py
+++ b/bench/simulated_searchers.py
@@ -43,6 +43,7 @@
     Attributes:
         replica: What instances know of the searcher.
         slowness: Factor of the time that a leg takes.
+        is_up: Whether the searcher accepts connections.
     """
 
     def __init__(
@@ -66,18 +67,30 @@
         self.pause_s = pause_s
         self.pause_offset_s = rng.random() * PAUSE_INTERVAL_S
         self.slowness = 1.0
+        self.is_up = True
         self.running: set[_Leg] = set()
         self.queue: collections.deque[_Leg] = collections.deque()
 
     def arrive(self, leg: _Leg) -> None:
-        """Run, queue or reject a leg."""
-        if len(self.running) < self.replica.slots:
+        """Run, queue or reject a leg; break its connection if the searcher is down."""
+        if not self.is_up:
+            leg.reply(LegReply(LegOutcome.BROKEN))
+        elif len(self.running) < self.replica.slots:
             self._start(leg)
         elif len(self.queue) < QUEUE_LIMIT:
             self.queue.append(leg)
         else:
             leg.reply(LegReply(LegOutcome.NOT_RUN, REJECTED_STATUS, load=self._load()))
 
+    def crash(self) -> None:
+        """Break all connections and refuse new ones."""
+        self.is_up = False
+        broken = [*self.running, *self.queue]
+        self.running.clear()
+        self.queue.clear()
+        for leg in broken:
+            leg.reply(LegReply(LegOutcome.BROKEN))
+
     def drop(self, leg: _Leg) -> None:
         """Stop a leg whose connection was closed."""
         if leg in self.running:
@@ -155,9 +168,13 @@
         self.sender.timers.call_later(self.delay_s, lambda: self._deliver(reply))
 
     def _deliver(self, reply: LegReply) -> None:
-        if self.on_end is not None:
+        if self.on_end is None:
+            return
+        if reply.outcome is LegOutcome.BROKEN:
+            self.sender.close(self)
+        else:
             self.sender.release(self.searcher.replica)
-            self.finish(reply)
+        self.finish(reply)
 
     def cancel(self) -> None:
         self._stop(LegOutcome.CANCELLED)
@@ -251,7 +268,24 @@
             return
         connections.open_count += 1
         delay_s = 2 * self.delay_s(replica) + HANDSHAKE_S
-        self.timers.call_later(delay_s, lambda: self.release(replica))
+        self.timers.call_later(delay_s, lambda: self._on_connected(replica))
+
+    def _on_connected(self, replica: Replica) -> None:
+        if self.searchers_by_id[replica.replica_id].is_up:
+            self.release(replica)
+            return
+        connections = self._by_id[replica.replica_id]
+        connections.open_count -= 1
+        refused = [leg for leg in connections.waiting if leg.on_end is not None]
+        connections.waiting.clear()
+        for leg in refused:
+            leg.finish(LegReply(LegOutcome.NOT_SENT))
+
+    def lose(self, replica: Replica) -> None:
+        """Forget the idle connections to a searcher that has crashed."""
+        connections = self._by_id[replica.replica_id]
+        connections.open_count -= connections.idle
+        connections.idle = 0
 
     def release(self, replica: Replica) -> None:
         """Use a free connection for the next waiting leg, or keep it idle."""
@@ -273,9 +307,10 @@
                 self._connect(replica)
 
     def probe(self, replica: Replica, on_result: Callable[[bool], None]) -> None:
-        """Report that the searcher accepts connections, as all of them do."""
+        """Report whether the searcher refuses connections."""
+        searcher = self.searchers_by_id[replica.replica_id]
         round_trip_s = 2 * self.delay_s(replica)
-        self.timers.call_later(round_trip_s, lambda: on_result(False))
+        self.timers.call_later(round_trip_s, lambda: on_result(not searcher.is_up))
 
     def drop_waiting(self, replica: Replica) -> None:
         """Do nothing: these searchers ask for no backoff."""
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -78,6 +78,12 @@
         )
         self.assertTrue(decision.is_admitted)
 
+    def test_search_is_decided_on_by_the_reachable_shards(self):
+        admission = make_admission(SWEEP_ROUTE, CHECK_ROUTE)
+        self.assertFalse(admission.decide(SWEEP_ROUTE, [0.0, 6.0], 3).is_admitted)
+        self.assertTrue(admission.decide(SWEEP_ROUTE, [0.0, 1.0], 3).is_admitted)
+        self.assertTrue(admission.decide(SWEEP_ROUTE, [], 3).is_admitted)
+
     def test_less_urgent_search_is_refused_first(self):
         admission = make_admission(SWEEP_ROUTE, CHECK_ROUTE)
         rounds = [3.0, 3.0, 3.0]
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -9,9 +9,9 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from almondspool.protocol.exchange import ReportedLoad
-from almondspool.routing import timed_request
+from almondspool.routing import fan_out, timed_request
 from almondspool.routing.replica_health import ReplicaHealth
-from bench.overload import play_overload, play_slow_and_leaving
+from bench.overload import play_lost_shard, play_overload, play_slow_and_leaving
 
 
 class SteadyOverloadTests(testtools.TestCase):
@@ -73,6 +73,36 @@
         self.assertThat(cancelling, GreaterThan(waiting))
 
 
+class LostShardTests(testtools.TestCase):
+    """A shard whose replicas are all unreachable does not count as free of a queue.
+
+    With it missing, the searches need a shard whose only replica is slow. They are
+    refused at once instead of failing once that replica has rejected them.
+    """
+
+    SEEDS = (1, 2, 3)
+
+    def play(self):
+        return [play_lost_shard(seed) for seed in self.SEEDS]
+
+    def test_callers_are_refused_instead_of_failing_late(self):
+        outcomes = self.play()
+        with mock.patch.object(fan_out, "_reachable_rounds", _chosen_rounds):
+            counting_lost = self.play()
+        self.assertThat(
+            sum(item.failed for item in outcomes),
+            LessThan(0.25 * sum(item.failed for item in counting_lost)),
+        )
+        self.assertThat(
+            sum(item.in_time for item in outcomes),
+            GreaterThan(0.9 * sum(item.in_time for item in counting_lost)),
+        )
+
+
+def _chosen_rounds(choices):
+    return [choice.queue_rounds for choice in choices if choice.replica is not None]
+
+
 class LegsSinceReportTests(testtools.TestCase):
     """Legs sent after a load report count as outstanding, although it lacks them."""
 
