Remember a slow replica for twice as long as it kept a caller waiting

Cause: a request that may run only once is not hedged, and its leg was looked at for the first time when its reply arrived, seconds late; until then the replica counted as fast.

Change: the open leg of every single-upstream request counts as slow from the hedge delay on, and the slowness of a leg decays over twice its latency (0.25 s at least).

--- a/almondspool/coordination/upstreams/latency.py
+++ b/almondspool/coordination/upstreams/latency.py
@@ -93,21 +93,30 @@
 class DecayedPeak:
     """Peak latency that rises at once and decays exponentially to a baseline.
 
-    The effect of a single straggler has decayed after a few PEAK_DECAY_S. A
+    The effect of a single straggler has decayed after a few times its decay time. A
     persistently slow upstream raises its baseline, which without new samples decays
     over BASELINE_DECAY_S, so that the upstream is tried again.
     """
 
-    __slots__ = ("_baseline_s", "_excess_s", "_updated_at")
+    __slots__ = ("_baseline_s", "_decay_s", "_excess_s", "_updated_at")
 
     def __init__(self, now: float, value: float) -> None:
         """Initialize with a latency in seconds at a monotonic second."""
         self._updated_at = now
         self._baseline_s = value
         self._excess_s = 0.0
+        # Decay time of the excess: that of the latency which raised it last.
+        self._decay_s = PEAK_DECAY_S
 
-    def add(self, now: float, latency_s: float) -> None:
-        """Add one latency, in seconds, at a monotonic second."""
+    def add(self, now: float, latency_s: float, decay_s: float = PEAK_DECAY_S) -> None:
+        """Add one latency.
+
+        Args:
+            now: Monotonic seconds.
+            latency_s: The latency, in seconds.
+            decay_s: Time in which its effect decays to a third, in seconds; at least
+                PEAK_DECAY_S.
+        """
         self._decay(now)
         # The change is limited to the baseline itself, so that a single straggler has
         # little effect on the baseline.
@@ -115,21 +124,28 @@
         self._baseline_s = max(
             MIN_BASELINE_S, self._baseline_s + change * BASELINE_SAMPLE_WEIGHT
         )
-        self._excess_s = max(self._excess_s, latency_s - self._baseline_s)
+        self._raise_excess(latency_s - self._baseline_s, decay_s)
 
-    def raise_to(self, now: float, latency_s: float) -> None:
-        """Add a lower bound, in seconds, of a latency that was not fully measured."""
+    def raise_to(
+        self, now: float, latency_s: float, decay_s: float = PEAK_DECAY_S
+    ) -> None:
+        """Add a lower bound of a latency that was not fully measured; see add()."""
         self._decay(now)
-        self._excess_s = max(self._excess_s, latency_s - self._baseline_s)
+        self._raise_excess(latency_s - self._baseline_s, decay_s)
 
     def value(self, now: float) -> float:
         """Return the peak in seconds, decayed since the last latency."""
         age_s = max(0.0, now - self._updated_at)
         baseline_s = self._baseline_s * math.exp(-age_s / BASELINE_DECAY_S)
-        return baseline_s + self._excess_s * math.exp(-age_s / PEAK_DECAY_S)
+        return baseline_s + self._excess_s * math.exp(-age_s / self._decay_s)
+
+    def _raise_excess(self, excess_s: float, decay_s: float) -> None:
+        if excess_s >= self._excess_s:
+            self._excess_s = excess_s
+            self._decay_s = max(PEAK_DECAY_S, decay_s)
 
     def _decay(self, now: float) -> None:
         age_s = max(0.0, now - self._updated_at)
         self._baseline_s *= math.exp(-age_s / BASELINE_DECAY_S)
-        self._excess_s *= math.exp(-age_s / PEAK_DECAY_S)
+        self._excess_s *= math.exp(-age_s / self._decay_s)
         self._updated_at = max(now, self._updated_at)
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -84,8 +84,9 @@
             self._refuse("deadline_expired")
             return
         self._call_later(self._deadline_at - now, self._on_deadline)
+        delay_s = self._context.latencies.hedge_delay_s(self._route)
+        self._call_later(delay_s, lambda: self._on_slow(delay_s))
         if self._route.is_idempotent:
-            delay_s = self._context.latencies.hedge_delay_s(self._route)
             self._call_later(delay_s, self._on_hedge)
         if not self._send(now, FIRST):
             self._refuse(self._no_replica_reason)
@@ -192,14 +193,21 @@
         elif not self._send(now, f"retry_{reason}"):
             self._give_up(f"{reason}:{self._no_replica_reason}")
 
+    def _on_slow(self, interval_s: float) -> None:
+        """Record that the open legs are slow, so that other requests avoid them."""
+        if self._is_finished:
+            return
+        now = self._context.timers.now()
+        for leg in self._open_legs:
+            self._leg_recorder.record_pending(now, leg)
+        self._call_later(interval_s, lambda: self._on_slow(interval_s))
+
     def _on_hedge(self) -> None:
         if self._is_finished or not self._open_legs:
             return
         now = self._context.timers.now()
         if self._possible_run_count + self._rejection_count >= self._route.attempts:
             return
-        for leg in self._open_legs:
-            self._leg_recorder.record_pending(now, leg)
         usable = self._context.registry.usable(self._service)
         if len(usable) <= len(self._tried_ids):
             return
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -122,7 +122,7 @@
             context.latencies.record(self._route, leg_s)
             if not leg.queue_rounds:
                 context.admission.record_unqueued_leg(self._route, leg_s)
-            if health.record_success(now, leg_s / self.median_s):
+            if health.record_success(now, leg_s / self.median_s, leg_s):
                 context.log.write("replica.back", replica=leg.replica.replica_id)
             return
         context.record_leg(self._route.name, "failed", reply.outcome.value)
@@ -190,8 +190,9 @@
     def record_pending(self, now: float, leg: OpenLeg) -> None:
         """Update a replica's slowness from a leg that has no reply yet.
 
-        Called when a hedge is considered, when another leg of the shard has given the
-        result, and when the search ends.
+        Called when a hedge is considered or would be, when another leg of the shard has
+        given the result, and when the search ends.
         """
         health = self._context.selector.health(now, leg.replica)
-        health.record_pending(now, (now - leg.sent_at) / self.median_s)
+        leg_s = now - leg.sent_at
+        health.record_pending(now, leg_s / self.median_s, leg_s)
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -24,6 +24,10 @@
 LOAD_REPORT_TTL_S = 0.5
 # Slowness that is assumed at least while a replica warms up; its legs may show more.
 WARMUP_SLOWNESS = 1.6
+# The slowness of a leg decays over this multiple of its latency. An instance finds out
+# whether a slow replica has recovered by sending it a request, which then takes as long
+# as the last one; the multiple limits how often.
+SLOWNESS_DECAY_LEGS = 2.0
 # Bounds on one observed slowness: a pause of 100 ms is ten times a short leg.
 MIN_SLOWNESS = 0.3
 MAX_SLOWNESS = 40.0
@@ -111,23 +115,30 @@
         self.in_flight += 1
         self.legs_since_report += 1
 
-    def record_success(self, now: float, slowness: float) -> bool:
+    def record_success(self, now: float, slowness: float, leg_s: float = 0.0) -> bool:
         """Record the slowness of a leg that succeeded.
 
+        Args:
+            now: Monotonic seconds.
+            slowness: Latency of the leg in multiples of the median of its route.
+            leg_s: The same in seconds.
+
         Returns:
             Whether the replica is back after a pause.
         """
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
-        self._decayed_slowness.add(now, bounded)
+        self._decayed_slowness.add(now, bounded, SLOWNESS_DECAY_LEGS * leg_s)
         is_back = self.consecutive_failures > 0
         self.consecutive_failures = 0
         self.paused_until = -math.inf
         self._update_failure_share(now, 0.0)
         return is_back
 
-    def record_pending(self, now: float, slowness: float) -> None:
+    def record_pending(self, now: float, slowness: float, leg_s: float = 0.0) -> None:
         """Record the slowness so far of a leg without a reply, as a lower bound."""
-        self._decayed_slowness.raise_to(now, min(MAX_SLOWNESS, slowness))
+        self._decayed_slowness.raise_to(
+            now, min(MAX_SLOWNESS, slowness), SLOWNESS_DECAY_LEGS * leg_s
+        )
 
     def record_failure(self, now: float) -> None:
         """Record a leg that ran and failed, or was rejected."""
--- a/tests/coordination/upstreams/test_replicas.py
+++ b/tests/coordination/upstreams/test_replicas.py
@@ -209,6 +209,14 @@
         peak.raise_to(4.0, 0.001)
         self.assertThat(peak.value(4.0), GreaterThan(0.005))
 
+    def test_peak_decays_over_the_time_of_the_latency_that_raised_it(self):
+        peak = DecayedPeak(0.0, 0.005)
+        peak.add(1.0, 0.100, decay_s=4.0)
+        peak.raise_to(1.0, 0.050, decay_s=1.0)
+        self.assertThat(peak.value(3.0), GreaterThan(0.060))
+        peak.raise_to(3.0, 0.100)
+        self.assertThat(peak.value(5.0), LessThan(0.020))
+
 
 class QuarantineTests(testtools.TestCase):
     def test_one_crash_is_suspect_and_a_second_upstream_quarantines(self):
--- a/tests/routing/test_forward.py
+++ b/tests/routing/test_forward.py
@@ -172,3 +172,35 @@
         self.assertTrue(harness.sender.handles[0].is_cancelled)
         harness.timers.advance(5.0)
         self.assertEqual(1, len(harness.sender.sent))
+
+
+class SlowReplicaTests(testtools.TestCase):
+    """Requests that cannot be hedged, while one of three replicas is slow."""
+
+    RATE_PER_S = 4.0
+    DURATION_S = 20.0
+    LEG_S = 0.15
+    SLOW_LEG_S = 1.65
+
+    def test_few_callers_wait_for_the_slow_replica(self):
+        harness = RoutingHarness(
+            fetch_route(is_idempotent=False, latency_target_s=0.6, timeout_s=10.0)
+        )
+        slow_id = make_replicas("records")[0].replica_id
+        harness.sender.script = lambda replica: (
+            self.SLOW_LEG_S if replica.replica_id == slow_id else self.LEG_S,
+            leg_reply(replica),
+        )
+        count = int(self.RATE_PER_S * self.DURATION_S)
+        for number in range(count):
+            harness.start(path="/fetch/2f", request_id=f"r{number}", deadline_s=10.0)
+            harness.timers.advance(1.0 / self.RATE_PER_S)
+        slow_sends = [
+            leg for leg in harness.sender.sent if leg.replica.replica_id == slow_id
+        ]
+        # One caller finds out whether it has recovered, then none for twice as long as
+        # that caller waited.
+        self.assertThat(
+            len(slow_sends), LessThan(self.DURATION_S / (2.0 * self.SLOW_LEG_S))
+        )
+        self.assertThat(len(slow_sends), GreaterThan(1))
