Leave the connections outside the serving set to the instances outside it

Cause: on grown sites, callers with an old address list reach instances outside the serving set.

Change: the rest is divided among the instances outside the set alone.

No effect on fleets of 16 or fewer, all of which serve.

Test: 70 instances in three zones and 67 connections: each instance reaches a replica of every shard in its zone (fails before); the sum over two serving sets still keeps the limit.

--- a/almondspool/routing/quota.py
+++ b/almondspool/routing/quota.py
@@ -58,7 +58,9 @@
     If there are fewer connections than instances, one connection each goes to instances
     in the replica's availability zone first, as they send it most of their legs, and
     then to those with the highest rendezvous weight, so that few connections are
-    reassigned when an instance joins or leaves.
+    reassigned when an instance joins or leaves. What is left by the serving set is
+    divided among the other instances alone: callers that still use an old address list
+    need a replica of every shard there.
 
     Args:
         max_connections: Number of connections that the replica accepts from all
@@ -68,6 +70,8 @@
         replica: The replica.
     """
     remaining = max_connections
+    zone_by_instance = allocation.zone_by_instance
+    instance_count = allocation.instance_count()
     if allocation.serving:
         serving_set_limit = int(max_connections * SERVING_SET_SHARE)
         serving_set_quota = serving_set_limit // (
@@ -77,10 +81,15 @@
             return serving_set_quota
         if serving_set_quota > 0:
             remaining -= serving_set_limit
-    share = remaining // allocation.instance_count()
+            zone_by_instance = {
+                name: zone
+                for name, zone in zone_by_instance.items()
+                if name not in allocation.serving
+            }
+            instance_count -= len(allocation.serving)
+    share = remaining // max(1, instance_count)
     if share > 0:
         return share
-    zone_by_instance = allocation.zone_by_instance
 
     def rank(name: str) -> tuple[bool, int]:
         is_local = zone_by_instance[name] == replica.zone
--- a/tests/routing/test_quota.py
+++ b/tests/routing/test_quota.py
@@ -81,6 +81,25 @@
             allocation = ShareAllocation(FLEET, 0, serving)
             self.assertEqual(2, connection_quota(67, instance, allocation, replica(1)))
 
+    def test_other_instances_reach_a_replica_of_every_shard_in_their_zone(self):
+        # 70 instances in three zones, four of which serve in each; 23 of the 67
+        # connections of a replica are left for the 23 others of its zone.
+        names_by_zone = {
+            "north": [f"north-{number}" for number in range(27)],
+            "south": [f"south-{number}" for number in range(22)],
+            "hills": [f"hills-{number}" for number in range(21)],
+        }
+        fleet = {name: zone for zone, names in names_by_zone.items() for name in names}
+        serving = frozenset(
+            name for names in names_by_zone.values() for name in names[:4]
+        )
+        allocation = ShareAllocation(fleet, 0, serving)
+        for name, zone in fleet.items():
+            for shard in range(36):
+                local = replica(shard)._replace(zone=zone)
+                quota = connection_quota(67, name, allocation, local)
+                self.assertTrue(quota >= 1, (name, shard))
+
     def test_sum_keeps_the_limit_while_instances_use_two_serving_sets(self):
         names = list(FLEET)
         for limit in (10, 25, 67, 74, 125, 1200):
