Send hedges on from replicas that turn out to be unreachable

Cause: a hedge whose replica refused the connection was given up while the first leg was open, although the third replica of the shard was idle, and hedges also went to replicas known to be unreachable, at the cost of the budget.

Change: a hedge that could not be sent goes to another reachable replica, without a charge, as nobody received it; none is sent to a replica whose sends are paused.

Tests: both new tests of test_fan_out fail on the code before.

--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -231,8 +231,7 @@
         shard.failure_reason = reply.outcome.value
         if reply.outcome is LegOutcome.NOT_SENT:
             # No upstream received the leg, so the resend is not charged to the budget.
-            if not shard.open_legs:
-                self._send(now, shard, "move")
+            self._move(now, shard, leg)
             return
         if reply.outcome is LegOutcome.BROKEN:
             self._broken_leg_count += 1
@@ -250,6 +249,19 @@
         else:
             self._retry(shard)
 
+    def _move(self, now: float, shard: ShardLegs, leg: OpenLeg) -> None:
+        """Send a leg that could not be sent to another replica.
+
+        A hedge goes to a reachable replica only, as the leg that it was to replace is
+        still open.
+        """
+        if not shard.open_legs:
+            self._send(now, shard, "move")
+        elif leg.reason == HEDGE:
+            choice = self._choose(now, shard)
+            if choice.replica is not None and not choice.is_paused:
+                self._send_to(now, shard, HEDGE, choice)
+
     def _after_crash_check(self, shard: ShardLegs, has_crashed: bool) -> None:
         if self._is_finished or shard.is_settled or shard.open_legs:
             return
@@ -299,7 +311,7 @@
             if not shard.candidates(usable, self._route.attempts):
                 continue
             choice = self._choose(now, shard)
-            if choice.replica is None:
+            if choice.replica is None or choice.is_paused:
                 continue
             if self._context.budget.try_acquire(now, shard.service):
                 self._send_to(now, shard, HEDGE, choice)
--- a/tests/routing/test_fan_out.py
+++ b/tests/routing/test_fan_out.py
@@ -71,6 +71,44 @@
         self.assertThat(answered_at - started_at, LessThan(0.06))
         self.assertEqual(11, len(self.sender.sent))
 
+    def script_refusing_hedges(self, refusing_zones):
+        """Let a shard's first leg hang and its replicas in some zones refuse."""
+
+        def script(replica):
+            if replica.service != "shard-0":
+                return 0.005, leg_reply(replica)
+            if replica.zone == "north":
+                return None
+            if replica.zone in refusing_zones:
+                return 0.001, failed_reply(LegOutcome.NOT_SENT)
+            return 0.005, leg_reply(replica)
+
+        self.sender.script = script
+
+    def test_hedge_that_could_not_be_sent_goes_to_another_replica(self):
+        for zone in ("south", "hills"):
+            self.script_refusing_hedges({zone})
+            reply = self.harness.run()
+            self.assertEqual((200, 0), (reply.status, self.missing_count(reply)))
+
+    def test_no_hedge_is_sent_to_replicas_that_are_known_to_be_unreachable(self):
+        self.script_refusing_hedges({"south", "hills"})
+        self.harness.start()
+        self.harness.timers.advance(0.2)
+        available = self.harness.budget.available(self.harness.timers.now(), "shard-0")
+        self.harness.start()
+        self.harness.timers.advance(0.2)
+        hedges = [
+            sent
+            for sent in self.sender.sent
+            if sent.replica.service == "shard-0" and sent.replica.zone != "north"
+        ]
+        self.assertEqual(2, len(hedges))
+        self.assertThat(
+            self.harness.budget.available(self.harness.timers.now(), "shard-0"),
+            GreaterThan(available),
+        )
+
     def test_leg_that_lost_to_a_hedge_keeps_its_connection_if_no_other_is_idle(self):
         states = self.sender.connection_state_by_id
         states["shard-3-north"] = ConnectionState.CONNECT
