Send callers back later the longer no configuration has been known

Change: the Retry-After without a configuration is one to one and a half times the time for which the instance has had none, counted as 0.4 s at least and 1 s at most.

--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -22,6 +22,14 @@
 # Retry-After of a request that is refused because it crashed two upstreams, and that
 # will be refused for about this long.
 QUARANTINE_RETRY_AFTER_S = 60.0
+# Bounds of the shortest Retry-After while no configuration is known. Between them it is
+# the time for which none has been known: an outage is expected to last about as long as
+# it has lasted. Callers repeat a request only a few times.
+MIN_CONFIGURATION_WAIT_S = 0.4
+MAX_CONFIGURATION_WAIT_S = 1.0
+# The longest Retry-After as a multiple of the shortest, so that callers do not retry
+# together.
+CONFIGURATION_WAIT_SPREAD = 1.5
 
 
 class Router:
@@ -44,6 +52,7 @@
         self._record_request = record_request
         self._table: RouteTable | None = None
         self._table_set_at = 0.0
+        self._started_at = context.timers.now()
         # Number of requests that are being run.
         self.in_flight = 0
 
@@ -88,7 +97,12 @@
         """
         table = self._table
         if table is None:
-            self._refuse(request, answer, ResultCode.NOT_RUN_NO_CONFIGURATION)
+            self._refuse(
+                request,
+                answer,
+                ResultCode.NOT_RUN_NO_CONFIGURATION,
+                self._configuration_wait_s(),
+            )
             return COMPLETED_REQUEST
         route = table.find(request.host, request.path)
         if route is None:
@@ -170,6 +184,14 @@
         if outcome.answer is not None:
             answer(outcome.answer)
 
+    def _configuration_wait_s(self) -> float:
+        """Return the Retry-After while no configuration is known, in seconds."""
+        waited_s = self._context.timers.now() - self._started_at
+        shortest_s = min(
+            MAX_CONFIGURATION_WAIT_S, max(MIN_CONFIGURATION_WAIT_S, waited_s)
+        )
+        return shortest_s * self._context.rng.uniform(1.0, CONFIGURATION_WAIT_SPREAD)
+
     def table_age_s(self) -> float:
         """Return how long the route table has been active, in seconds."""
         if self._table is None:
--- a/bench/simulated_callers.py
+++ b/bench/simulated_callers.py
@@ -135,6 +135,7 @@
         classes: Sequence[CallerClass] = CLASSES,
         pause_s: float = 0.2,
         repeats: int = 1,
+        is_configured: bool = True,
     ) -> None:
         """Set up the instances and searchers.
 
@@ -147,6 +148,7 @@
             classes: The kinds of searches.
             pause_s: Length of a searcher's pauses, in seconds.
             repeats: How often a caller repeats a refused search.
+            is_configured: Whether the instances know the routes from the start.
         """
         self.timers = VirtualTimers(start=100.0)
         self._instance_count = instances
@@ -181,11 +183,16 @@
                 self.timers.now(),
                 [searcher.replica for searcher in self.searchers_by_id.values()],
             )
+        self.results: list[Result] = []
+        self._request_count = 0
+        if is_configured:
+            self.configure()
+
+    def configure(self) -> None:
+        """Make the routes known to all instances."""
         table = _make_table([item.route for item in self.classes])
         for router in self.routers:
             router.set_table(table)
-        self.results: list[Result] = []
-        self._request_count = 0
 
     def _add_instance(
         self, zone: str, sender: SearcherConnections, rng: random.Random
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -9,9 +9,15 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from almondspool.protocol.exchange import ReportedLoad
-from almondspool.routing import fan_out, timed_request
+from almondspool.routing import fan_out, router, timed_request
 from almondspool.routing.replica_health import ReplicaHealth
-from bench.overload import play_lost_shard, play_overload, play_slow_and_leaving
+from bench.overload import (
+    play_lost_shard,
+    play_overload,
+    play_slow_and_leaving,
+    summarize,
+)
+from bench.simulated_callers import Play
 
 
 class SteadyOverloadTests(testtools.TestCase):
@@ -103,6 +109,40 @@
     return [choice.queue_rounds for choice in choices if choice.replica is not None]
 
 
+class UnknownConfigurationTests(testtools.TestCase):
+    """All instances restart while the store, which has the configuration, is away."""
+
+    RATE_PER_S = 97.0
+    SEEDS = (1, 2, 3)
+
+    def play_outage(self, seed, outage_s):
+        """Return what the callers of an outage got."""
+        play = Play(seed=seed, is_configured=False)
+        play.run(self.RATE_PER_S, outage_s)
+        play.configure()
+        ended_at = play.timers.now()
+        play.run(self.RATE_PER_S, 2.0)
+        play.finish()
+        return summarize(
+            [result for result in play.results if result.started_at < ended_at]
+        )
+
+    def served_share(self, outage_s):
+        outcomes = [self.play_outage(seed, outage_s) for seed in self.SEEDS]
+        return statistics.mean(1.0 - item.refused for item in outcomes)
+
+    def test_callers_return_later_the_longer_the_outage_has_lasted(self):
+        for outage_s, gain in ((0.3, 0.9), (2.5, 1.3)):
+            served_share = self.served_share(outage_s)
+            with mock.patch.object(
+                router.Router,
+                "_configuration_wait_s",
+                lambda self: self._context.retry_after_s(),
+            ):
+                served_share_before = self.served_share(outage_s)
+            self.assertThat(served_share, GreaterThan(gain * served_share_before))
+
+
 class LegsSinceReportTests(testtools.TestCase):
     """Legs sent after a load report count as outstanding, although it lacks them."""
 
