List a kind first from the member that has its newest revision

Cause: an instance that lost the store listed the entries from its seeds and then from members by name, four at most.

Change: members are asked in the order of the revision that their heartbeats tell, then the seeds.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -180,10 +180,17 @@
             self._log,
         )
         self._store_follower.follow(
-            configuration.KIND, configuration_handler, MIN_WATCH_INTERVAL_S
+            configuration.KIND,
+            configuration_handler,
+            MIN_WATCH_INTERVAL_S,
+            _configuration_version,
         )
         self._store_follower.follow(
-            entries.KIND, entry_handler, ENTRY_WATCH_INTERVAL_S, self._fleet_start_state
+            entries.KIND,
+            entry_handler,
+            ENTRY_WATCH_INTERVAL_S,
+            _entries_revision,
+            self._fleet_start_state,
         )
 
     def _fleet_start_state(self) -> FleetStartState:
@@ -386,7 +393,7 @@
         """List a kind again if a member has had a newer revision for too long."""
         own_version = self._router.version
         members = self._membership.view().present()
-        newest_version = max((member.generation for member in members), default=0)
+        newest_version = max(map(_configuration_version, members), default=0)
         if self._configuration_staleness.is_reread_due(
             self._timers.now(), own_version, newest_version
         ):
@@ -395,7 +402,7 @@
             )
             self._store_follower.relist(configuration.KIND)
         own_revision = self._store_follower.revision(entries.KIND)
-        newest_revision = max((member.shares_version for member in members), default=0)
+        newest_revision = max(map(_entries_revision, members), default=0)
         if self._entry_staleness.is_reread_due(
             self._timers.now(), own_revision, newest_revision
         ):
@@ -406,8 +413,6 @@
 
     def _publish_own_state(self) -> None:
         self._utilization.tick(self._timers.now())
-        # The platform's store holds no connection shares: the field shares_version of
-        # the record carries the revision of the entries instead.
         revision = self._store_follower.revision(entries.KIND)
         self._membership.update_own_record(
             OwnRecordUpdate(
@@ -426,6 +431,16 @@
         return self._router.table.limits if self._router.table else CallerLimits()
 
 
+def _configuration_version(member: Member) -> int:
+    return member.generation
+
+
+def _entries_revision(member: Member) -> int:
+    # The platform's store holds no connection shares: the field shares_version of the
+    # record carries the revision of the entries instead.
+    return member.shares_version
+
+
 def _retry_budget_limits(settings: PlatformSettings) -> RetryBudgetLimits:
     bounds = settings.extra_sends
     return RetryBudgetLimits(bounds.ratio, bounds.slack, bounds.window_s)
--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -16,7 +16,7 @@
     StaleWatchError,
     WatchSource,
 )
-from almondspool.routing.watcher_selector import InitialReadDelay
+from almondspool.routing.watcher_selector import InitialReadDelay, fallback_order
 
 if TYPE_CHECKING:
     import random
@@ -27,7 +27,7 @@
     from almondspool.platform.settings import PlatformSettings
     from almondspool.platform.watches import KindHandler
     from almondspool.routing.watcher_selector import WatcherSelector
-    from almondspool.state.members import View
+    from almondspool.state.members import Member, View
     from almondspool.transport.timers import TimerService
 
 # Limit on the instances that are asked, one after the other, for a list while the store
@@ -103,6 +103,7 @@
         kind: str,
         handler: KindHandler,
         min_interval_s: float,
+        member_revision: Callable[[Member], int],
         fleet_start_state: Callable[[], FleetStartState] | None = None,
     ) -> None:
         """Start to follow a kind in a green thread of its own.
@@ -111,6 +112,7 @@
             kind: One of the mirrored kinds.
             handler: Called with each list and with the changes of each watch.
             min_interval_s: Pause between two watches of the store, in seconds.
+            member_revision: Returns the revision of the kind in a member's record.
             fleet_start_state: Returns the state of the fleet, for a kind whose first
                 read waits until the fleet is known; None to read at once.
         """
@@ -136,7 +138,7 @@
             self._dependencies.rng,
             self._dependencies.log,
             min_interval_s,
-            self._fallback_peers,
+            lambda: self._fallback_peers(member_revision),
             first_read_delay_s,
         )
         self._threads_by_kind[kind] = eventlet.spawn(watch.run)
@@ -154,15 +156,20 @@
         error = StaleWatchError(f"a member knows a newer {kind}")
         hubs.get_hub().schedule_call_global(0, thread.throw, error)
 
-    def _fallback_peers(self) -> list[ObjectStoreClient]:
+    def _fallback_peers(
+        self, member_revision: Callable[[Member], int]
+    ) -> list[ObjectStoreClient]:
         """Return clients of other instances.
 
-        The seeds come first, as their addresses are known without the membership.
+        Besides the members, these are the seeds, whose addresses are known without the
+        membership.
         """
         settings = self._settings
-        addresses = [f"{ip}:{settings.peer_port}" for ip in settings.seed_ips]
         members = self._dependencies.view().present()
-        addresses += [member.peer_address for member in members]
+        addresses = [
+            member.peer_address for member in fallback_order(members, member_revision)
+        ]
+        addresses += [f"{ip}:{settings.peer_port}" for ip in settings.seed_ips]
         own_address = f"{settings.ip}:{settings.peer_port}"
         other_addresses = [
             address for address in dict.fromkeys(addresses) if address != own_address
--- a/almondspool/routing/watcher_selector.py
+++ b/almondspool/routing/watcher_selector.py
@@ -17,7 +17,9 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Mapping
+    from collections.abc import Callable, Iterable, Mapping
+
+    from almondspool.state.members import Member
 
 # In a fleet of at most this many instances each one watches the store itself: the calls
 # cost less than the delay and the risk of an intermediate instance.
@@ -38,6 +40,21 @@
 MEMBERS_POLL_INTERVAL_S = 0.02
 
 
+def fallback_order(
+    members: Iterable[Member], revision: Callable[[Member], int]
+) -> list[Member]:
+    """Return the members in the order in which to list a kind from them.
+
+    An instance that cannot reach the store is often partitioned together with others,
+    which have lost the store at the same time.
+
+    Args:
+        members: The other instances.
+        revision: Returns the revision of the kind that a member is known to have.
+    """
+    return sorted(members, key=revision, reverse=True)
+
+
 class InitialReadDelay(NamedTuple):
     """Delay of the first read of a kind with much data after the start of an instance.
 
--- a/tests/routing/test_watcher_selector.py
+++ b/tests/routing/test_watcher_selector.py
@@ -11,7 +11,9 @@
     MAX_RESTART_DELAY_S,
     InitialReadDelay,
     WatcherSelector,
+    fallback_order,
 )
+from almondspool.state.members import Member
 
 ZONES = ("north", "south", "hills")
 
@@ -27,6 +29,24 @@
     return selector
 
 
+class FallbackOrderTests(testtools.TestCase):
+    def test_instances_that_lost_the_store_as_well_come_last(self):
+        members = [
+            Member(
+                f"i{number}",
+                1,
+                "north",
+                "10.0.0.1:80",
+                "10.0.0.1:81",
+                shares_version=740 if number == 8 else 194 + number % 2,
+            )
+            for number in range(10)
+        ]
+        ordered = fallback_order(members, lambda member: member.shares_version)
+        self.assertEqual("i8", ordered[0].instance)
+        self.assertEqual({194}, {item.shares_version for item in ordered[-4:]})
+
+
 class WatcherSelectorTests(testtools.TestCase):
     def test_instances_of_a_small_fleet_watch_the_store(self):
         for count in (1, 9, 16):
