Blame no crash on a search that another searcher has answered

A request that crashes searchers crashes each that runs it.

Change: once a searcher has answered the search, a broken leg counts as a lost reply and is retried.

Ruled out: the budget; the probes and the publication are as before for searches that nobody has answered.

Test: two of ten shards' replicas crash while a search runs; it is complete and its repetition is run (before: 503).

--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -45,7 +45,8 @@
     ResultCode.DEADLINE_EXPIRED,
 )
 # Once the connections of this many legs of a search have broken, a shard whose upstream
-# has crashed is not retried, as the search itself may be what crashes the upstreams.
+# has crashed is not retried, as the search itself may be what crashes the upstreams. A
+# search that some upstream has answered is not what crashes the others.
 MIN_BROKEN_LEGS_OF_CRASHING_SEARCH = 2
 
 
@@ -233,7 +234,7 @@
             # No upstream received the leg, so the resend is not charged to the budget.
             self._move(now, shard, leg)
             return
-        if reply.outcome is LegOutcome.BROKEN:
+        if reply.outcome is LegOutcome.BROKEN and not self._answered_count:
             self._broken_leg_count += 1
             self._context.crashes.on_broken_connection(
                 leg.replica,
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -9,6 +9,7 @@
     RoutingHarness,
     failed_reply,
     fetch_route,
+    leg_reply,
     search_route,
 )
 
@@ -67,6 +68,22 @@
         self.assertEqual(503, harness.run(request_id="b").status)
         self.assertEqual(10, len(harness.sender.sent))
 
+    def test_search_that_upstreams_answered_does_not_crash_the_others(self):
+        # Searchers of several shards crash together while searches are running.
+        harness = RoutingHarness(search_route())
+
+        def script(replica):
+            if replica.service in {"shard-0", "shard-1"} and replica.zone == "north":
+                return self.crash(harness, replica)
+            return 0.005, leg_reply(replica)
+
+        harness.sender.script = script
+        reply = harness.run()
+        self.assertEqual(200, reply.status)
+        self.assertEqual("0", harness.header(reply, "Missing-Shards"))
+        self.assertEqual([], harness.published)
+        self.assertEqual(200, harness.run(request_id="b").status)
+
     def test_other_requests_are_not_quarantined(self):
         harness = RoutingHarness(fetch_route())
         harness.sender.script = lambda replica: self.crash(harness, replica)
