Keep legs in the zone unless another one saves a quarter of a median leg

Change: a replica of another zone must be expected to save a quarter of a median leg besides the round trip.

Test: a leg of 1.5 times the median does not send the next one to another zone (fails before), one of three times does.

--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -20,6 +20,9 @@
 
 # Round trip to another availability zone: 3 to 4.4 ms each way.
 CROSS_ZONE_COST_S = 0.009
+# What a replica of another zone must save besides, as a share of a median leg: smaller
+# differences between legs are chance, and bytes between zones are charged.
+CROSS_ZONE_MEDIAN_SHARE = 0.25
 # Time to open a connection: one round trip and 6 ms of set-up at a searcher.
 CONNECT_COST_S = 0.007
 # Wait for a connection when none is free: about one short leg.
@@ -164,7 +167,7 @@
         expected_s = median_s * health.slowness(now) * rounds_to_completion
         expected_s += health.failure_share(now) * FAILURE_COST_S
         if replica.zone != self._zone:
-            expected_s += CROSS_ZONE_COST_S
+            expected_s += CROSS_ZONE_COST_S + CROSS_ZONE_MEDIAN_SHARE * median_s
         connection_state = self._sender.connection_state(replica)
         if connection_state is not ConnectionState.IDLE:
             expected_s += (
--- a/tests/routing/test_selection.py
+++ b/tests/routing/test_selection.py
@@ -40,6 +40,15 @@
             self.selector.choose(1.0, self.replicas, MEDIAN_S, tried).replica
         )
 
+    def test_leg_that_was_longer_by_chance_does_not_send_the_next_to_another_zone(self):
+        median_s = 0.030
+        for slowness, zone in ((1.5, "north"), (3.0, "south")):
+            selector = ReplicaSelector("north", self.sender, random.Random(5))
+            replicas = (self.local, self.remote)
+            selector.health(10.0, self.local).record_success(10.0, slowness)
+            choice = selector.choose(10.0, replicas, median_s)
+            self.assertEqual(zone, choice.replica.zone)
+
     def test_slow_local_replica_loses_to_a_remote_one(self):
         health = self.selector.health(10.0, self.local)
         health.record_success(10.0, 8.5)
