Send waiting legs when a cancelled or expired one frees a slot

Cause: LegDispatcher.cancel and on_timer removed a run from its exchange without looking at the queue, so that waiting legs stayed until the next result or submission for that upstream, although a slot was free.

Change: both dispatch what waits.

Tests: both new tests fail before; in exchange_of_suspect the third leg is submitted before the slots are freed, as the other two were, with the same assertions.

--- a/almondspool/coordination/upstreams/leg_dispatcher.py
+++ b/almondspool/coordination/upstreams/leg_dispatcher.py
@@ -100,6 +100,7 @@
                 self._cancel_leg(run, leg_id, cancelled_by_upstream, actions)
         for upstream_id, wire_ids in cancelled_by_upstream.items():
             actions.append(CancelRuns(upstream_id, tuple(wire_ids)))
+            self._dispatch(now, self._queues_by_id[upstream_id], actions)
         return actions
 
     def on_result(
@@ -134,6 +135,7 @@
         for queue in self._queues_by_id.values():
             if len(queue):
                 self._expire_waiting(now, queue, actions)
+                self._dispatch(now, queue, actions)
         return actions
 
     def has_open_legs(self) -> bool:
--- a/tests/coordination/upstreams/test_leg_dispatcher.py
+++ b/tests/coordination/upstreams/test_leg_dispatcher.py
@@ -72,6 +72,29 @@
         counts = session.leg_dispatcher.counts()
         self.assertEqual((4, 4, 0), (counts.runs_sent, counts.exchanges, counts.shared))
 
+    def exchanges_after(self, free_slot):
+        """Return the exchanges when a slot is freed in one that goes on."""
+        session = LegDispatcherSession({"searcher-1": 2}, slots=2, service_s=0.3)
+        session.submit(
+            "searcher-1", make_leg("long", deadline_ms=900), make_leg("b", "s2", 50)
+        )
+        session.submit("searcher-1", make_leg("waiting", "s3", 900))
+        self.assertEqual([["long", "b"]], session.exchanges)
+        free_slot(session)
+        return session.exchanges
+
+    def test_waiting_leg_is_sent_when_another_one_is_cancelled(self):
+        self.assertEqual(
+            [["long", "b"], ["waiting"]],
+            self.exchanges_after(lambda session: session.cancel("b")),
+        )
+
+    def test_waiting_leg_is_sent_when_the_deadline_of_another_one_has_passed(self):
+        self.assertEqual(
+            [["long", "b"], ["waiting"]],
+            self.exchanges_after(lambda session: session.timers.advance(0.1)),
+        )
+
     def exchange_of_suspect(self, is_exclusive=True):
         """Return the legs in the exchange of a suspect leg."""
         session = LegDispatcherSession({"searcher-1": 4}, slots=4)
@@ -81,9 +104,9 @@
         session.submit(
             "searcher-1", make_leg("suspect", "s2"), is_exclusive=is_exclusive
         )
+        session.submit("searcher-1", make_leg("after", "s3"))
         # All slots become free at once, so that the waiting legs can share exchanges.
         session.cancel(*[leg.leg_id for leg in busy])
-        session.submit("searcher-1", make_leg("after", "s3"))
         session.timers.advance(0.200)
         self.assertEqual(7, len(session.results_by_leg_id))
         [shared] = [legs for legs in session.exchanges if "suspect" in legs]
