Copy no map of the fleet for each replica's quota

connection_quota built a map of the instances outside the serving set anew for every replica, also where the connections suffice for all and no rank is needed. The reserved instances are now skipped while ranking. Same results on 4,000 random fleets, limits and serving sets (old and new function compared); 79 | 70 ms for 302 instances and 315 replicas.

--- a/almondspool/routing/quota.py
+++ b/almondspool/routing/quota.py
@@ -70,8 +70,9 @@
         replica: The replica.
     """
     remaining = max_connections
-    zone_by_instance = allocation.zone_by_instance
     instance_count = allocation.instance_count()
+    # Instances with a quota of their own.
+    reserved: frozenset[str] = frozenset()
     if allocation.serving:
         serving_set_limit = int(max_connections * SERVING_SET_SHARE)
         serving_set_quota = serving_set_limit // (
@@ -81,20 +82,18 @@
             return serving_set_quota
         if serving_set_quota > 0:
             remaining -= serving_set_limit
-            zone_by_instance = {
-                name: zone
-                for name, zone in zone_by_instance.items()
-                if name not in allocation.serving
-            }
-            instance_count -= len(allocation.serving)
-    share = remaining // max(1, instance_count)
+            reserved = allocation.serving
+    share = remaining // max(1, instance_count - len(reserved))
     if share > 0:
         return share
+    zone_by_instance = allocation.zone_by_instance
 
     def rank(name: str) -> tuple[bool, int]:
         is_local = zone_by_instance[name] == replica.zone
         return is_local, weight(replica.replica_id, name)
 
     own_rank = rank(instance)
-    higher_ranked_count = sum(rank(other) > own_rank for other in zone_by_instance)
+    higher_ranked_count = sum(
+        rank(other) > own_rank for other in zone_by_instance if other not in reserved
+    )
     return 1 if higher_ranked_count < remaining else 0
