--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -204,6 +204,15 @@
         self._watch_revision = self._applied_revision = stored_list.revision
 
     def _watch(self, source: WatchSource) -> None:
+        if not self._is_reachable:
+            self._log.write(
+                "store.retried",
+                kind=self._kind,
+                at=self._watch_revision,
+                instance=source.instance,
+                wait_s=source.wait_s,
+                failures=self._failures,
+            )
         events, revision = source.client.watch(
             self._kind, self._watch_revision, source.wait_s, source.timeout_margin_s
         )
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -35,13 +35,15 @@
 
 
 class _Entry(NamedTuple):
-    """A replica, and the monotonic second at which it is dropped unless it is renewed.
+    """A replica, and when it is dropped unless its entry is renewed.
 
-    The time is infinite while the replica has an entry in the store.
+    Times are in monotonic seconds, and infinite while the replica has an entry in the
+    store.
     """
 
     replica: Replica
     drop_at: float = math.inf
+    lapsed_at: float = math.inf
 
 
 class _Incarnation(NamedTuple):
@@ -75,6 +77,7 @@
         self._left_at_by_incarnation: dict[_Incarnation, float] = {}
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
         self._is_store_reachable = True
+        self._store_lost_at = -math.inf
         self._store_regained_at = -math.inf
         self.is_loaded = False
 
@@ -82,6 +85,8 @@
         """Set whether the store is reachable, and note when an outage ends."""
         if is_reachable and not self._is_store_reachable:
             self._store_regained_at = now
+        elif self._is_store_reachable and not is_reachable:
+            self._store_lost_at = now
         self._is_store_reachable = is_reachable
 
     def replace_all(self, now: float, replicas: Iterable[Replica]) -> None:
@@ -108,6 +113,12 @@
             or _is_new_incarnation(previous, replica)
         ):
             del self._misdirected_address_by_id[replica.replica_id]
+        if entry is not None and entry.drop_at < math.inf:
+            self._log.write(
+                "replica.renewed",
+                replica=replica.replica_id,
+                kept_s=now - entry.lapsed_at,
+            )
         self._entries_by_id[replica.replica_id] = _Entry(replica)
         self._invalidate_service(replica.service, previous)
         if previous is None or previous.is_draining != replica.is_draining:
@@ -137,15 +148,20 @@
         expired_since = self._expired_since(now, active_count)
         for replica_id, entry in removed.items():
             if expired_since is None or entry.replica.is_draining:
-                self._drop(replica_id, "entry_removed")
+                self._drop(now, replica_id, "entry_removed")
                 continue
             drop_at = max(now, expired_since + EXPIRY_GRACE_S)
-            self._entries_by_id[replica_id] = entry._replace(drop_at=drop_at)
+            self._entries_by_id[replica_id] = entry._replace(
+                drop_at=drop_at, lapsed_at=now
+            )
             self._log.write(
                 "replica.lapsed",
                 replica=replica_id,
                 since_s=now - expired_since,
                 together=active_count,
+                keep_s=drop_at - now,
+                lost_s=now - self._store_lost_at,
+                regained_s=now - self._store_regained_at,
             )
 
     def _expired_since(self, now: float, active_count: int) -> float | None:
@@ -178,7 +194,7 @@
             key for key, entry in self._entries_by_id.items() if entry.drop_at <= now
         ]
         for replica_id in due:
-            self._drop(replica_id, "entry_not_renewed")
+            self._drop(now, replica_id, "entry_not_renewed")
 
     def on_misdirected(self, replica: Replica) -> None:
         """Stop using a replica whose address another upstream has taken over."""
@@ -242,7 +258,7 @@
         """Return every known replica, including those that accept no new requests."""
         return tuple(entry.replica for entry in self._entries_by_id.values())
 
-    def _drop(self, replica_id: str, reason: str) -> None:
+    def _drop(self, now: float, replica_id: str, reason: str) -> None:
         entry = self._entries_by_id.pop(replica_id)
         self._misdirected_address_by_id.pop(replica_id, None)
         self._usable_by_service.pop(entry.replica.service, None)
@@ -252,6 +268,7 @@
             replica=replica_id,
             service=entry.replica.service,
             reason=reason,
+            kept_s=max(0.0, now - entry.lapsed_at),
         )
 
     def _invalidate_service(self, service: str, previous: Replica | None) -> None:
