Confirm the return of the store by a watch that does not wait

Callers' requests reached upstreams up to 4.0 s after the removal of their entries; platform bound 3.0 s.

Cause: after a failed watch the next one waits for up to 30 s for a change. The store counted as lost until that change. If the change was a removal, the same turn noted the return of the store and took the removal for an expiry during the outage: the upstream was kept for 3 s from then on, plus up to 1 s until the next check. Followers were refused meanwhile, as the mirror was held not to be fresh.

While the store is held to be lost, a watch is now sent with a wait of 0: its answer shows that the store is back, whether or not something changed.

--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -204,17 +204,21 @@
         self._watch_revision = self._applied_revision = stored_list.revision
 
     def _watch(self, source: WatchSource) -> None:
+        wait_s, timeout_margin_s = source.wait_s, source.timeout_margin_s
         if not self._is_reachable:
+            # A watch that waits shows nothing until the next change: one that is
+            # answered at once shows that the store is back.
+            wait_s, timeout_margin_s = 0.0, CALL_TIMEOUT_S
             self._log.write(
                 "store.retried",
                 kind=self._kind,
                 at=self._watch_revision,
                 instance=source.instance,
-                wait_s=source.wait_s,
+                wait_s=wait_s,
                 failures=self._failures,
             )
         events, revision = source.client.watch(
-            self._kind, self._watch_revision, source.wait_s, source.timeout_margin_s
+            self._kind, self._watch_revision, wait_s, timeout_margin_s
         )
         self._record_success(source)
         self._mirror.apply(events, revision)
