Take entries for expired only after a loss of the store that can expire them

Callers' requests still reached upstreams for up to 3.4 s after the removal of their entries if these left within 4 s of a reset of an instance's connection to the store.

Cause: each loss of a connection counted as an outage of the store, and each entry that disappeared within 4 s of it as expired. An entry expires after three heartbeats, and the last one is at most one interval old when an outage begins, so a loss of less than two intervals expires none.

The registry now compares the length of the loss with the heartbeat interval of the settings. An outage that was noticed late or not at all is still recognized by the number of entries that disappear together.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -224,7 +224,9 @@
         now = self._timers.now
         self._pools = UpstreamPools(self._codec, now, self._connection_quota)
         self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
-        self._registry = ReplicaRegistry(self._log, self._remove_replica)
+        self._registry = ReplicaRegistry(
+            self._log, self._remove_replica, self._settings.upstream_heartbeat_s
+        )
         self._budget = RetryBudget(_retry_budget_limits(self._settings))
         self._budget.set_share_divisor(self._shares.share_divisor(now()))
         self._placement = Placement(
--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -24,6 +24,7 @@
 _DEFAULT_RETRY_SLACK = 50.0
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_TTL_MAX_S = 5.0
+_DEFAULT_HEARTBEAT_MS = 1200.0
 
 
 class ExtraSendBounds(NamedTuple):
@@ -65,6 +66,8 @@
         zones: Region by availability zone.
         power: CPU capacity of this instance, in cores.
         is_first_start: Whether the whole fleet starts for the first time.
+        upstream_heartbeat_s: Interval at which upstreams renew their entries in the
+            store, in seconds.
     """
 
     instance: str
@@ -84,6 +87,7 @@
     zones: dict[str, str]
     power: float = 1.0
     is_first_start: bool = False
+    upstream_heartbeat_s: float = _DEFAULT_HEARTBEAT_MS / 1000.0
 
 
 def load_platform_settings(path: str) -> PlatformSettings:
@@ -145,6 +149,9 @@
         zones={str(key): str(value) for key, value in _table(values, "zones").items()},
         power=_number(limits, "cpu_share", 1.0) * _number(limits, "cores", 1.0),
         is_first_start=values.get("bootstrap") is True,
+        upstream_heartbeat_s=(
+            _number(values, "heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000.0
+        ),
     )
 
 
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -19,6 +19,9 @@
 # its end. This instance reads them at most a second later, the time between
 # consecutive watches.
 EXPIRY_GRACE_S = 3.0
+# An entry expires after three heartbeats, and the last one before an outage is at most
+# one interval old when it begins: a shorter loss of the store expires no entry.
+MIN_OUTAGE_HEARTBEATS = 2.0
 # A watch may block throughout an outage without failing. Expired entries then differ
 # from removed ones only in how many disappear together without draining first: at most
 # a sixth of the replicas are replaced or lost at a time. Entries that disappear
@@ -61,7 +64,12 @@
         is_loaded: Whether a complete list of the store's entries has been read.
     """
 
-    def __init__(self, log: EventLog, on_removed: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        log: EventLog,
+        on_removed: Callable[[str], None],
+        heartbeat_s: float = 1.2,
+    ) -> None:
         """Start empty.
 
         Args:
@@ -69,9 +77,11 @@
             on_removed: Called with the id of a replica that is gone, has moved or
                 restarted or is stopping, so that its connections and statistics are
                 dropped.
+            heartbeat_s: Interval at which replicas renew their entries, in seconds.
         """
         self._log = log
         self._on_removed = on_removed
+        self._min_outage_s = MIN_OUTAGE_HEARTBEATS * heartbeat_s
         self._entries_by_id: dict[str, _Entry] = {}
         self._misdirected_address_by_id: dict[str, str] = {}
         self._left_at_by_incarnation: dict[_Incarnation, float] = {}
@@ -173,7 +183,11 @@
         """
         if not active_count:
             return None
-        if now - self._store_regained_at < OUTAGE_EXPIRY_WINDOW_S:
+        outage_s = self._store_regained_at - self._store_lost_at
+        if (
+            outage_s >= self._min_outage_s
+            and now - self._store_regained_at < OUTAGE_EXPIRY_WINDOW_S
+        ):
             return self._store_regained_at
         active_total = sum(
             not entry.replica.is_draining for entry in self._entries_by_id.values()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -16,6 +16,7 @@
 region = "perth"
 internal_ports = [7740,7755]
 seeds = ["10.1.0.39:8224","10.2.0.33:8224"]
+heartbeat_ms = 900
 contracts = ["base"]
 [zones]
 perth-north = "perth"
@@ -52,6 +53,7 @@
         self.assertEqual(("10.1.0.39", "10.2.0.33"), settings.seed_ips)
         self.assertEqual((0.2, 58.0, 10.0), settings.extra_sends)
         self.assertEqual({"perth-north": "perth"}, settings.zones)
+        self.assertEqual(0.9, settings.upstream_heartbeat_s)
 
     def test_errors_name_the_file_and_the_key(self):
         for old, new, key in (
