Keep upstreams without an entry for less than they may serve

An upstream that left together with many others, or within 4 s of the return of the store, still got requests for up to 4.9 s after the removal of its entry (bound 3.0 s).

Cause: an expired entry cannot be told from a removed one, and was kept for 3 s from the return of the store, or from the read of a mass removal. The read may be a second late, and drops were due with a check once a second. The grace period took no account of how long an upstream serves after its entry was removed.

The time for which an upstream is kept now also ends before drain_s, less the delay with which a removal may be read; it begins only within the grace period of 2.5 s, and ends with a timer of its own. While upstreams are kept, entries are read four times a second, so that renewed ones are found in time.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -62,6 +63,9 @@
 # this interval a draining searcher gets no more requests after two of its three seconds
 # of draining.
 ENTRY_WATCH_INTERVAL_S = 1.0
+# The same while replicas are kept without an entry: most entries that expired together
+# are renewed within two seconds, and a replica may be kept for less than that.
+LAPSED_ENTRY_WATCH_INTERVAL_S = 0.25
 
 
 class PlatformApplication:
@@ -176,19 +180,19 @@
             self._registry,
             self._timers.now,
             self._metrics.invalid_entries.inc,
-            self._preconnect_replicas,
+            self._on_entries_changed,
             self._log,
         )
         self._store_follower.follow(
             configuration.KIND,
             configuration_handler,
-            MIN_WATCH_INTERVAL_S,
+            lambda: MIN_WATCH_INTERVAL_S,
             _configuration_version,
         )
         self._store_follower.follow(
             entries.KIND,
             entry_handler,
-            ENTRY_WATCH_INTERVAL_S,
+            self._entry_watch_interval_s,
             _entries_revision,
             self._fleet_start_state,
         )
@@ -225,7 +229,7 @@
         self._pools = UpstreamPools(self._codec, now, self._connection_quota)
         self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
         self._registry = ReplicaRegistry(
-            self._log, self._remove_replica, self._settings.upstream_heartbeat_s
+            self._log, self._remove_replica, self._settings.entry_times
         )
         self._budget = RetryBudget(_retry_budget_limits(self._settings))
         self._budget.set_share_divisor(self._shares.share_divisor(now()))
@@ -318,6 +322,25 @@
         ):
             self._pools.preconnect(replica)
 
+    def _on_entries_changed(self) -> None:
+        self._preconnect_replicas()
+        self._schedule_drop()
+
+    def _entry_watch_interval_s(self) -> float:
+        if self._registry.next_drop_at() < math.inf:
+            return LAPSED_ENTRY_WATCH_INTERVAL_S
+        return ENTRY_WATCH_INTERVAL_S
+
+    def _schedule_drop(self) -> None:
+        """Drop the next replica that is kept without an entry when it is due."""
+        drop_at = self._registry.next_drop_at()
+        if drop_at < math.inf:
+            self._timers.call_later(drop_at - self._timers.now(), self._drop_expired)
+
+    def _drop_expired(self) -> None:
+        self._registry.drop_expired(self._timers.now())
+        self._schedule_drop()
+
     def _services_in_use(self) -> Iterable[str]:
         return self._router.table.services_in_use if self._router.table else ()
 
--- a/almondspool/platform/settings.py
+++ b/almondspool/platform/settings.py
@@ -9,6 +9,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import SettingsError
+from almondspool.routing.replicas import EntryTimes
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -24,7 +25,8 @@
 _DEFAULT_RETRY_SLACK = 50.0
 _DEFAULT_GRACE_S = 6.0
 _DEFAULT_TTL_MAX_S = 5.0
-_DEFAULT_HEARTBEAT_MS = 1200.0
+_DEFAULT_HEARTBEAT_MS = EntryTimes().heartbeat_s * 1000.0
+_DEFAULT_DRAIN_MS = EntryTimes().drain_s * 1000.0
 
 
 class ExtraSendBounds(NamedTuple):
@@ -66,8 +68,7 @@
         zones: Region by availability zone.
         power: CPU capacity of this instance, in cores.
         is_first_start: Whether the whole fleet starts for the first time.
-        upstream_heartbeat_s: Interval at which upstreams renew their entries in the
-            store, in seconds.
+        entry_times: Times of the upstreams' entries in the store.
     """
 
     instance: str
@@ -87,7 +88,7 @@
     zones: dict[str, str]
     power: float = 1.0
     is_first_start: bool = False
-    upstream_heartbeat_s: float = _DEFAULT_HEARTBEAT_MS / 1000.0
+    entry_times: EntryTimes = EntryTimes()
 
 
 def load_platform_settings(path: str) -> PlatformSettings:
@@ -149,8 +150,9 @@
         zones={str(key): str(value) for key, value in _table(values, "zones").items()},
         power=_number(limits, "cpu_share", 1.0) * _number(limits, "cores", 1.0),
         is_first_start=values.get("bootstrap") is True,
-        upstream_heartbeat_s=(
-            _number(values, "heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000.0
+        entry_times=EntryTimes(
+            _number(values, "heartbeat_ms", _DEFAULT_HEARTBEAT_MS) / 1000.0,
+            _number(bounds, "drain_ms", _DEFAULT_DRAIN_MS) / 1000.0,
         ),
     )
 
--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -102,7 +102,7 @@
         self,
         kind: str,
         handler: KindHandler,
-        min_interval_s: float,
+        min_interval_s: Callable[[], float],
         member_revision: Callable[[Member], int],
         fleet_start_state: Callable[[], FleetStartState] | None = None,
     ) -> None:
@@ -111,7 +111,8 @@
         Args:
             kind: One of the mirrored kinds.
             handler: Called with each list and with the changes of each watch.
-            min_interval_s: Pause between two watches of the store, in seconds.
+            min_interval_s: Returns the pause between two watches of the store, in
+                seconds.
             member_revision: Returns the revision of the kind in a member's record.
             fleet_start_state: Returns the state of the fleet, for a kind whose first
                 read waits until the fleet is known; None to read at once.
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -83,6 +83,10 @@
     return 0.0
 
 
+def _min_watch_interval_s() -> float:
+    return MIN_WATCH_INTERVAL_S
+
+
 class KindWatch:
     """Keeps a handler and a mirror up to date with one kind of the store's objects."""
 
@@ -94,7 +98,7 @@
         mirror: KindMirror,
         rng: random.Random,
         log: EventLog,
-        min_interval_s: float = MIN_WATCH_INTERVAL_S,
+        min_interval_s: Callable[[], float] = _min_watch_interval_s,
         fallback_peers: Callable[[], Sequence[ObjectStoreClient]] = tuple,
         first_read_delay_s: Callable[[float], float] = _no_delay,
     ) -> None:
@@ -108,7 +112,8 @@
             mirror: Copy of the kind for instances that follow this one.
             rng: Adds jitter to the retries of many instances.
             log: The event log.
-            min_interval_s: Pause between two watches of the store, in seconds.
+            min_interval_s: Returns the pause between two watches of the store, in
+                seconds.
             fallback_peers: Returns clients of the instances to list the kind from if
                 the store is unreachable and this instance has no or stale data.
             first_read_delay_s: Returns the remaining delay of the first read, given
@@ -228,7 +233,7 @@
         )
         # The pause also limits the call rate if every watch is answered at once.
         eventlet.sleep(
-            MIN_WATCH_INTERVAL_S if source.instance else self._min_interval_s
+            MIN_WATCH_INTERVAL_S if source.instance else self._min_interval_s()
         )
 
     def _on_failure(self, source: WatchSource, error: PlatformError) -> None:
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -15,10 +15,12 @@
     from almondspool.logs import EventLog
     from almondspool.state.routes import Replica
 
-# Entries that expired during an outage of the store are renewed within two seconds of
-# its end. This instance reads them at most a second later, the time between
-# consecutive watches.
-EXPIRY_GRACE_S = 3.0
+# Entries that expired during an outage of the store are renewed within about two
+# seconds of its end.
+EXPIRY_GRACE_S = 2.5
+# A removal may be read this much later: by the pause between two watches, which is a
+# second, and by the delays of the network and of the event loop.
+MAX_REMOVAL_READ_DELAY_S = 1.25
 # An entry expires after three heartbeats, and the last one before an outage is at most
 # one interval old when it begins: a shorter loss of the store expires no entry.
 MIN_OUTAGE_HEARTBEATS = 2.0
@@ -29,8 +31,6 @@
 # of all and at least this many.
 MASS_EXPIRY_SHARE = 1.0 / 3.0
 MIN_MASS_EXPIRY = 4
-# Entries that disappear up to this long after an outage may have expired during it.
-OUTAGE_EXPIRY_WINDOW_S = 4.0
 # How long the incarnation of a replica that announced its shutdown is remembered: its
 # entry may be read again from another instance that does not know yet that the replica
 # has stopped.
@@ -49,6 +49,21 @@
     lapsed_at: float = math.inf
 
 
+class EntryTimes(NamedTuple):
+    """The platform's times of entries, in seconds.
+
+    Attributes:
+        heartbeat_s: Interval at which replicas renew their entries.
+        drain_s: How long a replica serves after its entry was removed.
+    """
+
+    heartbeat_s: float = 1.2
+    drain_s: float = 3.0
+
+
+_DEFAULT_TIMES = EntryTimes()
+
+
 class _Incarnation(NamedTuple):
     """Identity of one run of a replica; it changes with every restart."""
 
@@ -68,7 +83,7 @@
         self,
         log: EventLog,
         on_removed: Callable[[str], None],
-        heartbeat_s: float = 1.2,
+        times: EntryTimes = _DEFAULT_TIMES,
     ) -> None:
         """Start empty.
 
@@ -77,11 +92,11 @@
             on_removed: Called with the id of a replica that is gone, has moved or
                 restarted or is stopping, so that its connections and statistics are
                 dropped.
-            heartbeat_s: Interval at which replicas renew their entries, in seconds.
+            times: The platform's times of entries.
         """
         self._log = log
         self._on_removed = on_removed
-        self._min_outage_s = MIN_OUTAGE_HEARTBEATS * heartbeat_s
+        self._times = times
         self._entries_by_id: dict[str, _Entry] = {}
         self._misdirected_address_by_id: dict[str, str] = {}
         self._left_at_by_incarnation: dict[_Incarnation, float] = {}
@@ -156,11 +171,11 @@
         }
         active_count = sum(not entry.replica.is_draining for entry in removed.values())
         expired_since = self._expired_since(now, active_count)
+        drop_at = self._drop_at(now, expired_since)
         for replica_id, entry in removed.items():
-            if expired_since is None or entry.replica.is_draining:
+            if drop_at <= now or entry.replica.is_draining:
                 self._drop(now, replica_id, "entry_removed")
                 continue
-            drop_at = max(now, expired_since + EXPIRY_GRACE_S)
             self._entries_by_id[replica_id] = entry._replace(
                 drop_at=drop_at, lapsed_at=now
             )
@@ -174,19 +189,28 @@
                 regained_s=now - self._store_regained_at,
             )
 
-    def _expired_since(self, now: float, active_count: int) -> float | None:
-        """Return when entries may have expired, or None if they were removed.
+    def _drop_at(self, now: float, expired_since: float) -> float:
+        """Return until when to keep replicas whose entries disappeared now.
+
+        An expired entry cannot be told from a removed one, so none is kept for longer
+        than a replica serves after its entry was removed.
+        """
+        longest_s = self._times.drain_s - MAX_REMOVAL_READ_DELAY_S
+        return min(expired_since + EXPIRY_GRACE_S, now + max(0.0, longest_s))
+
+    def _expired_since(self, now: float, active_count: int) -> float:
+        """Return when entries may have expired, or minus infinity if they were removed.
 
         Args:
             now: Monotonic seconds.
             active_count: How many replicas that were not draining disappeared together.
         """
         if not active_count:
-            return None
+            return -math.inf
         outage_s = self._store_regained_at - self._store_lost_at
         if (
-            outage_s >= self._min_outage_s
-            and now - self._store_regained_at < OUTAGE_EXPIRY_WINDOW_S
+            outage_s >= MIN_OUTAGE_HEARTBEATS * self._times.heartbeat_s
+            and now - self._store_regained_at < EXPIRY_GRACE_S
         ):
             return self._store_regained_at
         active_total = sum(
@@ -195,7 +219,13 @@
         is_mass_expiry = active_count >= max(
             MIN_MASS_EXPIRY, MASS_EXPIRY_SHARE * active_total
         )
-        return now if is_mass_expiry else None
+        return now if is_mass_expiry else -math.inf
+
+    def next_drop_at(self) -> float:
+        """Return when the next kept replica is due to be dropped; infinite if none."""
+        return min(
+            (entry.drop_at for entry in self._entries_by_id.values()), default=math.inf
+        )
 
     def drop_expired(self, now: float) -> None:
         """Drop the replicas whose entries were not renewed within the grace period."""
--- a/tests/platform/test_leaving_entries.py
+++ b/tests/platform/test_leaving_entries.py
@@ -106,7 +106,7 @@
             lambda pause_s: self.store._pass(timers.now() + pause_s),
         )
         timers.subscribe(0.05, observe)
-        timers.subscribe(1.0, drop_expired)
+        timers.subscribe(0.05, drop_expired)
         watch = KindWatch(
             "servers",
             lambda _: WatchSource("", self.store),
@@ -114,7 +114,7 @@
             self.mirror,
             random.Random(1),
             log,
-            1.0,
+            lambda: 1.0,
         )
         self.assertRaises(eventlet.greenlet.GreenletExit, watch.run)
         return last_used_by_id
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -31,6 +31,7 @@
 retry_window_s = 10
 retry_slack = 58
 grace_s = 6
+drain_ms = 2500
 [platform]
 address = "10.200.1.7:8229"
 """
@@ -53,7 +54,7 @@
         self.assertEqual(("10.1.0.39", "10.2.0.33"), settings.seed_ips)
         self.assertEqual((0.2, 58.0, 10.0), settings.extra_sends)
         self.assertEqual({"perth-north": "perth"}, settings.zones)
-        self.assertEqual(0.9, settings.upstream_heartbeat_s)
+        self.assertEqual((0.9, 2.5), settings.entry_times)
 
     def test_errors_name_the_file_and_the_key(self):
         for old, new, key in (
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -6,6 +6,8 @@
 from almondspool.routing.replicas import (
     EXPIRY_GRACE_S,
     LEAVING_INCARNATION_TTL_S,
+    MAX_REMOVAL_READ_DELAY_S,
+    EntryTimes,
     ReplicaRegistry,
 )
 from tests.routing.routing_harness import make_replicas
@@ -43,6 +45,10 @@
         self.assertEqual(["shard-north"], self.removed)
 
     def test_entry_that_expired_during_an_outage_is_kept_for_the_grace_period(self):
+        self.registry = ReplicaRegistry(
+            EventLog(self.lines.append), self.removed.append, EntryTimes(drain_s=6.0)
+        )
+        self.registry.replace_all(0.0, self.replicas)
         self.registry.set_store_reachable(1.0, False)
         self.registry.set_store_reachable(9.0, True)
         self.registry.replace_all(9.1, self.replicas[1:])
@@ -52,6 +58,30 @@
         self.registry.drop_expired(9.0 + EXPIRY_GRACE_S + 0.01)
         self.assertNotIn("shard-north", self.usable_ids())
 
+    def test_lapsed_entry_is_dropped_before_a_removed_replica_may_have_stopped(self):
+        self.registry.set_store_reachable(1.0, False)
+        self.registry.set_store_reachable(9.0, True)
+        self.registry.remove_all(9.5, ["shard-north"])
+        drop_at = self.registry.next_drop_at()
+        longest_s = EntryTimes().drain_s - MAX_REMOVAL_READ_DELAY_S
+        self.assertEqual(9.5 + longest_s, drop_at)
+        self.registry.drop_expired(drop_at - 0.01)
+        self.assertIn("shard-north", self.usable_ids())
+        self.registry.drop_expired(drop_at)
+        self.assertNotIn("shard-north", self.usable_ids())
+
+    def test_entry_removed_after_the_grace_period_of_an_outage_is_dropped_at_once(self):
+        self.registry.set_store_reachable(1.0, False)
+        self.registry.set_store_reachable(9.0, True)
+        self.registry.remove_all(9.0 + EXPIRY_GRACE_S, ["shard-north"])
+        self.assertNotIn("shard-north", self.usable_ids())
+
+    def test_lost_connection_to_the_store_expires_no_entry(self):
+        self.registry.set_store_reachable(9.0, False)
+        self.registry.set_store_reachable(9.2, True)
+        self.registry.remove_all(9.3, ["shard-north"])
+        self.assertNotIn("shard-north", self.usable_ids())
+
     def test_entry_renewed_within_the_grace_period_keeps_its_connections(self):
         self.registry.set_store_reachable(1.0, False)
         self.registry.set_store_reachable(9.0, True)
