Decode and log the limit on requests that upstreams name

No line of the log told whether an instance knew of a limit. Server-Limit is now decoded from replies of every status, counted with the other hints and logged when it begins, changes and ends. Values that are not positive numbers are counted as malformed and change nothing. The header is for instances and is not forwarded to callers.

--- a/almondspool/platform/header_codec.py
+++ b/almondspool/platform/header_codec.py
@@ -47,6 +47,9 @@
 # Time in seconds, whole or fractional, for which a searcher that rejects a request
 # wants no further ones.
 _RETRY_AFTER = b"retry-after"
+# Requests a second, as a decimal number, that a searcher in need accepts from all
+# instances together. It holds as long as replies name it.
+_RATE_LIMIT = b"server-limit"
 _UNAVAILABLE_STATUS = 503
 # Longer times are reduced to this: a searcher that asks for more has a wrong clock or
 # is about to stop, which its entry in the store shows.
@@ -79,6 +82,7 @@
     _NOT_RUN,
     _REPLICA,
     _LEAVING,
+    _RATE_LIMIT,
 }
 
 
@@ -211,10 +215,34 @@
 
 def _parse_hints(status: int, by_name: dict[bytes, bytes]) -> UpstreamHints:
     is_leaving = by_name.get(_LEAVING, b"").strip() == b"1"
-    if status != _UNAVAILABLE_STATUS:
-        return UpstreamHints(True, kind="leaving") if is_leaving else NO_HINTS
-    backoff_s, kind = _parse_retry_after(by_name.get(_RETRY_AFTER))
-    return UpstreamHints(is_leaving, backoff_s, "leaving" if is_leaving else kind)
+    backoff_s, kind = 0.0, ""
+    if status == _UNAVAILABLE_STATUS:
+        backoff_s, kind = _parse_retry_after(by_name.get(_RETRY_AFTER))
+    rate_limit = None
+    has_rate_limit = _RATE_LIMIT in by_name
+    if has_rate_limit:
+        rate_limit = _parse_rate_limit(by_name[_RATE_LIMIT])
+        kind = kind or ("limit" if rate_limit is not None else "limit_malformed")
+    if is_leaving:
+        kind = "leaving"
+    if not kind:
+        return NO_HINTS
+    return UpstreamHints(
+        is_leaving,
+        backoff_s,
+        kind,
+        rate_limit,
+        has_rate_limit and rate_limit is None,
+    )
+
+
+def _parse_rate_limit(value: bytes) -> float | None:
+    """Return the limit in requests a second, or None unless it is a positive number."""
+    try:
+        rate_limit = float(value)
+    except ValueError:
+        return None
+    return rate_limit if 0.0 < rate_limit < math.inf else None
 
 
 def _parse_retry_after(value: bytes | None) -> tuple[float, str]:
--- a/almondspool/protocol/exchange.py
+++ b/almondspool/protocol/exchange.py
@@ -154,11 +154,16 @@
         backoff_s: For how long to send it no requests, in seconds; 0.0 if not given.
         kind: Kind of the hint, for logs and metrics, even if its value cannot be
             parsed; empty without a hint.
+        rate_limit: Requests a second that it accepts from all instances together; None
+            if not given.
+        is_rate_limit_malformed: Whether a limit was given that cannot be used.
     """
 
     is_leaving: bool = False
     backoff_s: float = 0.0
     kind: str = ""
+    rate_limit: float | None = None
+    is_rate_limit_malformed: bool = False
 
 
 NO_HINTS = UpstreamHints()
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -109,6 +109,7 @@
     def record_end(self, now: float, leg: OpenLeg, reply: LegReply) -> None:
         """Record the end of a leg, also if it failed or the request has ended."""
         context = self._context
+        self._update_rate_limit(now, leg, reply)
         health = context.selector.health(now, leg.replica)
         health.in_flight -= 1
         if reply.load is not None:
@@ -143,6 +144,26 @@
             age_ms=leg_s * 1000.0,
         )
 
+    def _update_rate_limit(self, now: float, leg: OpenLeg, reply: LegReply) -> None:
+        """Note the limit on requests that a reply names, or that none is named."""
+        limit = reply.hints.rate_limit
+        if limit is None and (
+            not reply.is_success or reply.hints.is_rate_limit_malformed
+        ):
+            return
+        health = self._context.selector.health(now, leg.replica)
+        if health.rate_limit == limit:
+            return
+        health.rate_limit = limit
+        self._context.log.write(
+            "replica.limited" if limit is not None else "replica.unlimited",
+            request=self._request.request_id,
+            replica=leg.replica.replica_id,
+            reason=leg.reason,
+            limit=limit,
+            age_ms=(now - leg.sent_at) * 1000.0,
+        )
+
     def _apply_hints(self, now: float, leg: OpenLeg, hints: UpstreamHints) -> None:
         """Apply the hints in a reply, also if the reply is late or no longer needed."""
         context = self._context
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -47,6 +47,8 @@
         legs_since_report: Number of these legs that were sent after the load report.
         load_report: The load in the replica's latest reply that had one, or None.
         paused_until: When the pause of an unreachable replica ends.
+        rate_limit: Requests a second that the replica accepts from all instances
+            together, or None.
         reported_at: When that load report arrived.
         warmup_ends_at: When the replica counts as warmed up.
     """
@@ -62,6 +64,7 @@
         "load_report",
         "reported_at",
         "backoff_until",
+        "rate_limit",
         "warmup_ends_at",
     )
 
@@ -78,6 +81,7 @@
         self.reported_at = -math.inf
         self.warmup_ends_at = -math.inf
         self.backoff_until = -math.inf
+        self.rate_limit: float | None = None
 
     def slowness(self, now: float) -> float:
         """Return the expected latency of a leg, in multiples of its route's median."""
--- a/tests/platform/test_header_codec.py
+++ b/tests/platform/test_header_codec.py
@@ -173,6 +173,22 @@
             self.assertEqual((backoff_s, kind), (hints.backoff_s, hints.kind), value)
         self.assertEqual("no_rest", self.hints(503).kind)
 
+    def test_limit_on_requests_is_decoded_from_every_status(self):
+        for status in (200, 404, 500, 503):
+            hints = self.hints(status, (b"Server-Limit", b"7.5"))
+            self.assertEqual(7.5, hints.rate_limit)
+        self.assertEqual("limit", self.hints(200, (b"server-limit", b"3")).kind)
+        self.assertIsNone(self.hints(200).rate_limit)
+        leaving = self.hints(200, (b"Server-Limit", b"3"), (b"Server-Leaving", b"1"))
+        self.assertEqual((True, 3.0), (leaving.is_leaving, leaving.rate_limit))
+
+    def test_unusable_limits_on_requests_are_counted_and_ignored(self):
+        for value in (b"0", b"-1", b"nan", b"1e400", b"inf", b"many", b"", b"1,5"):
+            hints = self.hints(200, (b"Server-Limit", value))
+            self.assertIsNone(hints.rate_limit)
+            self.assertTrue(hints.is_rate_limit_malformed)
+            self.assertEqual("limit_malformed", hints.kind)
+
     def test_leaving_header_is_not_forwarded_to_callers(self):
         headers = ((b"Server-Leaving", b"1"), (b"X-Kept", b"1"))
         reply = LegReply(LegOutcome.ANSWERED, 200, headers)
