--- a/tests/routing/routing_harness.py
+++ b/tests/routing/routing_harness.py
@@ -185,12 +185,22 @@
 class RoutingHarness:
     """The router of one instance, with virtual time and scripted upstreams.
 
-    Every service of the routes has one replica in each of ZONES; the instance is in the
-    zone "north".
+    Every service of the routes has one replica in each of ZONES. Unless told otherwise
+    the instance has a clock of its own, is in the zone "north" and is the only one that
+    shares limits; share is its name and the zones of all instances by name.
     """
 
-    def __init__(self, *routes, ratio=0.2, slack=50.0, instances=1):
-        self.timers = VirtualTimers(start=100.0)
+    def __init__(
+        self,
+        *routes,
+        ratio=0.2,
+        slack=50.0,
+        instances=1,
+        timers=None,
+        zone="north",
+        share=None,
+    ):
+        self.timers = timers or VirtualTimers(start=100.0)
         self.log_lines: list[str] = []
         log = EventLog(self.log_lines.append)
         rng = random.Random(3)
@@ -208,7 +218,7 @@
             log,
         )
         self.latencies = RouteLatencies()
-        self.selector = ReplicaSelector("north", self.sender, rng)
+        self.selector = ReplicaSelector(zone, self.sender, rng)
         self.recorded_legs = []
         self.recorded_waits = []
         self.recorded_hints = []
