Keep the limits on requests that upstreams name

Callers saw nothing; the upstreams were helped by nobody.

Cause: nothing applied the limit. Legs were moved by latency and load alone. The limit holds for all instances together, so an instance that applied it as if it were alone would not keep it either.

Evidence: with the limit decoded and logged, all instances know it from the first seconds on, and 169 requests arrive in 4 s where 127 are allowed, 5 of them hedges or retries.

Every instance computes its share of the limit from the live members, as it does for connections: no message, no call for a request. At most as many instances as requests a second hold 0.8 of the limit, the others share the rest, so that they notice its end. A token bucket counts every leg, hedges and retries included; it starts empty and saves at most a second's worth. A replica without a token is left out of the choice, as one that asked for backoff is: the leg goes to another one, the search is answered in part, or is refused with the time until the next token. The last half token is for the most urgent routes.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -227,7 +227,14 @@
     def _build_routing(self) -> None:
         now = self._timers.now
         self._pools = UpstreamPools(self._codec, now, self._connection_quota)
-        self._selector = ReplicaSelector(self._settings.zone, self._pools, self._rng)
+        self._selector = ReplicaSelector(
+            self._settings.zone,
+            self._pools,
+            self._rng,
+            lambda replica, rate_limit: self._shares.max_request_rate(
+                now(), rate_limit, replica
+            ),
+        )
         self._registry = ReplicaRegistry(
             self._log, self._remove_replica, self._settings.entry_times
         )
@@ -385,6 +392,7 @@
         if change.have_shares_changed:
             self._budget.set_share_divisor(self._shares.share_divisor(now))
             self._pools.refresh_quotas()
+            self._selector.refresh_rate_quotas()
             self._log.write(
                 "shares.changed",
                 instances=self._shares.instance_count(now),
--- a/almondspool/routing/admission.py
+++ b/almondspool/routing/admission.py
@@ -93,6 +93,11 @@
             for shards, routes_of_shards in routes_by_shards.items()
         }
 
+    def is_most_urgent(self, route: Route) -> bool:
+        """Return whether no route that uses the same upstreams is more urgent."""
+        queue = self._queue_by_shards.get(route.shards)
+        return queue is None or route.priority <= queue.most_urgent_priority
+
     def record_unqueued_leg(self, route: Route, leg_s: float) -> None:
         """Update the duration of a round from a leg that found a free slot.
 
--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -12,7 +12,7 @@
     DEFAULT_NETWORK_DELAY_S,
 )
 from almondspool.routing.crashes import request_fingerprint
-from almondspool.routing.legs import FIRST, HEDGE
+from almondspool.routing.legs import FIRST, HEDGE, RETRY
 from almondspool.routing.merge import merge_top_k
 from almondspool.routing.outcome import Outcome, failure_answer, refusal_answer
 from almondspool.routing.shard_legs import MAX_SHARD_REJECTIONS, ShardLegs
@@ -76,6 +76,7 @@
             on_end: Called once with the outcome.
         """
         super().__init__(context, route, request, leg_request, on_end)
+        self._is_urgent = context.admission.is_most_urgent(route)
         self._shards = [ShardLegs(service) for service in route.shards]
         # Shards that have neither a partial result nor count as missing.
         self._unsettled_count = len(self._shards)
@@ -111,7 +112,7 @@
             return
         for shard in self._shards:
             self._context.budget.record_request(now, shard.service)
-        choices = [self._choose(now, shard) for shard in self._shards]
+        choices = [self._choose(now, shard, FIRST) for shard in self._shards]
         if not self._admit(choices):
             return
         self._call_later(self._deadline_at - now, self._on_deadline)
@@ -162,16 +163,17 @@
             )
         return decision.is_admitted
 
-    def _choose(self, now: float, shard: ShardLegs) -> ReplicaChoice:
+    def _choose(self, now: float, shard: ShardLegs, reason: str) -> ReplicaChoice:
         usable = self._context.registry.usable(shard.service)
         return self._context.selector.choose(
             now,
             shard.candidates(usable, self._route.attempts),
             self._leg_recorder.median_s,
+            is_urgent=self._is_urgent and reason != HEDGE,
         )
 
     def _send(self, now: float, shard: ShardLegs, reason: str) -> None:
-        self._send_to(now, shard, reason, self._choose(now, shard))
+        self._send_to(now, shard, reason, self._choose(now, shard, reason))
 
     def _send_to(
         self, now: float, shard: ShardLegs, reason: str, choice: ReplicaChoice
@@ -259,7 +261,7 @@
         if not shard.open_legs:
             self._send(now, shard, "move")
         elif leg.reason == HEDGE:
-            choice = self._choose(now, shard)
+            choice = self._choose(now, shard, HEDGE)
             if choice.replica is not None and not choice.is_paused:
                 self._send_to(now, shard, HEDGE, choice)
 
@@ -287,11 +289,11 @@
         ):
             self._settle_as_missing(shard, shard.failure_reason)
             return
-        choice = self._choose(now, shard)
+        choice = self._choose(now, shard, RETRY)
         if choice.replica is None:
             self._settle_as_missing(shard, choice.reason)
         elif self._context.budget.try_acquire(now, shard.service):
-            self._send_to(now, shard, "retry", choice)
+            self._send_to(now, shard, RETRY, choice)
         elif now < self._budget_wait_until:
             self._call_later(BUDGET_RETRY_DELAY_S, lambda: self._retry(shard))
         else:
@@ -311,7 +313,7 @@
             usable = self._context.registry.usable(shard.service)
             if not shard.candidates(usable, self._route.attempts):
                 continue
-            choice = self._choose(now, shard)
+            choice = self._choose(now, shard, HEDGE)
             if choice.replica is None or choice.is_paused:
                 continue
             if self._context.budget.try_acquire(now, shard.service):
--- a/almondspool/routing/fleet_shares.py
+++ b/almondspool/routing/fleet_shares.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondspool.routing.quota import ShareAllocation, connection_quota
+from almondspool.routing.rate_limit import rate_quota
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -129,6 +130,19 @@
         """
         return connection_quota(limit, self._instance, self._allocation(now), replica)
 
+    def max_request_rate(
+        self, now: float, rate_limit: float, replica: Replica
+    ) -> float:
+        """Return how many requests a second this instance may send to a replica.
+
+        Args:
+            now: Monotonic seconds.
+            rate_limit: Requests a second that the replica accepts from all instances
+                together.
+            replica: The replica.
+        """
+        return rate_quota(rate_limit, self._instance, self._allocation(now), replica)
+
     def _allocation(self, now: float) -> ShareAllocation:
         # Until the fleet is known, the serving set is not known either.
         serving = self._serving_set if self.is_converged(now) else frozenset()
--- a/almondspool/routing/forward.py
+++ b/almondspool/routing/forward.py
@@ -101,6 +101,7 @@
             context.registry.usable(self._service),
             self._leg_recorder.median_s,
             self._tried_ids,
+            is_urgent=reason != HEDGE,
         )
         if choice.replica is None:
             self._no_replica_reason = choice.reason
--- a/almondspool/routing/legs.py
+++ b/almondspool/routing/legs.py
@@ -26,6 +26,7 @@
 # Reasons to send a leg. Retries have further ones, which only the log and metrics use.
 FIRST = "first"
 HEDGE = "hedge"
+RETRY = "retry"
 
 
 class OpenLeg:
@@ -145,22 +146,28 @@
         )
 
     def _update_rate_limit(self, now: float, leg: OpenLeg, reply: LegReply) -> None:
-        """Note the limit on requests that a reply names, or that none is named."""
+        """Note the limit on requests that a reply names, or that none is named.
+
+        A failure without a limit shows nothing, and a reply of another upstream says
+        nothing of the replica.
+        """
         limit = reply.hints.rate_limit
-        if limit is None and (
-            not reply.is_success or reply.hints.is_rate_limit_malformed
+        has_no_limit = reply.is_success and not reply.hints.is_rate_limit_malformed
+        if reply.outcome is LegOutcome.MISDIRECTED or (
+            limit is None and not has_no_limit
         ):
             return
-        health = self._context.selector.health(now, leg.replica)
-        if health.rate_limit == limit:
+        selector = self._context.selector
+        if not selector.set_rate_limit(now, leg.replica, limit):
             return
-        health.rate_limit = limit
+        limiter = selector.health(now, leg.replica).rate_limiter
         self._context.log.write(
-            "replica.limited" if limit is not None else "replica.unlimited",
+            "replica.limited" if limiter is not None else "replica.unlimited",
             request=self._request.request_id,
             replica=leg.replica.replica_id,
             reason=leg.reason,
             limit=limit,
+            own_limit=limiter.quota if limiter is not None else None,
             age_ms=(now - leg.sent_at) * 1000.0,
         )
 
--- a/almondspool/routing/replica_health.py
+++ b/almondspool/routing/replica_health.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from almondspool.protocol.exchange import ReportedLoad
+    from almondspool.routing.rate_limit import RateLimiter
 
 # Sends to an unreachable replica are paused for this long first, and twice as long with
 # each further failure; searchers that crash are back after a few seconds.
@@ -47,8 +48,7 @@
         legs_since_report: Number of these legs that were sent after the load report.
         load_report: The load in the replica's latest reply that had one, or None.
         paused_until: When the pause of an unreachable replica ends.
-        rate_limit: Requests a second that the replica accepts from all instances
-            together, or None.
+        rate_limiter: Limits the legs to a replica that named a limit, or None.
         reported_at: When that load report arrived.
         warmup_ends_at: When the replica counts as warmed up.
     """
@@ -64,7 +64,7 @@
         "load_report",
         "reported_at",
         "backoff_until",
-        "rate_limit",
+        "rate_limiter",
         "warmup_ends_at",
     )
 
@@ -81,7 +81,7 @@
         self.reported_at = -math.inf
         self.warmup_ends_at = -math.inf
         self.backoff_until = -math.inf
-        self.rate_limit: float | None = None
+        self.rate_limiter: RateLimiter | None = None
 
     def slowness(self, now: float) -> float:
         """Return the expected latency of a leg, in multiples of its route's median."""
@@ -110,6 +110,18 @@
         """Return the remaining backoff that the replica requested, in seconds."""
         return max(0.0, self.backoff_until - now)
 
+    def send_delay_s(self, now: float, is_urgent: bool) -> float:
+        """Return for how long the replica accepts no legs, in seconds.
+
+        Args:
+            now: Monotonic seconds.
+            is_urgent: Whether the leg may use what is reserved for urgent ones.
+        """
+        delay_s = self.backoff_left_s(now)
+        if self.rate_limiter is not None:
+            delay_s = max(delay_s, self.rate_limiter.wait_s(now, is_urgent))
+        return delay_s
+
     def set_backoff(self, now: float, backoff_s: float) -> None:
         """Set the backoff that the replica requested, in seconds from now."""
         self.backoff_until = max(self.backoff_until, now + backoff_s)
@@ -118,6 +130,8 @@
         """Count a leg that is sent to the replica."""
         self.in_flight += 1
         self.legs_since_report += 1
+        if self.rate_limiter is not None:
+            self.rate_limiter.record_sent()
 
     def record_success(self, now: float, slowness: float, leg_s: float = 0.0) -> bool:
         """Record the slowness of a leg that succeeded.
--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -9,11 +9,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from almondspool.protocol.exchange import ConnectionState
+from almondspool.routing.rate_limit import RateLimiter
 from almondspool.routing.replica_health import ReplicaHealth
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from almondspool.protocol.exchange import LegSender
     from almondspool.state.routes import Replica
@@ -47,8 +48,8 @@
         queue_rounds: Queue ahead of the leg, in multiples of the replica's slots.
         is_paused: Whether the replica was chosen although it is unreachable, as all
             others are.
-        backoff_s: Seconds until the first backoff ends, if every replica that could be
-            chosen requested one; otherwise 0.0.
+        backoff_s: Seconds until the first of the replicas that could be chosen accepts
+            a leg, if each one requested a backoff or is at its limit; otherwise 0.0.
     """
 
     replica: Replica | None
@@ -62,14 +63,23 @@
 class ReplicaSelector:
     """Chooses replicas and keeps the health of each replica."""
 
-    def __init__(self, zone: str, sender: LegSender, rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        sender: LegSender,
+        rng: random.Random,
+        rate_quota: Callable[[Replica, float], float],
+    ) -> None:
         """Start without health records.
 
         Args:
             zone: Availability zone of this instance.
             sender: Reports the state of the connections to a replica.
             rng: Source of the random sample and the jitter.
+            rate_quota: Returns how many requests a second this instance may send to a
+                replica, given the limit that the replica named for all instances.
         """
+        self._rate_quota = rate_quota
         self._zone = zone
         self._sender = sender
         self._rng = rng
@@ -83,6 +93,33 @@
             health.warmup_ends_at = now + replica.warmup_s
         return health
 
+    def set_rate_limit(
+        self, now: float, replica: Replica, rate_limit: float | None
+    ) -> bool:
+        """Set the limit that a replica named, or None if it named none.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        health = self.health(now, replica)
+        limiter = health.rate_limiter
+        if rate_limit is None:
+            health.rate_limiter = None
+            return limiter is not None
+        if limiter is None:
+            limiter = health.rate_limiter = RateLimiter(now, replica, rate_limit)
+        elif limiter.rate_limit == rate_limit:
+            return False
+        limiter.rate_limit = rate_limit
+        limiter.update_quota(self._rate_quota)
+        return True
+
+    def refresh_rate_quotas(self) -> None:
+        """Apply the current shares of limits, after instances joined or left."""
+        for health in self._health_by_id.values():
+            if health.rate_limiter is not None:
+                health.rate_limiter.update_quota(self._rate_quota)
+
     def forget(self, replica_id: str) -> None:
         """Drop the health of a replica that is gone or has restarted."""
         self._health_by_id.pop(replica_id, None)
@@ -93,6 +130,7 @@
         replicas: Sequence[Replica],
         median_s: float,
         tried_ids: Collection[str] = (),
+        is_urgent: bool = True,
     ) -> ReplicaChoice:
         """Choose a replica that was not tried yet and to which a connection is allowed.
 
@@ -101,6 +139,8 @@
             replicas: Replicas that accept new requests.
             median_s: Median latency of a leg of this route, in seconds.
             tried_ids: Ids of the replicas to which this request was already sent.
+            is_urgent: Whether the leg may use what limited replicas reserve for urgent
+                ones.
         """
         allowed = (
             [replica for replica in replicas if replica.replica_id not in tried_ids]
@@ -116,15 +156,15 @@
         ]
         if not allowed:
             return ReplicaChoice(None, 0.0, "no_connection_granted")
-        backoffs_s = [self._backoff_left_s(now, replica) for replica in allowed]
-        if any(backoffs_s):
+        delays_s = [self._send_delay_s(now, replica, is_urgent) for replica in allowed]
+        if any(delays_s):
             allowed = [
                 replica
-                for replica, backoff_s in zip(allowed, backoffs_s, strict=True)
-                if not backoff_s
+                for replica, delay_s in zip(allowed, delays_s, strict=True)
+                if not delay_s
             ]
         if not allowed:
-            return ReplicaChoice(None, 0.0, "asked_for_time", backoff_s=min(backoffs_s))
+            return ReplicaChoice(None, 0.0, "asked_for_time", backoff_s=min(delays_s))
         available = [
             replica for replica in allowed if not self._is_paused(now, replica)
         ]
@@ -140,9 +180,9 @@
             best, least_expected_s, reason, queue_rounds, is_paused=not available
         )
 
-    def _backoff_left_s(self, now: float, replica: Replica) -> float:
+    def _send_delay_s(self, now: float, replica: Replica, is_urgent: bool) -> float:
         health = self._health_by_id.get(replica.replica_id)
-        return 0.0 if health is None else health.backoff_left_s(now)
+        return 0.0 if health is None else health.send_delay_s(now, is_urgent)
 
     def _is_paused(self, now: float, replica: Replica) -> bool:
         health = self._health_by_id.get(replica.replica_id)
--- a/bench/routed_leg_cost.py
+++ b/bench/routed_leg_cost.py
@@ -100,7 +100,9 @@
         sender=pools,
         codec=codec,
         registry=registry,
-        selector=ReplicaSelector("zone-0", pools, rng),
+        selector=ReplicaSelector(
+            "zone-0", pools, rng, lambda _, rate_limit: rate_limit
+        ),
         latencies=RouteLatencies(),
         budget=RetryBudget(RetryBudgetLimits(0.2, 200.0, 10.0)),
         admission=SearchAdmission(),
--- a/bench/simulated_callers.py
+++ b/bench/simulated_callers.py
@@ -208,7 +208,12 @@
             sender=sender,
             codec=PlatformHeaderCodec(),
             registry=registry,
-            selector=ReplicaSelector(zone, sender, rng),
+            selector=ReplicaSelector(
+                zone,
+                sender,
+                rng,
+                lambda _, rate_limit: rate_limit / self._instance_count,
+            ),
             latencies=RouteLatencies(),
             budget=budget,
             admission=SearchAdmission(),
--- a/tests/routing/routing_harness.py
+++ b/tests/routing/routing_harness.py
@@ -19,6 +19,8 @@
 from almondspool.routing.admission import SearchAdmission
 from almondspool.routing.context import RoutingContext
 from almondspool.routing.crashes import CrashDetector
+from almondspool.routing.quota import ShareAllocation
+from almondspool.routing.rate_limit import rate_quota
 from almondspool.routing.replicas import ReplicaRegistry
 from almondspool.routing.retry_budget import RetryBudget, RetryBudgetLimits
 from almondspool.routing.route_latencies import RouteLatencies
@@ -187,7 +189,7 @@
 
     Every service of the routes has one replica in each of ZONES. Unless told otherwise
     the instance has a clock of its own, is in the zone "north" and is the only one that
-    shares limits; share is its name and the zones of all instances by name.
+    shares limits. Otherwise share is its name and the zones of all instances by name.
     """
 
     def __init__(
@@ -201,6 +203,10 @@
         share=None,
     ):
         self.timers = timers or VirtualTimers(start=100.0)
+        self.instance, self.zone_by_instance = share or (
+            "instance-1",
+            {"instance-1": zone},
+        )
         self.log_lines: list[str] = []
         log = EventLog(self.log_lines.append)
         rng = random.Random(3)
@@ -218,7 +224,7 @@
             log,
         )
         self.latencies = RouteLatencies()
-        self.selector = ReplicaSelector(zone, self.sender, rng)
+        self.selector = ReplicaSelector(zone, self.sender, rng, self._rate_quota)
         self.recorded_legs = []
         self.recorded_waits = []
         self.recorded_hints = []
@@ -256,6 +262,10 @@
         if routes:
             self.router.set_table(make_table(*routes))
 
+    def _rate_quota(self, replica, rate_limit):
+        allocation = ShareAllocation(self.zone_by_instance)
+        return rate_quota(rate_limit, self.instance, allocation, replica)
+
     def request(self, path="/sweep/2f", request_id="a1", deadline_s=1.2, method="GET"):
         """Return a request that arrives now."""
         headers = ((b"Host", HOST.encode()), (b"Request-Id", request_id.encode()))
--- a/tests/routing/test_rate_limit_fleet.py
+++ b/tests/routing/test_rate_limit_fleet.py
@@ -154,3 +154,59 @@
             fleet.load(12.0, 400.0)
             self.assertEqual(0.0, fleet.excess(), limit)
             self.assertEqual({200}, set(fleet.statuses))
+
+    def test_limit_is_kept_by_fleets_of_any_size_and_used_while_others_have_room(self):
+        for size in (1, 2, 10, 101, 195):
+            fleet = Fleet(size, (12.0, None, None), seed=size)
+            fleet.load(20.0, 90.0)
+            self.assertEqual(0.0, fleet.excess(), size)
+            self.assertTrue(fleet.upstream_by_id["shard-0-north"].counted, size)
+
+    def test_limits_that_move_are_kept(self):
+        fleet = Fleet(6, (30.0, 30.0, None))
+        upstream = fleet.upstream_by_id["shard-0-north"]
+        for limit in (12.0, 25.0, 9.0, 18.0):
+            fleet.load(5.0, 90.0)
+            upstream.limit = limit
+            upstream.counted.clear()
+            fleet.load(KNOWN_FOR_S, 90.0)
+        fleet.load(10.0, 90.0)
+        self.assertEqual(0.0, fleet.excess())
+
+    def test_limit_ends_with_a_reply_that_names_none(self):
+        for size in (6, 60):
+            fleet = Fleet(size, (6.0, None, None))
+            upstream = fleet.upstream_by_id["shard-0-north"]
+            fleet.load(10.0, 90.0)
+            upstream.limit = None
+            limited = upstream.received
+            fleet.load(20.0, 90.0)
+            self.assertTrue(upstream.received - limited > 2 * 6.0 * 20.0, size)
+
+    def test_callers_that_move_to_idle_instances_do_not_exceed_the_limit(self):
+        fleet = Fleet(60, (7.0, None, None))
+        first, second = fleet.instances[:30], fleet.instances[30:]
+        fleet.load(8.0, 120.0)
+        for _ in range(3):
+            fleet.load(6.0, 120.0, first)
+            fleet.load(6.0, 120.0, second)
+        self.assertEqual(0.0, fleet.excess())
+
+    def test_restarts_do_not_exceed_the_limit(self):
+        fleet = Fleet(6, (9.0, 9.0, 9.0))
+        fleet.load(6.0, 90.0)
+        for instance in fleet.instances:
+            fleet.start(instance)
+            fleet.load(1.5, 90.0)
+        self.assertEqual(0.0, fleet.excess())
+
+    def test_replicas_that_are_all_limited_take_what_they_can_and_the_rest_returns(
+        self,
+    ):
+        fleet = Fleet(6, (8.0, 8.0, 8.0))
+        fleet.load(20.0, 60.0)
+        self.assertEqual(0.0, fleet.excess())
+        self.assertEqual({200, 503}, set(fleet.statuses))
+        for upstream in fleet.upstream_by_id.values():
+            self.assertTrue(upstream.received > 0.8 * 8.0 * 20.0, upstream.received)
+        self.assertTrue(0.0 < max(fleet.retry_after_s) <= 1.0)
--- a/tests/routing/test_selection.py
+++ b/tests/routing/test_selection.py
@@ -18,7 +18,9 @@
     def setUp(self):
         super().setUp()
         self.sender = ScriptedSender(VirtualTimers())
-        self.selector = ReplicaSelector("north", self.sender, random.Random(5))
+        self.selector = ReplicaSelector(
+            "north", self.sender, random.Random(5), lambda _, rate_limit: rate_limit
+        )
         self.replicas = make_replicas("shard")
         self.local, self.remote, self.other = self.replicas
 
@@ -43,7 +45,9 @@
     def test_leg_that_was_longer_by_chance_does_not_send_the_next_to_another_zone(self):
         median_s = 0.030
         for slowness, zone in ((1.5, "north"), (3.0, "south")):
-            selector = ReplicaSelector("north", self.sender, random.Random(5))
+            selector = ReplicaSelector(
+                "north", self.sender, random.Random(5), lambda _, rate_limit: rate_limit
+            )
             replicas = (self.local, self.remote)
             selector.health(10.0, self.local).record_success(10.0, slowness)
             choice = selector.choose(10.0, replicas, median_s)
