Read the other entries of a list beside one that is unreadable

Operators of similar systems saw instances end or stop following the entries after another program had written an odd one. It can happen here: on a list with one entry that is nested 5,000 levels deep raises RecursionError, which is not even a PlatformError; a lone surrogate, a number out of range or of 5,000 digits and bytes that are no text fail the whole reply. No instance would have learned of any change until that entry was gone, and a new one would have served nobody.

Cause: a reply was decoded as one value, so the fault of an object was that of the reply. A reply that cannot be decoded is now split into its objects by their brackets, and each is decoded alone. An unreadable one keeps its name and loses its content; the entry decoder refuses and counts it. The mirror encodes each object alone for the same reason.

Replies that are cut off are errors as before, at every length.

--- a/almondspool/platform/mirror.py
+++ b/almondspool/platform/mirror.py
@@ -10,6 +10,8 @@
 import zlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from almondspool.platform.store import (
     ANY_AGE_KEY,
     COMPRESSED_CODING,
@@ -230,4 +232,9 @@
 
 def _encode(stored_object: StoredObject) -> dict[str, object]:
     meta = {"name": stored_object.name, "revision": stored_object.revision}
-    return {"meta": meta, "spec": stored_object.spec}
+    try:
+        spec = msgspec.Raw(msgspec.json.encode(stored_object.spec))
+    except RecursionError:
+        # The object was decoded where the call stack was less deep.
+        spec = None
+    return {"meta": meta, "spec": spec}
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -14,6 +14,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
+from almondspool.platform.reply_items import DECODE_ERRORS, decode_content
 from almondspool.transport.hub_socket import parse_host_port, set_dead_peer_detection
 
 if TYPE_CHECKING:
@@ -38,6 +39,9 @@
 # Longest delay taken over from a Retry-After header: a larger value would stop the
 # reads of the configuration for longer than an outage lasts.
 MAX_RETRY_AFTER_S = 10.0
+# Keys of the list of objects in the reply to a list call and to a watch.
+_ITEMS_KEY = "items"
+_EVENTS_KEY = "events"
 _CODE_BY_STATUS = {
     404: ResultCode.PLATFORM_NOT_FOUND,
     409: ResultCode.PLATFORM_CONFLICT,
@@ -135,14 +139,20 @@
         query = first_query
         while True:
             reply = self._call("list", "GET", _path(kind), query, None, timeout_s)
-            page = _required_field(reply, "items", list)
+            page = _required_field(reply, _ITEMS_KEY, list)
             objects += [_decode_object(kind, item) for item in page]
             # Keep the first page's revision, so that the watch reports changes made
             # while the later pages were read.
             revision = revision or _required_field(reply, "current_rev", int)
-            if not reply.get("has_more") or not objects:
+            last_name = next((each.name for each in reversed(objects) if each.name), "")
+            if not reply.get("has_more") or not last_name:
                 return StoredList(tuple(objects), revision)
-            query = {**first_query, "after": objects[-1].name}
+            if query.get("after") == last_name:
+                raise PlatformError(
+                    f"page of kind {kind} without a readable name",
+                    ResultCode.PLATFORM_REPLY_INVALID,
+                )
+            query = {**first_query, "after": last_name}
 
     def list_from_peer(self, kind: str) -> StoredList:
         """Read another instance's copy of a kind, however old.
@@ -152,7 +162,8 @@
         """
         reply = self._call("borrow", "GET", _path(kind), {ANY_AGE_KEY: 1})
         objects = [
-            _decode_object(kind, item) for item in _required_field(reply, "items", list)
+            _decode_object(kind, item)
+            for item in _required_field(reply, _ITEMS_KEY, list)
         ]
         return StoredList(tuple(objects), _required_field(reply, "current_rev", int))
 
@@ -178,12 +189,13 @@
             PlatformError: With PLATFORM_HISTORY_GONE if the kind must be listed again.
         """
         query = {"watch": revision, "wait_ms": int(wait_s * 1000.0)}
+        timeout_s = wait_s + timeout_margin_s
         reply = self._call(
-            "watch", "GET", _path(kind), query, None, wait_s + timeout_margin_s
+            "watch", "GET", _path(kind), query, None, timeout_s, _EVENTS_KEY
         )
         events = tuple(
             _decode_object(kind, event.get("object"), bool(event.get("tombstone")))
-            for event in _required_field(reply, "events", list)
+            for event in _required_field(reply, _EVENTS_KEY, list)
             if isinstance(event, dict)
         )
         return events, _required_field(reply, "current_rev", int)
@@ -231,9 +243,10 @@
         query: dict[str, object],
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        items_key: str = _ITEMS_KEY,
     ) -> dict:
         try:
-            reply = self._exchange(method, path, query, body, timeout_s)
+            reply = self._exchange(method, path, query, body, timeout_s, items_key)
         except PlatformError as error:
             self._record_call(verb, error.code)
             raise
@@ -247,6 +260,7 @@
         query: dict[str, object],
         body: Any,
         timeout_s: float,
+        items_key: str,
     ) -> dict:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         data = self._encode(method, target, body)
@@ -268,7 +282,7 @@
         finally:
             if connection is not None:
                 self._release_connection(connection, is_reusable)
-        return decode_reply(f"{method} {path}", status, headers, content)
+        return decode_reply(f"{method} {path}", status, headers, content, items_key)
 
     def _connect(self) -> socket.socket:
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -316,7 +330,11 @@
 
 
 def decode_reply(
-    call: str, status: int, headers: dict[bytes, bytes], content: bytes
+    call: str,
+    status: int,
+    headers: dict[bytes, bytes],
+    content: bytes,
+    items_key: str = _ITEMS_KEY,
 ) -> dict:
     """Return the JSON object in the reply to a call.
 
@@ -325,6 +343,7 @@
         status: The HTTP status.
         headers: The headers by name, in lower case.
         content: The body as received.
+        items_key: Key of the list of objects, of which some may be unreadable.
 
     Raises:
         PlatformError: If the call failed, or the reply is not a JSON object.
@@ -340,8 +359,8 @@
     try:
         if headers.get(b"content-encoding") == COMPRESSED_CODING:
             content = zlib.decompressobj().decompress(content, _MAX_REPLY_BYTES)
-        decoded = msgspec.json.decode(content or b"{}")
-    except (msgspec.DecodeError, zlib.error) as error:
+        decoded = decode_content(content or b"{}", items_key)
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise PlatformError(
             f"{call}: {error}", ResultCode.PLATFORM_REPLY_INVALID
         ) from error
@@ -357,7 +376,7 @@
     try:
         decoded = msgspec.json.decode(content or b"{}")
         return int(decoded["meta"]["revision"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (*DECODE_ERRORS, KeyError, TypeError, ValueError):
         return 0
 
 
