Refuse entries whose numbers, address or id cannot be used

An entry of another program could stop an instance from following all others. On a warm-up time of 400 digits raises OverflowError and a port of a superscript two ValueError, past the handler that counts malformed entries: the kind is listed again each second, and fails each time. A slot count of 1e300, the address 999.0.0.1 and an id with spaces or line ends, which is sent in a header, were accepted.

Cause: the checks admitted more than the conversions after them. Numbers have bounds now, ports are ASCII digits, addresses are parsed, and an id is a printable word. The new tests failed before.

--- a/almondspool/platform/entries.py
+++ b/almondspool/platform/entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from typing import Any
 
 from almondspool.errors import UpstreamError
@@ -10,7 +12,12 @@
 # Kind of the objects that describe one running searcher each.
 KIND = "servers"
 _KNOWN_STATES = ("ready", "draining")
+_HEADER_TOKEN_PATTERN = re.compile(r"[!-~]+")
 _MAX_PORT = 65_535
+# Larger numbers are taken for errors of the writer.
+_MAX_SLOTS = 100_000
+_MAX_WARMUP_MS = 24 * 3600 * 1000
+_MAX_EPOCH_MS = 2**53
 
 
 def decode_entry(replica_id: str, spec: Any) -> Replica:
@@ -24,6 +31,9 @@
         UpstreamError: If the entry does not describe a searcher; other programs
             write objects of this kind too.
     """
+    # The id is sent in a header.
+    if not replica_id or not _HEADER_TOKEN_PATTERN.fullmatch(replica_id):
+        raise UpstreamError(f"entry {replica_id!r}: id is not a printable word")
     if not isinstance(spec, dict):
         raise UpstreamError(
             f"entry {replica_id}: spec is a {type(spec).__name__}, not an object"
@@ -36,11 +46,13 @@
         service=_required_text(replica_id, spec, "service"),
         address=_address(replica_id, spec),
         zone=_required_text(replica_id, spec, "zone"),
-        slots=_integer(replica_id, spec, "slots", 1),
+        slots=_integer(replica_id, spec, "slots", 1, _MAX_SLOTS),
         is_draining=state == "draining",
         # Remaining warm-up time when the searcher wrote the entry.
-        warmup_s=_integer(replica_id, spec, "warmup_left_ms", 0) / 1000.0,
-        started_ms=_integer(replica_id, spec, "born", 0, 0),
+        warmup_s=(
+            _integer(replica_id, spec, "warmup_left_ms", 0, _MAX_WARMUP_MS) / 1000.0
+        ),
+        started_ms=_integer(replica_id, spec, "born", 0, _MAX_EPOCH_MS, 0),
     )
 
 
@@ -56,21 +68,31 @@
 def _address(replica_id: str, spec: dict) -> str:
     value = _required_text(replica_id, spec, "address")
     host, _, port = value.rpartition(":")
-    is_number = host.count(".") == 3 and host.replace(".", "").isdigit()
-    if not is_number or not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
-        raise UpstreamError(f"entry {replica_id}: address {value!r} is not ip:port")
+    is_port = port.isascii() and port.isdigit() and len(port) <= len(str(_MAX_PORT))
+    if not is_port or not 0 < int(port) <= _MAX_PORT:
+        raise UpstreamError(f"entry {replica_id}: address {value!r} has no valid port")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise UpstreamError(f"entry {replica_id}: address: {error}") from error
     return value
 
 
 def _integer(
-    replica_id: str, spec: dict, key: str, minimum: int, default: int | None = None
+    replica_id: str,
+    spec: dict,
+    key: str,
+    minimum: int,
+    maximum: int,
+    default: int | None = None,
 ) -> int:
     """Return a number of an entry, truncated to an integer."""
     value = spec.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise UpstreamError(f"entry {replica_id}: {key} {value!r} is not a number")
-    if value < minimum or value != value or value in (float("inf"),):
+    # False for "nan", too.
+    if not minimum <= value <= maximum:
         raise UpstreamError(
-            f"entry {replica_id}: {key} {value!r} is not finite and at least {minimum}"
+            f"entry {replica_id}: {key} is not between {minimum} and {maximum}"
         )
     return int(value)
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -3,7 +3,8 @@
 import msgspec
 import testtools
 
-from almondspool.errors import PlatformError
+from almondspool.errors import PlatformError, UpstreamError
+from almondspool.platform.entries import decode_entry
 from almondspool.platform.mirror import KindMirror
 from almondspool.platform.store import StoredList, StoredObject, decode_reply
 from almondspool.transport.timers import VirtualTimers
@@ -79,3 +80,25 @@
         mirror.set_fresh(True)
         items = msgspec.json.decode(mirror.list().body)["items"]
         self.assertEqual([None, ENTRY_SPEC], [item["spec"] for item in items])
+
+
+class OddEntryTests(testtools.TestCase):
+    def test_entries_with_values_out_of_range_are_refused(self):
+        for change in (
+            {"warmup_left_ms": 10**400},
+            {"warmup_left_ms": 1e300},
+            {"slots": 1e300},
+            {"slots": 10**400},
+            {"born": 1e300},
+            {"address": "10.0.0.1:²"},
+            {"address": "10.0.0.1:٣"},
+            {"address": "999.0.0.1:80"},
+            {"address": "1.2.3.²:80"},
+            {"address": "10.0.0.1:0080000"},
+        ):
+            spec = {**ENTRY_SPEC, **change}
+            self.assertRaises(UpstreamError, decode_entry, "i-1", spec)
+
+    def test_id_that_cannot_be_sent_in_a_header_is_refused(self):
+        for replica_id in ("", "i 1", "i-1\r\nHost: x", "i-\u0661", "i-\u00e9"):
+            self.assertRaises(UpstreamError, decode_entry, replica_id, ENTRY_SPEC)
