Read the other members' records beside one that is malformed

The class of the unreadable entry, elsewhere: one object without base64 content among the members' records failed the whole list, so that no instance would have learned of another until it was gone. A record nested too deeply would have ended the read. Each is refused and counted by itself now.

--- a/almondspool/coordination/membership/member_records.py
+++ b/almondspool/coordination/membership/member_records.py
@@ -126,7 +126,12 @@
             self._version_by_instance[item.name] = item.version
             try:
                 yield _decode_record(item)
-            except (msgspec.MsgspecError, UnicodeDecodeError, PeerError) as error:
+            except (
+                msgspec.MsgspecError,
+                UnicodeDecodeError,
+                RecursionError,
+                PeerError,
+            ) as error:
                 self._refuse(item, str(error))
 
     def _refuse(self, item: PlatformObject, reason: str) -> None:
--- a/almondspool/platform/object_store_platform.py
+++ b/almondspool/platform/object_store_platform.py
@@ -7,7 +7,6 @@
 
 from returns.result import Failure, Success
 
-from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
 from almondspool.protocol.platform import (
     ObjectList,
@@ -123,11 +122,9 @@
     spec = stored_object.spec if isinstance(stored_object.spec, dict) else {}
     try:
         value = base64.b64decode(str(spec.get("value", "")), validate=True)
-    except ValueError as error:
-        raise PlatformError(
-            f"object {kind}/{stored_object.name}: {error}",
-            ResultCode.PLATFORM_REPLY_INVALID,
-        ) from error
+    except ValueError:
+        # Readers refuse the empty value, and log it, as they do with any malformed one.
+        value = b""
     return PlatformObject(
         kind,
         stored_object.name,
