Drop upstreams whose entries become malformed at once

A third of all entries that became malformed together, or one after an outage of the store, counted as expired and their upstreams were kept. The test failed before.

--- a/almondspool/platform/handlers.py
+++ b/almondspool/platform/handlers.py
@@ -81,21 +81,34 @@
 
     def on_list(self, stored_list: StoredList) -> None:
         """Replace all replicas by those in a list of entries."""
-        decoded_entries = (self._decode(entry) for entry in stored_list.objects)
-        replicas = [replica for replica in decoded_entries if replica is not None]
-        self._registry.replace_all(self._clock(), replicas)
+        now = self._clock()
+        replicas: list[Replica] = []
+        malformed_ids: list[str] = []
+        for entry in stored_list.objects:
+            replica = self._decode(entry)
+            if replica is None:
+                malformed_ids.append(entry.name)
+            else:
+                replicas.append(replica)
+        self._registry.drop_malformed(now, malformed_ids)
+        self._registry.replace_all(now, replicas)
         self._on_changed()
 
     def on_changes(self, changes: Sequence[StoredObject]) -> None:
         """Apply changed entries; a malformed one removes its replica."""
         now = self._clock()
         removed_ids: list[str] = []
+        malformed_ids: list[str] = []
         for change in {each.name: each for each in changes}.values():
-            replica = None if change.is_deleted else self._decode(change)
-            if replica is None:
+            if change.is_deleted:
                 removed_ids.append(change.name)
+                continue
+            replica = self._decode(change)
+            if replica is None:
+                malformed_ids.append(change.name)
             else:
                 self._registry.put(now, replica)
+        self._registry.drop_malformed(now, malformed_ids)
         self._registry.remove_all(now, removed_ids)
         if changes:
             self._on_changed()
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -156,6 +156,12 @@
                 draining=replica.is_draining,
             )
 
+    def drop_malformed(self, now: float, replica_ids: Iterable[str]) -> None:
+        """Drop the replicas whose entries have become malformed."""
+        for replica_id in replica_ids:
+            if replica_id in self._entries_by_id:
+                self._drop(now, replica_id, "entry_malformed")
+
     def remove_all(self, now: float, replica_ids: Iterable[str]) -> None:
         """Remove entries; those that probably expired are kept for a grace period.
 
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -337,6 +337,17 @@
         self.assertEqual(1, len(self.registry.usable("huvo11a")))
         self.assertEqual([1], self.malformed_counts)
 
+    def test_entries_that_become_malformed_together_are_not_taken_for_expired(self):
+        names = [f"i-{number}" for number in range(6)]
+        listed = tuple(self.entry(name) for name in names)
+        self.handler.on_list(StoredList(listed, 5))
+        changes = [self.entry(name, state="resting") for name in names]
+        self.handler.on_changes(changes)
+        self.assertEqual((), self.registry.usable("huvo11a"))
+        self.handler.on_list(StoredList(listed, 6))
+        self.handler.on_list(StoredList(tuple(changes), 7))
+        self.assertEqual((), self.registry.usable("huvo11a"))
+
     def test_entry_that_becomes_malformed_removes_its_replica(self):
         self.handler.on_list(StoredList((self.entry(),), 5))
         self.handler.on_changes([self.entry(address="nowhere")])
