Answer every request before a planned stop ends

Requests that came late in the grace period of a planned stop were passed on, and cut with no answer at its end, also those that must not be repeated. It happened here: with an upstream that takes 9 s, a request sent 1 s after the signal, with 3 s of grace, ended with a closed connection.

Cause: the shutdown waited for open requests until its exit, but nothing ended them, and requests were taken until 1.5 s before the end of the grace without asking whether they could be finished.

The router now knows when every request must have been answered. A request is refused at once, unsent and with a short Retry-After, if its route's latency target, or three of them for one that is not idempotent, does not fit into the time that is left. Those that are still open then get the answer of their deadline: a search its results, others a 504.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -129,7 +129,12 @@
         )
         self._build_servers()
         self._shutdown = GracefulShutdown(
-            settings.grace_s, timers, log, self._caller_server, self._membership
+            settings.grace_s,
+            timers,
+            log,
+            self._caller_server,
+            self._router,
+            self._membership,
         )
         self._metrics.register_gauges(lambda: self._report.gauges(timers.now()))
         self._events.subscribe(
--- a/almondspool/routing/graceful_shutdown.py
+++ b/almondspool/routing/graceful_shutdown.py
@@ -9,15 +9,18 @@
 if TYPE_CHECKING:
     from almondspool.coordination.membership.membership_task import MembershipTask
     from almondspool.logs import EventLog
+    from almondspool.routing.router import Router
     from almondspool.transport.caller_server import CallerServer
     from almondspool.transport.timers import TimerService
 
 # How long before the platform kills the process it stops accepting connections. Until
 # then, callers with an old address list may still connect.
 STOP_ACCEPTING_BEFORE_KILL_S = 1.5
-# How long before the platform kills the process it exits, even if requests are still
-# unanswered.
+# How long before the platform kills the process it exits, even if answers are not yet
+# sent completely.
 EXIT_BEFORE_KILL_S = 0.8
+# How long before its exit every request is answered, so that the answers can be sent.
+ANSWER_BEFORE_EXIT_S = 0.2
 # The requests on the last accepted connections arrive within about this time.
 LAST_REQUESTS_DELAY_S = 0.2
 # Interval at which the number of unanswered requests is checked.
@@ -39,6 +42,7 @@
         timers: TimerService,
         log: EventLog,
         caller_server: CallerServer,
+        router: Router,
         membership: MembershipTask,
     ) -> None:
         """Prepare a shutdown.
@@ -49,12 +53,14 @@
             timers: The timer service.
             log: The event log.
             caller_server: The server that callers connect to.
+            router: Runs their requests.
             membership: Announces the shutdown to the other instances.
         """
         self._grace_s = grace_s
         self._timers = timers
         self._log = log
         self._caller_server = caller_server
+        self._router = router
         self._membership = membership
         self._exit_deadline_at = 0.0
         self.is_started = False
@@ -73,6 +79,7 @@
         )
         eventlet.spawn(self._membership.announce_leaving)
         self._caller_server.begin_drain()
+        self._router.begin_shutdown(self._exit_deadline_at - ANSWER_BEFORE_EXIT_S)
         accept_duration_s = max(0.0, self._grace_s - STOP_ACCEPTING_BEFORE_KILL_S)
         self._timers.call_later(accept_duration_s, self._stop_accepting)
 
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from almondspool.codes import ResultCode
@@ -16,6 +17,7 @@
 
     from almondspool.protocol.exchange import CallerRequest, RequestHandle
     from almondspool.routing.context import RoutingContext
+    from almondspool.routing.timed_request import TimedRequest
     from almondspool.state.routes import Route, RouteTable
 
 NOT_FOUND = 404
@@ -30,6 +32,14 @@
 # The longest Retry-After as a multiple of the shortest, so that callers do not retry
 # together.
 CONFIGURATION_WAIT_SPREAD = 1.5
+# Time that a request is expected to need at most, in latency targets of its route, when
+# an instance that stops decides whether to run it. One that is not idempotent is given
+# more: if it is not finished in time, its caller cannot repeat it.
+IDEMPOTENT_NEED_TARGETS = 1.0
+NON_IDEMPOTENT_NEED_TARGETS = 3.0
+# Retry-After of a request that an instance refuses because it stops: the others can
+# serve it at once.
+STOPPING_RETRY_AFTER_S = 0.05
 
 
 class Router:
@@ -53,8 +63,14 @@
         self._table: RouteTable | None = None
         self._table_set_at = 0.0
         self._started_at = context.timers.now()
-        # Number of requests that are being run.
-        self.in_flight = 0
+        self._runs: set[TimedRequest] = set()
+        # When the instance stops and every request must have been answered.
+        self._answer_by = math.inf
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that are being run."""
+        return len(self._runs)
 
     @property
     def table(self) -> RouteTable | None:
@@ -120,8 +136,40 @@
                 QUARANTINE_RETRY_AFTER_S,
             )
             return COMPLETED_REQUEST
+        if not self._can_finish(request, route):
+            self._refuse(
+                request, answer, ResultCode.NOT_RUN_LEAVING, STOPPING_RETRY_AFTER_S
+            )
+            return COMPLETED_REQUEST
         return self._run(request, route, table.version, answer)
 
+    def begin_shutdown(self, answer_by: float) -> None:
+        """Refuse requests that cannot be finished in time, and end the others in time.
+
+        Args:
+            answer_by: When every request must have been answered, in monotonic
+                seconds.
+        """
+        self._answer_by = answer_by
+        timers = self._context.timers
+        timers.call_later(answer_by - timers.now(), self._end_runs)
+
+    def _end_runs(self) -> None:
+        for run in tuple(self._runs):
+            run.expire()
+
+    def _can_finish(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request can be expected to end before the instance stops."""
+        need_targets = (
+            IDEMPOTENT_NEED_TARGETS
+            if route.is_idempotent
+            else NON_IDEMPOTENT_NEED_TARGETS
+        )
+        need_s = min(route.timeout_s, need_targets * route.latency_target_s)
+        if request.deadline_s:
+            need_s = min(need_s, request.deadline_s)
+        return self._context.timers.now() + need_s <= self._answer_by
+
     def _run(
         self,
         request: CallerRequest,
@@ -136,19 +184,21 @@
             request.body,
             route.is_idempotent,
         )
-        self.in_flight += 1
 
         def on_end(outcome: Outcome) -> None:
-            self.in_flight -= 1
+            self._runs.discard(run)
             self._end(request, route, version, outcome, answer)
 
         if route.is_search:
-            run = SearchFanOut(context, route, request, leg_request, on_end)
+            run: TimedRequest = SearchFanOut(
+                context, route, request, leg_request, on_end
+            )
         else:
             service = context.splitter.choose(route)
             run = SingleUpstreamRequest(
                 context, route, service, request, leg_request, on_end
             )
+        self._runs.add(run)
         started_at = context.timers.now()
         run.start()
         context.utilization.record_dispatch(context.timers.now() - started_at)
--- a/almondspool/routing/timed_request.py
+++ b/almondspool/routing/timed_request.py
@@ -65,6 +65,14 @@
         self._cancel_legs()
         self._end(Outcome(None, ResultCode.LEG_CANCELLED, "caller_left"))
 
+    def expire(self) -> None:
+        """End the request with the answer that it would get at its deadline."""
+        self._on_deadline()
+
+    @abc.abstractmethod
+    def _on_deadline(self) -> None:
+        """End the request at its deadline, unless it has ended."""
+
     @abc.abstractmethod
     def _list_open_legs(self) -> list[OpenLeg]:
         """Return the legs that have not ended."""
--- a/tests/processes/test_hosted_path.py
+++ b/tests/processes/test_hosted_path.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import signal
+import time
 
 import testtools
 import urllib3
 
-from almondspool.standins.hosted_cluster import HOST, HostedCluster
+from almondspool.standins.hosted_cluster import (
+    HOST,
+    RECORD_SERVICE,
+    HostedCluster,
+)
 from almondspool.standins.hosted_searchers import build_records
 from tests.processes.support import WAIT_TIMEOUT_S, wait_until
 
+# Time from the stop signal to a request that the instance still accepts, in seconds.
+LATE_IN_GRACE_S = 1.0
+
 
 class HostedPathTests(testtools.TestCase):
     @classmethod
@@ -235,3 +243,25 @@
             # The request that failed as the connection was closed was not forwarded.
             runs = {run["request"] for run in cluster.read_journal()}
             self.assertNotIn(request_id, runs)
+
+    def test_late_request_of_a_stop_is_answered_although_it_takes_long(self):
+        with HostedCluster(instances=2, shards=3) as cluster:
+            cluster.start()
+            cluster.write_configuration(book={"timeout_ms": 20_000})
+            address = cluster.instances_by_name["instance-0"].caller_address
+            child = cluster.children_by_name["instance-0"]
+            http = urllib3.PoolManager(retries=False)
+
+            def book(request_id):
+                headers = {"Host": HOST, "Request-Id": request_id}
+                url = f"http://{address}/book/1"
+                return http.request("GET", url, headers=headers, timeout=20.0).status
+
+            wait_until(lambda: book("first") == 200, "the first request is answered")
+            for replica_id, searcher in cluster.searchers_by_id.items():
+                if searcher.service == RECORD_SERVICE:
+                    cluster.set_behaviour(replica_id, work_ms=9000.0)
+            child.send_signal(signal.SIGTERM)
+            time.sleep(LATE_IN_GRACE_S)
+            self.assertIn(book("late"), (503, 504))
+            self.assertEqual(0, child.wait())
