Play limits and unannounced leaves in the stand-ins and the soak

Searchers of the stand-ins name a limit; a process test checks it over two instances. The soak plays limits and entries that disappear without a notice from a random stream of its own, so that kept seeds still have the faults with which they failed, and checks both while the instances reach the store.

Seed 900 never ended: the soak's operator waited for a silent store without a timeout, and with it the plan that ends the silence. Its calls time out after 2 s now.

--- a/almondspool/standins/hosted_cluster.py
+++ b/almondspool/standins/hosted_cluster.py
@@ -38,6 +38,8 @@
 _FETCH_PREFIX = "/fetch/"
 _BOOK_PREFIX = "/book/"
 RECORD_SERVICE = "records"
+# Timeout of the operator's calls to the store, which may be silent.
+STORE_TIMEOUT_S = 2.0
 
 
 class HostedInstance(NamedTuple):
@@ -204,7 +206,9 @@
         path = "config" if self._version == 1 else "config/main"
         body = {"meta": {"name": "main"}, "spec": spec}
         url = f"http://{self.store_address}/api/objects/{path}"
-        reply = self._http.request(method, url, body=msgspec.json.encode(body))
+        reply = self._http.request(
+            method, url, body=msgspec.json.encode(body), timeout=STORE_TIMEOUT_S
+        )
         if reply.status >= 300:
             raise RuntimeError(f"the store answered {reply.status} to {method} {path}")
         return self._version
--- a/almondspool/standins/hosted_searchers.py
+++ b/almondspool/standins/hosted_searchers.py
@@ -85,6 +85,7 @@
         fails: Whether every request runs and gets a reply with status 500.
         is_leaving: Whether every reply announces that it leaves (``Server-Leaving``).
         rest: ``Retry-After`` value of a rejection; empty for none.
+        limit: ``Server-Limit`` value of every reply; empty for none.
     """
 
     replica_id: str
@@ -95,6 +96,7 @@
     fails: bool = False
     is_leaving: bool = False
     rest: str = ""
+    limit: str = ""
 
 
 def build_records(service: str, request_id: str) -> list[bytes]:
@@ -198,6 +200,8 @@
     ) -> Answer:
         if self.behaviour.is_leaving:
             extra_headers += ((b"Server-Leaving", b"1"),)
+        if self.behaviour.limit:
+            extra_headers += ((b"Server-Limit", self.behaviour.limit.encode()),)
         load = f"{self._running_count},0,{self.plan.slots}".encode()
         return Answer(
             status,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -22,6 +22,12 @@
 # A draining searcher gets no new requests after the platform's drain time. Half a
 # second is added for requests in flight.
 MAX_WORK_AFTER_DRAIN_S = 3.5
+# A limit holds in each window of this length, from the time after it was first named.
+LIMIT_WINDOW_S = 4.0
+LIMIT_KNOWN_AFTER_S = 4.0
+# What the platform allows in a window: a multiple of the limit, and a few more.
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 # Nearly every request must be served after the last fault; callers retry the others.
 MIN_SERVED_SHARE = 0.95
 
@@ -72,6 +78,22 @@
     ended_at: float
 
 
+class LimitedPeriod(NamedTuple):
+    """Period in which a searcher named a limit on its requests.
+
+    Attributes:
+        replica_id: The searcher's id.
+        limit: Requests a second.
+        started_at: Start of the period, in seconds since the epoch.
+        ended_at: End of the period, in seconds since the epoch.
+    """
+
+    replica_id: str
+    limit: float
+    started_at: float
+    ended_at: float
+
+
 def wrong_answers(attempts: Iterable[Attempt], shards: Sequence[str]) -> list[str]:
     """Return a description of each answer with status 200 that is incorrect.
 
@@ -167,6 +189,29 @@
     ]
 
 
+def exceeded_limits(
+    runs: Iterable[dict], periods: Iterable[LimitedPeriod]
+) -> list[str]:
+    """Return the searchers that got more requests in a window than they allowed."""
+    problems = []
+    for period in periods:
+        arrivals = [
+            run["at"]
+            for run in runs
+            if run["replica"] == period.replica_id
+            and period.started_at <= run["at"] < period.ended_at
+        ]
+        allowed = LIMIT_FACTOR * period.limit * LIMIT_WINDOW_S + LIMIT_EXTRA
+        windows = [
+            sum(at - LIMIT_WINDOW_S < other <= at for other in arrivals)
+            for at in arrivals
+            if at >= period.started_at + LIMIT_KNOWN_AFTER_S
+        ]
+        if windows and max(windows) > allowed:
+            problems.append(f"{period.replica_id}: {max(windows)}, allowed {allowed}")
+    return problems
+
+
 def configuration_rollbacks(attempts: Iterable[Attempt]) -> list[str]:
     """Return the versions whose route an instance served and then no longer knew.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,14 @@
 # Listed as draining; rejects requests; fails them; runs them slowly; entry deleted.
 SEARCHER_FAULTS = ("drain", "full", "fail", "slow", "unlist")
 
+# These come besides, so that kept seeds still have the faults with which they failed.
+# Names a limit on its requests; entry deleted, as searchers do that leave unannounced.
+FURTHER_SEARCHER_FAULTS = ("limit", "leave")
+MIN_FURTHER_GAP_S = 1.0
+MAX_FURTHER_GAP_S = 4.0
+# Longer than a searcher that has left may be used.
+FURTHER_DURATION_S = 6.0
+
 
 class Fault(NamedTuple):
     """One fault of a run.
@@ -65,4 +73,16 @@
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         faults.append(Fault(starts_at_s, duration_s, area, kind, rng.randrange(1000)))
         starts_at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    faults += _plan_further_faults(random.Random(f"further/{seed}"), run_duration_s)
+    return sorted(faults)
+
+
+def _plan_further_faults(rng: random.Random, run_duration_s: float) -> list[Fault]:
+    faults = []
+    starts_at_s = rng.uniform(MIN_FURTHER_GAP_S, MAX_FURTHER_GAP_S)
+    while starts_at_s < run_duration_s - FURTHER_DURATION_S:
+        kind = rng.choice(FURTHER_SEARCHER_FAULTS)
+        number = rng.randrange(1000)
+        faults.append(Fault(starts_at_s, FURTHER_DURATION_S, "searcher", kind, number))
+        starts_at_s += rng.uniform(MIN_FURTHER_GAP_S, MAX_FURTHER_GAP_S)
     return faults
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,10 +13,11 @@
 import urllib3
 
 from almondspool.standins.hosted_cluster import HOST, HostedCluster
+from almondspool.standins.hosted_searchers import ENTRY_UPDATE_INTERVAL_S
 from almondspool.standins.ports import loopback_address
 from almondspool.standins.processes import ChildProcess, StartError
 from soak import checks
-from soak.checks import Attempt, Drain
+from soak.checks import Attempt, Drain, LimitedPeriod
 from soak.faults import plan_faults
 from soak.proxy import LinkPlan, ProxyPlan
 
@@ -38,6 +39,9 @@
 RECOVERY_CHECK_S = 3.0
 # The grace period in which a terminated instance exits, plus a margin.
 SHUTDOWN_TIMEOUT_S = 5.0
+# Requests a second that a limited searcher accepts; it gets many times as many without
+# the limit.
+SEARCHER_LIMIT = 2.0
 # The kinds of requests that each caller sends in turn.
 _REQUEST_KINDS = ("sweep", "fetch", "book", "sweep", "probe")
 
@@ -75,8 +79,10 @@
         self._recovery_check_starts_at = 0.0
         # Instances that were sent SIGTERM.
         self._terminated_names: set[str] = set()
+        self._limited_periods: list[LimitedPeriod] = []
         # Start of each drain, in seconds since the epoch, by the searcher's id.
         self._drain_started_at_by_id: dict[str, float] = {}
+        self._limit_started_at_by_id: dict[str, float] = {}
         # When a fault that may keep an instance from reading the store last ended, in
         # seconds since the epoch. Infinity from the start of such a fault until one
         # of them ends.
@@ -118,6 +124,7 @@
             "duplicate booking": checks.duplicate_bookings(runs, attempts),
             "run despite refusal": checks.bookings_run_despite_refusal(runs, attempts),
             "work after drain": checks.work_after_drain(runs, self._drains),
+            "exceeded limit": checks.exceeded_limits(runs, self._limited_periods),
             "configuration rollback": checks.configuration_rollbacks(attempts),
             "not recovered": checks.recovery_problems(after_recovery),
         }
@@ -257,17 +264,36 @@
             "fail": {"fails": True},
             "slow": {"work_ms": 120.0},
             "unlist": {"is_listed": False},
+            "limit": {"limit": str(SEARCHER_LIMIT)},
+            "leave": {"is_listed": False},
         }
+        # Faults of one searcher may overlap; each replaces the one before.
+        self._record_searcher_periods(replica_id)
         self.cluster.set_behaviour(replica_id, **changes[kind])
         if kind == "drain":
             self._drain_started_at_by_id[replica_id] = time.time()
+        elif kind == "leave":
+            removed_at = time.time() + ENTRY_UPDATE_INTERVAL_S
+            self._drain_started_at_by_id[replica_id] = removed_at
+        elif kind == "limit":
+            self._limit_started_at_by_id[replica_id] = time.time()
 
     def _end_searcher_fault(self, replica_id: str) -> None:
+        self._record_searcher_periods(replica_id)
+        self.cluster.set_behaviour(replica_id)
+
+    def _record_searcher_periods(self, replica_id: str) -> None:
+        """Record that a searcher no longer drains or names a limit."""
         started_at = self._drain_started_at_by_id.pop(replica_id, 0.0)
         # The drain is checked only if the store was reachable during all of it.
         if started_at > self._store_reachable_since:
             self._drains.append(Drain(replica_id, started_at, time.time()))
-        self.cluster.set_behaviour(replica_id)
+        started_at = self._limit_started_at_by_id.pop(replica_id, 0.0)
+        # The instances' restarts and partitions excuse them from a limit.
+        if started_at > self._store_reachable_since:
+            self._limited_periods.append(
+                LimitedPeriod(replica_id, SEARCHER_LIMIT, started_at, time.time())
+            )
 
     def _set_link_mode(self, link_name: str, mode: str) -> None:
         body = msgspec.json.encode({"link": link_name, "mode": mode})
--- a/tests/processes/test_upstream_hints.py
+++ b/tests/processes/test_upstream_hints.py
@@ -19,6 +19,11 @@
 MAX_IN_FLIGHT_S = 0.5
 # Retry-After value of a rejection.
 BACKOFF_S = 8.0
+# The platform's window for limits, and the time after which an instance must keep one.
+LIMIT_WINDOW_S = 4.0
+LIMIT_KNOWN_AFTER_S = 0.5
+# How long a searcher names its limit.
+LIMITED_S = 7.0
 # Time between a reply and its copy.
 COPY_DELAY_S = 0.03
 
@@ -87,6 +92,29 @@
         return status.json()["replicas"]
 
 
+class LimitedSearcherTests(_HostedTestCase):
+    def test_searcher_gets_no_more_than_its_limit_from_all_instances_together(self):
+        replica_id = "i-records-north"
+        limit = 2.0
+        self.cluster.set_behaviour(replica_id, limit=str(limit))
+        begun_at = time.time()
+        while time.time() < begun_at + LIMITED_S:
+            for name in self.cluster.instances_by_name:
+                _, reply = self.call("/fetch/2f", name)
+                self.assertEqual(200, reply.status)
+                self.assertNotIn("Server-Limit", reply.headers)
+        arrivals = [
+            each["at"]
+            for each in self.events(replica_id)
+            if each["at"] > begun_at + LIMIT_KNOWN_AFTER_S
+        ]
+        most = max(
+            sum(at <= other < at + LIMIT_WINDOW_S for other in arrivals)
+            for at in arrivals
+        )
+        self.assertTrue(most <= 1.5 * limit * LIMIT_WINDOW_S + 5, most)
+
+
 class LeavingSearcherTests(_HostedTestCase):
     def test_searcher_gets_no_requests_after_an_answer_says_that_it_leaves(self):
         replica_id = "i-records-north"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,7 +4,7 @@
 
 from almondspool.standins.hosted_searchers import build_records
 from soak import checks
-from soak.checks import TOP_K, Attempt, Drain
+from soak.checks import TOP_K, Attempt, Drain, LimitedPeriod
 from soak.faults import plan_faults
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -54,6 +54,17 @@
             1, self.count_wrong(make_sweep(services=SHARDS[:3], missing_count=0))
         )
 
+    def test_searcher_with_more_requests_than_its_limit(self):
+        period = LimitedPeriod("x", 2.0, 100.0, 110.0)
+        # 17 requests are allowed in 4 s.
+        for count, expected in ((17, 0), (18, 1)):
+            runs = [make_run(at=105.0 + 0.1 * number) for number in range(count)]
+            self.assertEqual(expected, len(checks.exceeded_limits(runs, [period])))
+            early = [make_run(at=100.0 + 0.1 * number) for number in range(count)]
+            self.assertEqual([], checks.exceeded_limits(early, [period]))
+            other = [run | {"replica": "y"} for run in runs]
+            self.assertEqual([], checks.exceeded_limits(other, [period]))
+
     def test_coverage_below_the_minimum(self):
         self.assertEqual(1, self.count_wrong(make_sweep(services=SHARDS[:1])))
 
