Report a malformed object that is read alone, and unreadable parts beside a list

A member's record that is read by its name and has no base64 content must remain an error, as a test of the store client demands; only in lists and watches does it stand for itself alone. A reply whose unreadable part is not in the list of objects was returned without that part; it is an error now. Messages about odd entries show nested values to a bounded depth: printing one could raise RecursionError past the handler.

Tests for the last two failed before.

--- a/almondspool/platform/entries.py
+++ b/almondspool/platform/entries.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import re
+import reprlib
 from typing import Any
 
 from almondspool.errors import UpstreamError
@@ -33,14 +34,16 @@
     """
     # The id is sent in a header.
     if not replica_id or not _HEADER_TOKEN_PATTERN.fullmatch(replica_id):
-        raise UpstreamError(f"entry {replica_id!r}: id is not a printable word")
+        raise UpstreamError(
+            f"entry {reprlib.repr(replica_id)}: id is not a printable word"
+        )
     if not isinstance(spec, dict):
         raise UpstreamError(
             f"entry {replica_id}: spec is a {type(spec).__name__}, not an object"
         )
     state = spec.get("state")
     if state not in _KNOWN_STATES:
-        raise UpstreamError(f"entry {replica_id}: unknown state {state!r}")
+        raise UpstreamError(f"entry {replica_id}: unknown state {reprlib.repr(state)}")
     return Replica(
         replica_id=replica_id,
         service=_required_text(replica_id, spec, "service"),
@@ -60,7 +63,7 @@
     value = spec.get(key)
     if not isinstance(value, str) or not value:
         raise UpstreamError(
-            f"entry {replica_id}: {key} {value!r} is not a non-empty string"
+            f"entry {replica_id}: {key} {reprlib.repr(value)} is not a non-empty string"
         )
     return value
 
@@ -70,7 +73,9 @@
     host, _, port = value.rpartition(":")
     is_port = port.isascii() and port.isdigit() and len(port) <= len(str(_MAX_PORT))
     if not is_port or not 0 < int(port) <= _MAX_PORT:
-        raise UpstreamError(f"entry {replica_id}: address {value!r} has no valid port")
+        raise UpstreamError(
+            f"entry {replica_id}: address {reprlib.repr(value)} has no valid port"
+        )
     try:
         ipaddress.IPv4Address(host)
     except ValueError as error:
@@ -89,7 +94,9 @@
     """Return a number of an entry, truncated to an integer."""
     value = spec.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise UpstreamError(f"entry {replica_id}: {key} {value!r} is not a number")
+        raise UpstreamError(
+            f"entry {replica_id}: {key} {reprlib.repr(value)} is not a number"
+        )
     # False for "nan", too.
     if not minimum <= value <= maximum:
         raise UpstreamError(
--- a/almondspool/platform/object_store_platform.py
+++ b/almondspool/platform/object_store_platform.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Success
 
+from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
 from almondspool.protocol.platform import (
     ObjectList,
@@ -51,7 +52,7 @@
 
         def read() -> ObjectList:
             stored_list = self._store.list(self._prefixed_kind(kind), may_be_stale=True)
-            objects = [_to_platform_object(kind, each) for each in stored_list.objects]
+            objects = [_to_listed_object(kind, each) for each in stored_list.objects]
             return ObjectList(
                 {each.name: each for each in objects}, stored_list.revision
             )
@@ -98,7 +99,7 @@
             prefixed_kind = self._prefixed_kind(kind)
             events, revision = self._store.watch(prefixed_kind, after_version, wait_s)
             return WatchEvents(
-                tuple(_to_platform_object(kind, event) for event in events), revision
+                tuple(_to_listed_object(kind, event) for event in events), revision
             )
 
         return _to_result(wait)
@@ -122,9 +123,11 @@
     spec = stored_object.spec if isinstance(stored_object.spec, dict) else {}
     try:
         value = base64.b64decode(str(spec.get("value", "")), validate=True)
-    except ValueError:
-        # Readers refuse the empty value, and log it, as they do with any malformed one.
-        value = b""
+    except ValueError as error:
+        raise PlatformError(
+            f"object {kind}/{stored_object.name}: {error}",
+            ResultCode.PLATFORM_REPLY_INVALID,
+        ) from error
     return PlatformObject(
         kind,
         stored_object.name,
@@ -132,3 +135,15 @@
         value,
         stored_object.is_deleted,
     )
+
+
+def _to_listed_object(kind: str, stored_object: StoredObject) -> PlatformObject:
+    """Return one object of several; its value is empty if it is malformed.
+
+    Readers refuse and log an empty value, as they do with any other that they cannot
+    decode.
+    """
+    try:
+        return _to_platform_object(kind, stored_object)
+    except PlatformError:
+        return _to_platform_object(kind, stored_object._replace(spec=None))
--- a/almondspool/platform/reply_items.py
+++ b/almondspool/platform/reply_items.py
@@ -47,12 +47,12 @@
         spans = list(_item_spans(content))
         if not spans:
             raise
+        before, after = content[: spans[0][0]], content[spans[-1][1] :]
+        if not re.search(rb'"%s"\s*:\s*\[\s*$' % items_key.encode(), before):
+            raise
+    envelope = msgspec.json.decode(before + after)
     items = [_decode_item(content[start:end]) for start, end in spans]
-    envelope = content[: spans[0][0]] + content[spans[-1][1] :]
-    decoded = msgspec.json.decode(envelope)
-    if isinstance(decoded, dict) and decoded.get(items_key) == []:
-        decoded[items_key] = items
-    return decoded
+    return {**envelope, items_key: items}
 
 
 def _item_spans(content: bytes) -> Iterator[tuple[int, int]]:
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -63,6 +63,13 @@
         for body in (b"[" * 5000, b'{"current_rev":1e400,"items":[{}]}'):
             self.assertRaises(PlatformError, self.decode, body)
 
+    def test_unreadable_part_beside_the_list_is_an_error(self):
+        for body in (
+            b'{"meta":{"name":"i-1","more":{"a":1}},"spec":{"a":{"b":1e400}}}',
+            b'{"other":[%s],"items":[],"current_rev":9}' % odd_object(b"1e400"),
+        ):
+            self.assertRaises(PlatformError, self.decode, body)
+
     def test_object_that_cannot_be_encoded_does_not_hide_the_others_of_a_mirror(self):
         nested = []
         for _ in range(5000):
@@ -99,6 +106,15 @@
             spec = {**ENTRY_SPEC, **change}
             self.assertRaises(UpstreamError, decode_entry, "i-1", spec)
 
+    def test_nested_values_are_refused(self):
+        nested = []
+        for _ in range(5000):
+            nested = [nested]
+        for key in ENTRY_SPEC:
+            if key not in ("version", "seq_no"):
+                spec = {**ENTRY_SPEC, key: nested}
+                self.assertRaises(UpstreamError, decode_entry, "i-1", spec)
+
     def test_id_that_cannot_be_sent_in_a_header_is_refused(self):
         for replica_id in ("", "i 1", "i-1\r\nHost: x", "i-\u0661", "i-\u00e9"):
             self.assertRaises(UpstreamError, decode_entry, replica_id, ENTRY_SPEC)
