Play searchers that limit their requests in the load bench

python -m bench.overload plays limits at one, two and three of three searchers of three shards, four instances, 97 searches a second.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -29,6 +29,16 @@
 MAX_LATE_CREDIT = 0.2
 # How long searchers are lost.
 LOST_S = 4.0
+# How long searchers limit their requests, and the time after which the limit must be
+# kept.
+LIMITED_S = 8.0
+LIMIT_KNOWN_S = 0.6
+# Limit of each searcher in the plays of the command: a third of its load.
+LIMITED_RATE = 11.0
+# What the platform tolerates in a window: a multiple of the limit, and a few more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 LOADS = (1.2, 1.5, 2.0, 3.0)
 SEEDS = (1, 2, 3)
 
@@ -209,6 +219,74 @@
     )
 
 
+class LimitedOutcome(NamedTuple):
+    """Outcome of a play with searchers that limit their requests.
+
+    Attributes:
+        callers: What the callers got.
+        excess: By how many requests the worst window exceeded what the platform
+            tolerates, over all limited searchers; 0.0 if none did.
+        used_share: Requests that the limited searchers got, as a share of the limits.
+    """
+
+    callers: Summary
+    excess: float
+    used_share: float
+
+
+def play_limited(
+    limited_per_shard: int,
+    rate_limit: float,
+    seed: int = 1,
+    rate_per_s: float = 97.0,
+    limited_shards: int = 3,
+) -> LimitedOutcome:
+    """Let searchers of some shards limit their requests.
+
+    Args:
+        limited_per_shard: How many searchers of each of these shards do.
+        rate_limit: The limit of each, in requests a second.
+        seed: Seed of the play.
+        rate_per_s: Searches a second.
+        limited_shards: Number of these shards.
+    """
+    play = Play(seed=seed)
+    play.run(rate_per_s, WARM_UP_S)
+    limited = [
+        searcher
+        for service in play.classes[0].route.shards[:limited_shards]
+        for searcher in [
+            each
+            for each in play.searchers_by_id.values()
+            if each.replica.service == service
+        ][:limited_per_shard]
+    ]
+    play.limit(limited, rate_limit)
+    play.run(rate_per_s, LIMIT_KNOWN_S)
+    started_at = play.timers.now()
+    play.run(rate_per_s, LIMITED_S)
+    ended_at = play.timers.now()
+    play.finish()
+    results = [
+        result for result in play.results if started_at <= result.started_at < ended_at
+    ]
+    arrivals = [
+        [at for at in searcher.arrivals if started_at <= at < ended_at]
+        for searcher in limited
+    ]
+    allowed = LIMIT_FACTOR * rate_limit * LIMIT_WINDOW_S + LIMIT_EXTRA
+    most = max(
+        (
+            sum(at <= other < at + LIMIT_WINDOW_S for other in times)
+            for times in arrivals
+            for at in times
+        ),
+        default=0,
+    )
+    used = sum(map(len, arrivals)) / (rate_limit * LIMITED_S * len(limited))
+    return LimitedOutcome(summarize(results), max(0.0, most - allowed), used)
+
+
 def format_outcomes(load: float, outcomes: Sequence[OverloadOutcome]) -> str:
     """Return a line with the means over several seeds."""
 
@@ -230,6 +308,15 @@
     for load in [float(argument) for argument in argv[1:]] or LOADS:
         outcomes = [play_overload(load, seed) for seed in SEEDS]
         print(format_outcomes(load, outcomes), flush=True)
+    for limited_per_shard in (1, 2, 3):
+        outcome = play_limited(limited_per_shard, LIMITED_RATE)
+        print(
+            f"limits of {LIMITED_RATE:.0f}/s at {limited_per_shard} of 3 searchers:"
+            f" credit {outcome.callers.credit:.3f},"
+            f" refused {outcome.callers.refused:.3f},"
+            f" used {outcome.used_share:.2f}, excess {outcome.excess:.0f}",
+            flush=True,
+        )
     return 0
 
 
--- a/bench/simulated_callers.py
+++ b/bench/simulated_callers.py
@@ -252,6 +252,11 @@
         for searcher in searchers:
             searcher.slowness = factor
 
+    def limit(self, searchers: Iterable[Searcher], rate_limit: float | None) -> None:
+        """Let searchers name a limit, in requests a second; None ends it."""
+        for searcher in searchers:
+            searcher.rate_limit = rate_limit
+
     def remove(self, searchers: Iterable[Searcher]) -> None:
         """Take searchers away, as a planned drain does."""
         for searcher in searchers:
--- a/bench/simulated_searchers.py
+++ b/bench/simulated_searchers.py
@@ -12,6 +12,7 @@
     LegReply,
     LegSender,
     ReportedLoad,
+    UpstreamHints,
 )
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
         replica: What instances know of the searcher.
         slowness: Factor of the time that a leg takes.
         is_up: Whether the searcher accepts connections.
+        rate_limit: Requests a second that it accepts, named in its replies, or None.
+        arrivals: When legs arrived, in monotonic seconds.
     """
 
     def __init__(
@@ -68,11 +71,14 @@
         self.pause_offset_s = rng.random() * PAUSE_INTERVAL_S
         self.slowness = 1.0
         self.is_up = True
+        self.rate_limit: float | None = None
+        self.arrivals: list[float] = []
         self.running: set[_Leg] = set()
         self.queue: collections.deque[_Leg] = collections.deque()
 
     def arrive(self, leg: _Leg) -> None:
         """Run, queue or reject a leg; break its connection if the searcher is down."""
+        self.arrivals.append(self.timers.now())
         if not self.is_up:
             leg.reply(LegReply(LegOutcome.BROKEN))
         elif len(self.running) < self.replica.slots:
@@ -80,7 +86,7 @@
         elif len(self.queue) < QUEUE_LIMIT:
             self.queue.append(leg)
         else:
-            leg.reply(LegReply(LegOutcome.NOT_RUN, REJECTED_STATUS, load=self._load()))
+            leg.reply(self._rejection())
 
     def crash(self) -> None:
         """Break all connections and refuse new ones."""
@@ -100,7 +106,7 @@
 
     def _start(self, leg: _Leg) -> None:
         if self.timers.now() >= leg.deadline_at:
-            leg.reply(LegReply(LegOutcome.NOT_RUN, REJECTED_STATUS, load=self._load()))
+            leg.reply(self._rejection())
             return
         self.running.add(leg)
         work_s = leg.work_s * self.slowness * self.rng.lognormvariate(0.0, WORK_SIGMA)
@@ -126,13 +132,26 @@
         load = self._load()
         self._release(leg)
         signature = f"signed-{self.replica.replica_id}".encode()
-        leg.reply(LegReply(LegOutcome.ANSWERED, 200, (), b"", signature, load))
+        reply = LegReply(LegOutcome.ANSWERED, 200, (), b"", signature, load)
+        leg.reply(reply._replace(hints=self._hints()))
 
     def _release(self, leg: _Leg) -> None:
         self.running.discard(leg)
         while self.queue and len(self.running) < self.replica.slots:
             self._start(self.queue.popleft())
 
+    def _rejection(self) -> LegReply:
+        return LegReply(
+            LegOutcome.NOT_RUN,
+            REJECTED_STATUS,
+            load=self._load(),
+            hints=self._hints(),
+        )
+
+    def _hints(self) -> UpstreamHints:
+        kind = "limit" if self.rate_limit is not None else ""
+        return UpstreamHints(kind=kind, rate_limit=self.rate_limit)
+
     def _load(self) -> ReportedLoad:
         return ReportedLoad(len(self.running), len(self.queue), self.replica.slots)
 
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -12,6 +12,7 @@
 from almondspool.routing import fan_out, router, timed_request
 from almondspool.routing.replica_health import ReplicaHealth
 from bench.overload import (
+    play_limited,
     play_lost_shard,
     play_overload,
     play_slow_and_leaving,
@@ -181,3 +182,23 @@
 
 def _record_sent_in_flight(health):
     health.in_flight += 1
+
+
+class LimitedSearchersTests(testtools.TestCase):
+    """Searchers of three of ten shards limit the requests of all instances together."""
+
+    def play(self, limited_per_shard, rate_limit):
+        return [play_limited(limited_per_shard, rate_limit, seed) for seed in (1, 2, 3)]
+
+    def test_callers_are_served_by_the_replicas_that_have_room(self):
+        for outcome in self.play(1, 8.0):
+            self.assertEqual(0.0, outcome.excess)
+            self.assertThat(outcome.callers.credit, GreaterThan(0.9))
+            self.assertEqual(0.0, outcome.callers.refused)
+
+    def test_callers_are_not_held_where_every_replica_is_limited(self):
+        for outcome in self.play(3, 11.0):
+            self.assertEqual(0.0, outcome.excess)
+            self.assertThat(outcome.callers.late, LessThan(0.05))
+            self.assertThat(outcome.callers.failed, LessThan(0.02))
+            self.assertThat(outcome.used_share, GreaterThan(0.5))
