--- a/almondspool/routing/rate_limit.py
+++ b/almondspool/routing/rate_limit.py
@@ -19,9 +19,9 @@
 # Share of a limit that is divided among its holders, the instances that use the replica
 # regularly. The rest is for the others, which find out with it whether the limit holds.
 HOLDERS_SHARE = 0.8
-# The platform tolerates more than this in its shortest window, so that smaller limits
-# need not be kept. The end of such a limit would be noticed late.
-MIN_RATE_LIMIT = 0.5
+# Smaller limits count as this one, in requests a second: the platform tolerates as
+# many, and the end of a smaller limit would be noticed late.
+MIN_RATE_LIMIT_PER_S = 0.5
 # Tokens that an instance may save: one request, and the reserve for urgent ones. A
 # larger rate allows what it earns in MAX_ACCRUAL_S.
 MIN_CAPACITY = 1.5
@@ -51,7 +51,7 @@
         allocation: Division of limits among the instances.
         replica: The replica.
     """
-    rate_limit = max(MIN_RATE_LIMIT, rate_limit)
+    rate_limit = max(MIN_RATE_LIMIT_PER_S, rate_limit)
     instance_count = allocation.instance_count()
     zone_by_instance = allocation.zone_by_instance
     if instance_count > len(zone_by_instance):
