Crash searchers in tests only once each of them has run a leg

Cause: a cluster of process tests begins once each search is complete, and a search is complete while no instance holds connections to one of a shard's two replicas (LEG_NO_HOLDER; the leg moves to the other one). About 0.3 s after the first section some buckets of connection shares may still be unwritten, after a write conflict for instance. The searches of the test last 0.25 s; all legs to alert-desk-01-c then ended with LEG_NO_HOLDER, so that nothing could crash it.

Neither the quarantine nor anything that changed for leaving or limited upstreams takes part.

Change: both tests first search until every searcher of the team has run a leg; the check of silent connections uses the same function.

--- a/tests/processes/checks.py
+++ b/tests/processes/checks.py
@@ -106,6 +106,16 @@
     ]
 
 
+def searchers_without_legs(cluster: Cluster, team: str) -> set[str]:
+    """Return the ids of a team's searchers that have run no leg of the journal."""
+    ids = {
+        upstream_id
+        for upstream_id, searcher in cluster.deployment.searchers_by_id.items()
+        if searcher.team == team
+    }
+    return ids - {entry["upstream_id"] for entry in journal_entries(cluster)}
+
+
 def requests_run_despite_refusal(
     cluster: Cluster, attempts: Iterable[Attempt]
 ) -> list[str]:
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -6,8 +6,18 @@
 
 from almondspool.standins.faults import Fault, FaultKind
 from tests.processes.caller import Attempt, Caller, make_request, make_search, post
-from tests.processes.checks import journal_entries, wrong_answers
-from tests.processes.support import TEAM, ClusterTestCase, caller_addresses, wait_until
+from tests.processes.checks import (
+    journal_entries,
+    searchers_without_legs,
+    wrong_answers,
+)
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    caller_addresses,
+    wait_until,
+    wait_until_none,
+)
 
 CRASHING_QUERY = {"model": "crash-me"}
 CRASHING_ID_PREFIX = "crashing-"
@@ -49,6 +59,21 @@
     }
 
 
+def search_until_every_searcher_ran(cluster):
+    """Search until no searcher lacks connections.
+
+    Just after the start, no instance may have a share of some searchers' connections
+    yet. Searches are complete without these, but nothing can crash them.
+    """
+
+    def search_and_find_unused():
+        for address in caller_addresses(cluster):
+            post(address, make_request({}))
+        return searchers_without_legs(cluster, TEAM)
+
+    wait_until_none(search_and_find_unused, "every searcher has run a leg")
+
+
 def send_crashing_requests(cluster):
     """Send a crashing query repeatedly to one shard and to its service.
 
@@ -57,6 +82,7 @@
     Returns:
         All requests sent, each with the number of crashes before it.
     """
+    search_until_every_searcher_ran(cluster)
     crash = Fault(
         FaultKind.CRASH_ON,
         field="model",
--- a/tests/processes/test_silent_connections.py
+++ b/tests/processes/test_silent_connections.py
@@ -6,8 +6,13 @@
 
 from almondspool.standins.faults import Fault, FaultKind
 from tests.processes.caller import Load, make_search
-from tests.processes.checks import journal_entries, wrong_answers
-from tests.processes.support import TEAM, ClusterTestCase, wait_until
+from tests.processes.checks import searchers_without_legs, wrong_answers
+from tests.processes.support import (
+    TEAM,
+    ClusterTestCase,
+    wait_until,
+    wait_until_none,
+)
 
 DEADLINE_MS = 800
 ANSWERS_PER_PHASE = 40
@@ -34,18 +39,12 @@
             control.set_faults([Fault(FaultKind.SILENT_CONNECTION)])
             wait_until(lambda: are_complete(load), "answers are complete again")
             control.clear_journal()
-            wait_until(self.has_every_searcher_run, "every searcher gets work")
+            wait_until_none(
+                lambda: searchers_without_legs(self.cluster, TEAM),
+                "every searcher gets work",
+            )
         self.assertEqual([], wrong_answers(self.cluster, load.final_attempts))
 
-    def has_every_searcher_run(self):
-        ran = {entry["upstream_id"] for entry in journal_entries(self.cluster)}
-        searchers = self.cluster.deployment.searchers_by_id
-        return ran >= {
-            upstream_id
-            for upstream_id, searcher in searchers.items()
-            if searcher.team == TEAM
-        }
-
 
 class SilenceUnseenTests(ClusterTestCase):
     variant = "silence_unseen"
