Log when another instance reports a request that crashed an upstream

The logs show each crash that an instance saw itself, but not when a report of another instance arrived, so they can't tell a late report from a lost one.

A report that changes what is known of a request is now logged as request.suspected, with fingerprint, upstream and number of crashes; a repeated one writes nothing.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -445,7 +445,14 @@
         )
 
     def _merge_suspicion(self, suspicion: Suspicion) -> None:
-        self._search_context.quarantine.merge(self._timers.epoch_ms(), suspicion)
+        quarantine = self._search_context.quarantine
+        if quarantine.merge(self._timers.epoch_ms(), suspicion):
+            self._log.write(
+                "request.suspected",
+                fingerprint=suspicion.fingerprint,
+                upstream=suspicion.upstream_id,
+                crashes=suspicion.crashes,
+            )
 
 
 def make_application(settings: Any, log: EventLog) -> Application:
--- a/almondspool/coordination/search/quarantine.py
+++ b/almondspool/coordination/search/quarantine.py
@@ -91,16 +91,19 @@
         crashes = self._count_unexpired_crashes(now_ms, entry)
         return Suspicion(fingerprint, crashes, upstream_id, expires_ms)
 
-    def merge(self, now_ms: int, suspicion: Suspicion) -> None:
+    def merge(self, now_ms: int, suspicion: Suspicion) -> bool:
         """Merge a suspicion of a peer.
 
         An expired suspicion is ignored. An expiry later than that of a crash seen now
         is capped to it.
+
+        Returns:
+            Whether the crashes known of the request have changed.
         """
         latest_ms = now_ms + self._lifetime_ms
         expires_ms = min(suspicion.expires_ms, latest_ms)
         if expires_ms <= now_ms or suspicion.crashes < 1:
-            return
+            return False
         fingerprint = suspicion.fingerprint
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None or entry.expires_ms() <= now_ms:
@@ -110,8 +113,9 @@
         upstream_id = suspicion.upstream_id
         expiries[upstream_id] = max(expires_ms, expiries.get(upstream_id, 0))
         crashes = max(entry.crashes, min(suspicion.crashes, MIN_QUARANTINE_CRASHES))
-        entry = _Entry(crashes, _keep_latest(expiries))
-        self._entries_by_fingerprint[fingerprint] = entry
+        merged = _Entry(crashes, _keep_latest(expiries))
+        self._entries_by_fingerprint[fingerprint] = merged
+        return merged != entry
 
     def clear(self, now_ms: int, fingerprint: str) -> bool:
         """Drop the suspicion of a request that has since completed.
--- a/almondspool/routing/crashes.py
+++ b/almondspool/routing/crashes.py
@@ -103,7 +103,13 @@
 
     def merge(self, suspicion: Suspicion) -> None:
         """Merge a suspicion from another instance."""
-        self._quarantine.merge(self._epoch_ms(), suspicion)
+        if self._quarantine.merge(self._epoch_ms(), suspicion):
+            self._log.write(
+                "request.suspected",
+                fingerprint=suspicion.fingerprint,
+                replica=suspicion.upstream_id,
+                crashes=suspicion.crashes,
+            )
 
     def _record_crash(self, replica: Replica, fingerprint: str) -> None:
         now_ms = self._epoch_ms()
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -4,6 +4,7 @@
 
 from almondspool.logs import EventLog
 from almondspool.protocol.exchange import LegOutcome
+from almondspool.protocol.peer import Suspicion
 from almondspool.routing.crashes import CrashDetector, request_fingerprint
 from tests.routing.routing_harness import (
     RoutingHarness,
@@ -51,6 +52,14 @@
         self.assertEqual(503, peer.run(path="/fetch/1").status)
         self.assertEqual([], peer.sender.sent)
 
+    def test_repeated_suspicion_is_logged_once(self):
+        harness = RoutingHarness(fetch_route())
+        expires_ms = harness.timers.epoch_ms() + 1000
+        for _ in range(2):
+            harness.crashes.merge(Suspicion("5f", 1, "r1", expires_ms))
+        suspected = [line for line in harness.log_lines if "request.suspected" in line]
+        self.assertEqual(1, len(suspected), harness.log_lines)
+
     def test_lost_reply_of_a_running_upstream_is_no_crash(self):
         harness = RoutingHarness(fetch_route())
         harness.sender.script = lambda _: (0.010, failed_reply(LegOutcome.BROKEN))
