Rank the holders of request and connection limits in one function

rate_quota and connection_quota had a copy each of the ranking of instances: own availability zone first, then rendezvous weight. holder_rank now serves both. A new RateLimiter was given its limit twice; it is now set only where it changes.

--- a/almondspool/routing/quota.py
+++ b/almondspool/routing/quota.py
@@ -11,7 +11,7 @@
 from almondspool.coordination.membership.rendezvous import weight
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from almondspool.state.routes import Replica
 
@@ -86,14 +86,33 @@
     share = remaining // max(1, instance_count - len(reserved))
     if share > 0:
         return share
+    candidates = allocation.zone_by_instance.keys() - reserved
+    rank = holder_rank(instance, candidates, allocation, replica)
+    return 1 if rank < remaining else 0
+
+
+def holder_rank(
+    instance: str,
+    candidates: Collection[str],
+    allocation: ShareAllocation,
+    replica: Replica,
+) -> int:
+    """Return how many candidates precede an instance as holders of a replica's limit.
+
+    Those in the replica's availability zone come first, and then those with the highest
+    rendezvous weight.
+
+    Args:
+        instance: The instance.
+        candidates: Names of the instances among which the limit is divided.
+        allocation: Division of limits, with the zones of the live instances.
+        replica: The replica.
+    """
     zone_by_instance = allocation.zone_by_instance
 
-    def rank(name: str) -> tuple[bool, int]:
-        is_local = zone_by_instance[name] == replica.zone
+    def precedence(name: str) -> tuple[bool, int]:
+        is_local = zone_by_instance.get(name) == replica.zone
         return is_local, weight(replica.replica_id, name)
 
-    own_rank = rank(instance)
-    higher_ranked_count = sum(
-        rank(other) > own_rank for other in zone_by_instance if other not in reserved
-    )
-    return 1 if higher_ranked_count < remaining else 0
+    own_precedence = precedence(instance)
+    return sum(precedence(other) > own_precedence for other in candidates)
--- a/almondspool/routing/rate_limit.py
+++ b/almondspool/routing/rate_limit.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondspool.coordination.membership.rendezvous import weight
+from almondspool.routing.quota import holder_rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,19 +57,14 @@
     if instance_count > len(zone_by_instance):
         # Not all instances are known, so the holders are not known either.
         return rate_limit * HOLDERS_SHARE / instance_count
-    eligible = allocation.serving or frozenset(zone_by_instance)
-    holder_count = max(1, min(len(eligible), int(rate_limit)))
-
-    def rank(name: str) -> tuple[bool, int]:
-        is_local = zone_by_instance.get(name) == replica.zone
-        return is_local, weight(replica.replica_id, name)
-
-    if instance in eligible:
-        own_rank = rank(instance)
-        higher_ranked_count = sum(rank(other) > own_rank for other in eligible)
-        if higher_ranked_count < holder_count:
-            share = HOLDERS_SHARE if holder_count < instance_count else 1.0
-            return rate_limit * share / holder_count
+    candidates = allocation.serving or zone_by_instance.keys()
+    holder_count = max(1, min(len(candidates), int(rate_limit)))
+    if (
+        instance in candidates
+        and holder_rank(instance, candidates, allocation, replica) < holder_count
+    ):
+        share = HOLDERS_SHARE if holder_count < instance_count else 1.0
+        return rate_limit * share / holder_count
     other_count = max(1, instance_count - holder_count)
     return rate_limit * (1.0 - HOLDERS_SHARE) / other_count
 
--- a/almondspool/routing/selection.py
+++ b/almondspool/routing/selection.py
@@ -108,9 +108,10 @@
             return limiter is not None
         if limiter is None:
             limiter = health.rate_limiter = RateLimiter(now, replica, rate_limit)
-        elif limiter.rate_limit == rate_limit:
+        elif limiter.rate_limit != rate_limit:
+            limiter.rate_limit = rate_limit
+        else:
             return False
-        limiter.rate_limit = rate_limit
         limiter.update_quota(self._rate_quota)
         return True
 
