Answer a crashing request once the other instances know of the crash

Cause: the answer was held back for a fixed 0.1 s while the report of the crash was under way. Nothing showed whether it had arrived.

An instance now returns a report that is new to it to its sender, which confirms it; the answer is held back until all have confirmed, for at most 0.5 s. The message is the one that older instances know: to them a returned report is one that they know already. An instance that does not confirm is logged.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -30,6 +30,7 @@
     register_peer_messages,
 )
 from almondspool.coordination.peers.peer_sender import PeerSender
+from almondspool.coordination.peers.suspicion_reports import SuspicionReports
 from almondspool.coordination.search.request_handler import (
     RequestHandler,
     RequestHandlerDependencies,
@@ -235,6 +236,9 @@
             settings.quarantine_s,
             self._rng,
         )
+        self._suspicion_reports = SuspicionReports(
+            self._peer_sender.send_all, self._merge_suspicion, self._log
+        )
         self._claims = self._make_claims()
         self._request_handler = RequestHandler(
             settings.instance, self._make_request_handler_dependencies()
@@ -272,7 +276,7 @@
                 lambda: self._configuration,
                 lambda: self._claims,
                 self._fleet,
-                self._merge_suspicion,
+                self._suspicion_reports,
             ),
         )
 
@@ -302,7 +306,7 @@
             self._leg_router,
             self._log,
             self._metrics,
-            self._peer_sender.send_all,
+            self._suspicion_reports.report,
             self._settings.log_decisions,
             self._record_load_report,
         )
@@ -444,15 +448,9 @@
             )
         )
 
-    def _merge_suspicion(self, suspicion: Suspicion) -> None:
+    def _merge_suspicion(self, suspicion: Suspicion) -> bool:
         quarantine = self._search_context.quarantine
-        if quarantine.merge(self._timers.epoch_ms(), suspicion):
-            self._log.write(
-                "request.suspected",
-                fingerprint=suspicion.fingerprint,
-                upstream=suspicion.upstream_id,
-                crashes=suspicion.crashes,
-            )
+        return quarantine.merge(self._timers.epoch_ms(), suspicion)
 
 
 def make_application(settings: Any, log: EventLog) -> Application:
--- a/almondspool/coordination/peers/peer_messages.py
+++ b/almondspool/coordination/peers/peer_messages.py
@@ -26,6 +26,7 @@
     )
     from almondspool.coordination.fleet.fleet_task import FleetTask
     from almondspool.coordination.peers.peer_dispatch import PeerDispatcher
+    from almondspool.coordination.peers.suspicion_reports import SuspicionReports
     from almondspool.coordination.shares.shares_task import SharesTask
     from almondspool.coordination.upstreams.leg_dispatcher_task import LegDispatcherTask
     from almondspool.coordination.upstreams.leg_router import LegRouter
@@ -42,7 +43,7 @@
         configuration: Returns the configuration task.
         claims: Returns the claims task of the current incarnation.
         fleet: Receives status reports of other instances.
-        merge_suspicion: Merges a suspicion about a request that crashed upstreams.
+        suspicion_reports: Receives suspicions about requests that crash upstreams.
     """
 
     leg_dispatcher: LegDispatcherTask
@@ -51,7 +52,7 @@
     configuration: Callable[[], ConfigurationTask]
     claims: Callable[[], ClaimsTask]
     fleet: FleetTask
-    merge_suspicion: Callable[[Suspicion], None]
+    suspicion_reports: SuspicionReports
 
 
 def register_peer_messages(
@@ -72,7 +73,7 @@
         CompareObjects,
         lambda item: handlers.shares.post_compare(item.sender, item.message),
     )
-    register(Suspicion, lambda item: handlers.merge_suspicion(item.message))
+    register(Suspicion, handlers.suspicion_reports.on_suspicion)
     register(ClaimAsk, lambda item: handlers.claims().on_forwarded_operation(item))
     register(
         ClaimReply, lambda item: handlers.claims().on_reply(item.sender, item.message)
--- a/almondspool/coordination/peers/peer_sender.py
+++ b/almondspool/coordination/peers/peer_sender.py
@@ -38,11 +38,18 @@
             return False
         return self._channels.send(instance, member.peer_address, message)
 
-    def send_all(self, message: NamedTuple) -> None:
-        """Queue a message to every present peer whose queue is not full."""
-        for member in self._view().present():
-            if member.instance != self._instance:
-                self._channels.send(member.instance, member.peer_address, message)
+    def send_all(self, message: NamedTuple) -> frozenset[str]:
+        """Queue a message to every present peer whose queue is not full.
+
+        Returns:
+            The instances to which it was queued.
+        """
+        return frozenset(
+            member.instance
+            for member in self._view().present()
+            if member.instance != self._instance
+            and self._channels.send(member.instance, member.peer_address, message)
+        )
 
     def close_dead_channels(self) -> None:
         """Close the channels to dead peers."""
--- a/almondspool/coordination/search/request_run.py
+++ b/almondspool/coordination/search/request_run.py
@@ -31,8 +31,6 @@
     from almondspool.transport.timers import TimerService
 
 
-# Time within which a suspicion reaches all peers, even if a channel must be opened.
-SUSPICION_PROPAGATION_S = 0.1
 LOG_LINES_PER_BATCH = 32
 
 
@@ -44,7 +42,8 @@
         router: Sends legs and routes their results.
         log: The event log.
         metrics: Leg counters.
-        broadcast_suspicion: Sends a suspicion to all instances.
+        report_suspicion: Sends a suspicion to all instances and waits until they know
+            it, for a bounded time.
         log_decisions: Whether each routing decision is logged.
         on_load_report: Called with an upstream's id and the report that came with a
             result.
@@ -54,7 +53,7 @@
     router: LegRouter
     log: EventLog
     metrics: Metrics
-    broadcast_suspicion: Callable[[Suspicion], None]
+    report_suspicion: Callable[[Suspicion], None]
     log_decisions: bool
     on_load_report: Callable[[str, LoadReport], None]
 
@@ -140,13 +139,11 @@
         answer = None
         for action in actions:
             if isinstance(action, BroadcastSuspicion):
-                self._dependencies.broadcast_suspicion(action.suspicion)
+                # The caller may retry at another instance at once, which must know of
+                # the suspicion by then.
+                self._dependencies.report_suspicion(action.suspicion)
             if isinstance(action, Finish):
                 answer = action.answer
-        if answer and any(isinstance(action, BroadcastSuspicion) for action in actions):
-            # The caller may retry at another instance at once, which must know of the
-            # suspicion by then.
-            eventlet.sleep(SUSPICION_PROPAGATION_S)
         return answer
 
     def _send(self, sends: Sequence[SendLeg]) -> None:
