Show that the tests of limited and leaving searchers find what they guard against

The process tests of both had no variant with the mechanism switched off, so nothing showed that they fail without it. Two variants of the daemon ignore the limits, and the leaves, that searchers name in their answers; with the limits ignored a searcher gets more than 17 requests in 4 s, with the leaves ignored it gets requests after it said that it leaves.

The base class moves to hosted_support.

--- a/almondspool/standins/hosted_cluster.py
+++ b/almondspool/standins/hosted_cluster.py
@@ -83,6 +83,7 @@
         store_address_for: Callable[[HostedCluster, str], str] | None = None,
         entry_address_for: Callable[[HostedCluster, str], str] | None = None,
         spare_ports: int = 0,
+        daemon_module: str = "almondspool.platform",
     ) -> None:
         """Plan a cluster without starting it.
 
@@ -95,7 +96,9 @@
             entry_address_for: Returns the address in a searcher's entry; by default the
                 one it listens on. Gets the cluster and that address.
             spare_ports: Number of further ports to reserve, for proxies.
+            daemon_module: Module to run as the daemon.
         """
+        self._daemon_module = daemon_module
         self._temporary = tempfile.TemporaryDirectory(prefix="almondspool-hosted-")
         self.directory = pathlib.Path(self._temporary.name)
         self._http = urllib3.PoolManager(maxsize=8, retries=False)
@@ -337,7 +340,7 @@
         path.write_text(self._format_settings(instance, store))
         environment = {SETTINGS_VARIABLE: str(path)}
         self.children_by_name[instance.name] = self._make_child(
-            instance.name, "almondspool.platform", **environment
+            instance.name, self._daemon_module, **environment
         )
 
     def _format_settings(self, instance: HostedInstance, store: str) -> str:
--- a/tests/processes/test_upstream_hints.py
+++ b/tests/processes/test_upstream_hints.py
@@ -7,116 +7,24 @@
 import threading
 import time
 
-import testtools
 import urllib3
 
 from almondspool.platform.store import ObjectStoreClient
-from almondspool.standins.hosted_cluster import HOST, HostedCluster
-from tests.processes.support import wait_until
+from tests.processes.hosted_support import HostedTestCase
+from tests.processes.support import VARIANTS_PACKAGE, wait_until
 
 # Allowed for requests in flight; much less than the time for which a leaving searcher
 # still serves.
 MAX_IN_FLIGHT_S = 0.5
 # Retry-After value of a rejection.
 BACKOFF_S = 8.0
-# The platform's window for limits, and the time after which an instance must keep one.
-LIMIT_WINDOW_S = 4.0
-LIMIT_KNOWN_AFTER_S = 0.5
-# How long a searcher names its limit.
-LIMITED_S = 7.0
 # Time between a reply and its copy.
 COPY_DELAY_S = 0.03
 
 
-class _HostedTestCase(testtools.TestCase):
-    instance_count = 2
-
-    def setUp(self):
-        super().setUp()
-        self.cluster = HostedCluster(instances=self.instance_count, shards=2)
-        self.addCleanup(self.cluster.__exit__, None, None, None)
-        self.cluster.start()
-        self.http = urllib3.PoolManager(retries=False)
-        self.count = 0
-        for name in self.cluster.instances_by_name:
-            wait_until(
-                lambda name=name: self.is_complete(name),
-                f"{name} knows all searchers and serves",
-            )
-
-    def is_complete(self, name):
-        # Every searcher of a service must be known, or there is no alternative to use.
-        is_known = self.count_known_entries(name) >= 9
-        return is_known and self.call("/fetch/2f", name)[1].status == 200
-
-    def call(self, path, name="instance-0"):
-        self.count += 1
-        request_id = f"r{self.count}"
-        address = self.cluster.instances_by_name[name].caller_address
-        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "2000"}
-        url = f"http://{address}{path}"
-        return request_id, self.http.request("GET", url, headers=headers, timeout=10.0)
-
-    def events(self, replica_id):
-        """Return the journal entries of requests that a searcher ran or rejected."""
-        return [
-            each
-            for each in self.cluster.read_journal()
-            if each["replica"] == replica_id
-        ]
-
-    def set_others_listed(self, replica_id, is_listed):
-        """List or unlist the other searchers of a searcher's service.
-
-        An instance may prefer another searcher. Without the others, it has to use this
-        one, whatever its zone.
-        """
-        others = [
-            f"i-records-{zone}"
-            for zone in ("north", "south", "hills")
-            if f"i-records-{zone}" != replica_id
-        ]
-        for other in others:
-            self.cluster.set_behaviour(other, is_listed=is_listed)
-        expected_count = 9 if is_listed else 9 - len(others)
-        for name in self.cluster.instances_by_name:
-            wait_until(
-                lambda name=name: self.count_known_entries(name) == expected_count,
-                f"{name} knows {expected_count} entries",
-            )
-
-    def count_known_entries(self, name):
-        """Return how many searchers an instance knows."""
-        address = self.cluster.instances_by_name[name].operator_address
-        status = self.http.request("GET", f"http://{address}/v1/status", timeout=10.0)
-        return status.json()["replicas"]
-
-
-class LimitedSearcherTests(_HostedTestCase):
-    def test_searcher_gets_no_more_than_its_limit_from_all_instances_together(self):
-        replica_id = "i-records-north"
-        limit = 2.0
-        self.cluster.set_behaviour(replica_id, limit=str(limit))
-        begun_at = time.time()
-        while time.time() < begun_at + LIMITED_S:
-            for name in self.cluster.instances_by_name:
-                _, reply = self.call("/fetch/2f", name)
-                self.assertEqual(200, reply.status)
-                self.assertNotIn("Server-Limit", reply.headers)
-        arrivals = [
-            each["at"]
-            for each in self.events(replica_id)
-            if each["at"] > begun_at + LIMIT_KNOWN_AFTER_S
-        ]
-        most = max(
-            sum(at <= other < at + LIMIT_WINDOW_S for other in arrivals)
-            for at in arrivals
-        )
-        self.assertTrue(most <= 1.5 * limit * LIMIT_WINDOW_S + 5, most)
-
-
-class LeavingSearcherTests(_HostedTestCase):
-    def test_searcher_gets_no_requests_after_an_answer_says_that_it_leaves(self):
+class _LeavingSearcherTestCase(HostedTestCase):
+    def requests_after_leaving(self):
+        """Return the requests of a searcher after an answer said that it leaves."""
         replica_id = "i-records-north"
         self.set_others_listed(replica_id, False)
         self.cluster.set_behaviour(replica_id, is_leaving=True)
@@ -133,12 +41,11 @@
         while time.time() < deadline:
             for name in self.cluster.instances_by_name:
                 self.assertEqual(200, self.call("/fetch/2f", name)[1].status)
-        late = [
+        return [
             each
             for each in self.events(replica_id)
             if each["at"] > recorded_at + MAX_IN_FLIGHT_S
         ]
-        self.assertEqual([], late)
 
     def has_recorded_leaving(self, name, replica_id):
         self.call("/fetch/2f", name)
@@ -147,7 +54,19 @@
         return b'almondspool_upstream_wishes_total{wish="leaving"}' in reply.data
 
 
-class BackoffTests(_HostedTestCase):
+class LeavingSearcherTests(_LeavingSearcherTestCase):
+    def test_searcher_gets_no_requests_after_an_answer_says_that_it_leaves(self):
+        self.assertEqual([], self.requests_after_leaving())
+
+
+class LeavesIgnoredTests(_LeavingSearcherTestCase):
+    daemon_module = f"{VARIANTS_PACKAGE}.hosted_leaves_ignored"
+
+    def test_requests_after_an_answer_says_that_it_leaves_are_found(self):
+        self.assertNotEqual([], self.requests_after_leaving())
+
+
+class BackoffTests(HostedTestCase):
     instance_count = 1
 
     def test_at_most_two_requests_reach_a_searcher_during_its_backoff(self):
@@ -263,7 +182,7 @@
         )
 
 
-class LateDuplicateTests(_HostedTestCase):
+class LateDuplicateTests(HostedTestCase):
     instance_count = 1
 
     def test_no_caller_gets_the_late_copy_of_another_answer(self):
@@ -305,7 +224,7 @@
         self.assertTrue(searcher.copies > 0)
 
 
-class RestartedInstanceTests(_HostedTestCase):
+class RestartedInstanceTests(HostedTestCase):
     def test_searcher_that_left_is_not_used_by_a_restarted_instance(self):
         replica_id = "i-records-north"
         self.cluster.set_behaviour(replica_id, is_listed=False)
