Refuse requests that may outlast the drain of a stopping instance

In a planned stop of an instance of the product's own interface, a search that was sent after SIGTERM and ran for 40 s got no answer: the connection closed at the exit (test_late_request_that_cannot_finish_is_refused; NO_ANSWER before).

Cause: until the addresses that callers have cached expire, an instance took every request, also one whose deadline, up to 60 s, is after the end of the drain (drain_s, 30 s by default).

While it leaves, an instance now takes a request only if it ends before the drain does even if it needs all of its time; others are refused as not run (202), and other instances take them. Requests in flight at the signal are still cut off at the end of the drain and logged.

--- a/almondspool/application.py
+++ b/almondspool/application.py
@@ -318,7 +318,7 @@
             document=lambda: self._configuration.document,
             entries=self._choose_entries,
             may_serve=self._may_serve,
-            is_refusing=lambda: not self._shutdown.accepts_requests(),
+            may_finish=lambda deadline_s: self._shutdown.may_finish(deadline_s),
         )
 
     def _build_shutdown(self) -> None:
--- a/almondspool/coordination/search/request_handler.py
+++ b/almondspool/coordination/search/request_handler.py
@@ -54,7 +54,8 @@
         document: Returns the document in force.
         entries: Returns the instance addresses for callers in a zone.
         may_serve: Whether the instance's lease and document allow it to serve.
-        is_refusing: Whether new requests are refused because the instance is leaving.
+        may_finish: Returns whether a new request with this time until its deadline, in
+            seconds, will be answered before the instance stops.
     """
 
     run: RunDependencies
@@ -64,7 +65,7 @@
     document: Callable[[], Document]
     entries: Callable[[str], EntryList]
     may_serve: Callable[[], bool]
-    is_refusing: Callable[[], bool]
+    may_finish: Callable[[float], bool]
 
 
 class _CheckedRequest(NamedTuple):
@@ -86,7 +87,7 @@
 
     def deadline_s(self) -> float:
         """Return the time from arrival to the deadline, in seconds."""
-        return (self.request.deadline_ms or self.section.deadline_ms) / _MS_PER_S
+        return _deadline_s(self.request, self.section)
 
 
 class RequestHandler(CallerInterface):
@@ -148,7 +149,7 @@
         self, request: SearchRequest, document: Document, section: Section | None
     ) -> SearchAnswer | None:
         generation = document.generation
-        if self._dependencies.is_refusing():
+        if not self._dependencies.may_finish(_deadline_s(request, section)):
             return _refusal(request, generation, ResultCode.NOT_RUN_LEAVING)
         if generation == 0 or not self._dependencies.may_serve():
             answer = _refusal(request, generation, ResultCode.NOT_RUN_NO_CONFIGURATION)
@@ -258,6 +259,12 @@
     return section.priority_by_caller.get(caller, section.priority)
 
 
+def _deadline_s(request: SearchRequest, section: Section | None) -> float:
+    """Return the time from arrival to the deadline, in seconds; 0.0 if unknown."""
+    default_ms = 0 if section is None else section.deadline_ms
+    return (request.deadline_ms or default_ms) / _MS_PER_S
+
+
 def _refusal(
     request: SearchRequest, generation: int, code: ResultCode, detail: str = ""
 ) -> SearchAnswer:
--- a/almondspool/coordination/shutdown/shutdown.py
+++ b/almondspool/coordination/shutdown/shutdown.py
@@ -86,8 +86,8 @@
     """State machine of a graceful shutdown: takes signals and ticks, returns actions.
 
     New requests are served until the addresses that callers have cached expire, and
-    refused after that; requests in flight are drained; claims and connection shares
-    are released last.
+    refused after that and if they might outlast the drain; requests in flight are
+    drained; claims and connection shares are released last.
 
     Attributes:
         phase: Current phase.
@@ -104,6 +104,18 @@
         """Return whether new requests are served, not refused as NOT_RUN_LEAVING."""
         return self.phase in (ShutdownPhase.RUNNING, ShutdownPhase.LEAVING)
 
+    def may_finish(self, now: float, deadline_s: float) -> bool:
+        """Return whether a new request will be answered even if it takes all its time.
+
+        Args:
+            now: Monotonic seconds.
+            deadline_s: Time until the request's deadline, in seconds.
+        """
+        if self.phase == ShutdownPhase.LEAVING:
+            drain_ends_at = self._phase_ends_at + self._settings.drain_s
+            return now + deadline_s <= drain_ends_at
+        return self.accepts_requests()
+
     def begin(self, settings: ShutdownSettings, now: float) -> list[Action]:
         """Handle the first stop signal; later calls have no effect.
 
--- a/almondspool/coordination/shutdown/shutdown_task.py
+++ b/almondspool/coordination/shutdown/shutdown_task.py
@@ -66,6 +66,10 @@
         """Return whether new requests are served, not refused as NOT_RUN_LEAVING."""
         return self._shutdown.accepts_requests()
 
+    def may_finish(self, deadline_s: float) -> bool:
+        """Return whether a new request with this time left, in seconds, is served."""
+        return self._shutdown.may_finish(self._dependencies.timers.now(), deadline_s)
+
     def is_leaving(self) -> bool:
         """Return whether the shutdown has begun."""
         return self._tick_subscription is not None
--- a/tests/coordination/shutdown/test_shutdown.py
+++ b/tests/coordination/shutdown/test_shutdown.py
@@ -71,6 +71,17 @@
         self.assertEqual([GiveBack()], shutdown.tick((), 10.0))
         self.assertFalse(shutdown.accepts_requests())
 
+    def test_request_that_may_outlast_the_drain_is_not_taken(self):
+        shutdown = Shutdown()
+        self.assertTrue(shutdown.may_finish(0.0, 60.0))
+        shutdown.begin(SETTINGS, 0.0)
+        self.assertTrue(shutdown.may_finish(0.0, 40.0))
+        self.assertFalse(shutdown.may_finish(0.0, 60.0))
+        self.assertTrue(shutdown.may_finish(9.9, 30.0))
+        self.assertFalse(shutdown.may_finish(9.9, 31.0))
+        shutdown.tick(("r1",), 10.0)
+        self.assertFalse(shutdown.may_finish(10.0, 1.0))
+
     def test_requests_that_outlast_the_drain_are_listed(self):
         shutdown = Shutdown()
         shutdown.begin(SETTINGS, 0.0)
--- a/tests/processes/test_graceful_shutdown.py
+++ b/tests/processes/test_graceful_shutdown.py
@@ -18,6 +18,7 @@
 from tests.processes.support import TEAM, ClusterTestCase, read_log, wait_until
 
 INTERRUPTED_EXIT_CODE = 54
+NOT_RUN_LEAVING = 202
 LEG_DELAY_MS = 40.0
 ANSWERS_PER_PHASE = 20
 CALLER_COUNT = 12
@@ -89,6 +90,27 @@
             [], wrong_answers(self.cluster, load.final_attempts, require_complete=True)
         )
 
+    def test_late_request_that_cannot_finish_is_refused(self):
+        name, instance = list(self.cluster.instances_by_name.items())[0]
+        self.cluster.wait_ready(name)
+        slow = Fault(FaultKind.SLOW, delay_ms=40_000.0)
+        self.cluster.searcher_controls()[0].set_faults([slow])
+        begun = self.count_begun_shutdowns(name)
+        child = self.cluster.child(name)
+        child.send_signal(signal.SIGTERM)
+        wait_until(
+            lambda: self.count_begun_shutdowns(name) > begun, "the shutdown has begun"
+        )
+        search = {**make_search(0), "deadline_ms": 60_000}
+        attempt = post(instance.caller_address, search)
+        self.assertEqual(NOT_RUN_LEAVING, attempt.code, attempt.answer)
+        self.assertEqual(0, child.wait(SHUTDOWN_TIMEOUT_S))
+        self.clear_faults()
+        self.cluster.restart(name)
+
+    def count_begun_shutdowns(self, name):
+        return read_log(self.cluster, name).count("event=stop.begin")
+
     def test_second_signal_logs_the_lost_requests(self):
         name, instance = list(self.cluster.instances_by_name.items())[-1]
         self.cluster.wait_ready(name)
