--- a/tests/platform/test_leaving_entries.py
+++ b/tests/platform/test_leaving_entries.py
@@ -18,16 +18,23 @@
 
 # The platform's bound: an upstream serves for this long after its entry is removed.
 DRAIN_S = 3.0
+# The platform's bounds hold again this long after the end of an outage.
+STABLE_S = 4.0
+SILENCE_S = 0.6
 NAMES = ("i-1", "i-2", "i-3", "i-4", "i-5", "i-6")
 
 
 class TimedStore:
-    """Store whose entries are removed, and whose connection fails, at given times."""
+    """Store whose entries are removed, and that is lost, at given times.
 
-    def __init__(self, timers, removals_by_name, losses, ends_at):
+    In a loss connections fail. In a silence no call is answered, then or later.
+    """
+
+    def __init__(self, timers, removals_by_name, losses, ends_at, silences=()):
         self.timers = timers
         self.removals_by_name = removals_by_name
         self.losses = losses
+        self.silences = silences
         self.ends_at = ends_at
         self.watch_count = 0
 
@@ -59,6 +66,9 @@
             if lost_at <= sent_at < lost_at + lost_for_s:
                 self._pass(sent_at + 0.2)
                 raise PlatformError("the store closed the connection")
+        if any(at <= sent_at < at + for_s for at, for_s in self.silences):
+            self._pass(sent_at + wait_s + timeout_margin_s)
+            raise PlatformError("no answer")
         ends_at = sent_at + wait_s
         lost_at = min(
             (at for at, _ in self.losses if at >= sent_at), default=self.ends_at
@@ -77,7 +87,7 @@
 
 
 class LeavingEntryTests(testtools.TestCase):
-    def follow(self, removals_by_name, losses, ends_at=30.0):
+    def follow(self, removals_by_name, losses, ends_at=30.0, silences=()):
         """Play the store; return when each replica was last usable, by id."""
         timers = VirtualTimers()
         self.log_lines = []
@@ -99,7 +109,7 @@
         handler = EntryHandler(
             self.registry, timers.now, lambda: None, lambda: None, log
         )
-        self.store = TimedStore(timers, removals_by_name, losses, ends_at)
+        self.store = TimedStore(timers, removals_by_name, losses, ends_at, silences)
         self.patch(
             watches.eventlet,
             "sleep",
@@ -134,6 +144,19 @@
                 last_used_by_id["i-1"] < left_at + DRAIN_S, (left_at, last_used_by_id)
             )
 
+    def test_upstream_that_leaves_after_a_silence_of_the_store_is_not_used_too_long(
+        self,
+    ):
+        # The first removal is read before the silence, the next watch is sent in it.
+        for silent_at in (10.5, 11.0):
+            left_at = silent_at + SILENCE_S + STABLE_S
+            last_used_by_id = self.follow(
+                {"i-1": 10.0, "i-2": left_at}, [], silences=[(silent_at, SILENCE_S)]
+            )
+            self.assertTrue(
+                last_used_by_id["i-2"] < left_at + DRAIN_S, (left_at, last_used_by_id)
+            )
+
     def test_upstreams_that_leave_together_are_not_used_too_long(self):
         # The first removal is read at once, the others after the pause between watches.
         removals = {"i-1": 10.0, "i-2": 10.1, "i-3": 10.1, "i-4": 10.1, "i-5": 10.1}
