Notice watches that the store received while it was silent

Cause: the store never answers a call that it receives while it is silent, also after its return, and the connection shows no error. A watch that was sent in those seconds, in the pause after a change, ended with its timeout of 33 s; until then the instance read nothing. A store that is silent without such a watch does no harm: watches that it had received before are answered.

A watch after a pause now waits for 2 s, and 1.5 s more for its answer.

--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -136,6 +136,7 @@
             lambda failures: self._choose_source(kind, failures),
             handler,
             self._mirrors_by_kind[kind],
+            self._dependencies.timers.now,
             self._dependencies.rng,
             self._dependencies.log,
             min_interval_s,
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -19,9 +19,12 @@
     from almondspool.platform.mirror import KindMirror
     from almondspool.platform.store import ObjectStoreClient, StoredList, StoredObject
 
-# The maximum wait that the store allows. A shorter one only costs more calls, as
-# keepalive probes detect a silent connection.
+# The maximum wait that the store allows, for a watch that follows an answer at once.
 WATCH_WAIT_S = 30.0
+# The same for a watch after a pause. The store may never answer a call that it received
+# during an outage, on a connection that shows no error. Such a watch has to fail before
+# changes must be read in time again after the outage.
+WATCH_WAIT_AFTER_PAUSE_S = 2.0
 # The platform does not bill watches at another instance, so they can be short: a frozen
 # instance must be detected well before a change has to be in force everywhere.
 PEER_WATCH_WAIT_S = 1.0
@@ -96,6 +99,7 @@
         choose_source: Callable[[int], WatchSource],
         handler: KindHandler,
         mirror: KindMirror,
+        now: Callable[[], float],
         rng: random.Random,
         log: EventLog,
         min_interval_s: Callable[[], float] = _min_watch_interval_s,
@@ -110,6 +114,7 @@
                 consecutive failures.
             handler: Called with each list and with the changes of each watch.
             mirror: Copy of the kind for instances that follow this one.
+            now: Returns monotonic seconds.
             rng: Adds jitter to the retries of many instances.
             log: The event log.
             min_interval_s: Returns the pause between two watches of the store, in
@@ -125,6 +130,7 @@
         self._choose_source = choose_source
         self._handler = handler
         self._mirror = mirror
+        self._now = now
         self._rng = rng
         self._log = log
         self._min_interval_s = min_interval_s
@@ -137,6 +143,8 @@
         self._is_reachable = True
         # Whether another instance is known to have newer objects.
         self._is_stale = False
+        # Whether the next read is sent without a pause after an answer of the store.
+        self._follows_answer = False
 
     def run(self) -> None:
         """Follow the kind until the green thread is killed."""
@@ -207,9 +215,11 @@
         self._mirror.replace_all(stored_list)
         self._handler.on_list(stored_list)
         self._watch_revision = self._applied_revision = stored_list.revision
+        self._follows_answer = not source.instance
 
     def _watch(self, source: WatchSource) -> None:
         wait_s, timeout_margin_s = source.wait_s, source.timeout_margin_s
+        follows_answer, self._follows_answer = self._follows_answer, False
         if not self._is_reachable:
             # A watch that waits shows nothing until the next change: one that is
             # answered at once shows that the store is back.
@@ -222,6 +232,9 @@
                 wait_s=wait_s,
                 failures=self._failures,
             )
+        elif not source.instance and not follows_answer:
+            wait_s, timeout_margin_s = WATCH_WAIT_AFTER_PAUSE_S, CALL_TIMEOUT_S
+        sent_at = self._now()
         events, revision = source.client.watch(
             self._kind, self._watch_revision, wait_s, timeout_margin_s
         )
@@ -231,10 +244,12 @@
         self._watch_revision = self._applied_revision = max(
             self._watch_revision, revision
         )
+        pause_s = MIN_WATCH_INTERVAL_S if source.instance else self._min_interval_s()
+        if not events and self._now() - sent_at >= pause_s:
+            self._follows_answer = not source.instance
+            return
         # The pause also limits the call rate if every watch is answered at once.
-        eventlet.sleep(
-            MIN_WATCH_INTERVAL_S if source.instance else self._min_interval_s()
-        )
+        eventlet.sleep(pause_s)
 
     def _on_failure(self, source: WatchSource, error: PlatformError) -> None:
         if error.code is ResultCode.PLATFORM_HISTORY_GONE:
--- a/tests/platform/test_leaving_entries.py
+++ b/tests/platform/test_leaving_entries.py
@@ -122,6 +122,7 @@
             lambda _: WatchSource("", self.store),
             handler,
             self.mirror,
+            timers.now,
             random.Random(1),
             log,
             lambda: 1.0,
@@ -168,6 +169,10 @@
         self.follow({}, losses=[(15.0, 0.1)])
         self.assertTrue(self.unserved_s < 1.5, self.unserved_s)
 
+    def test_a_quiet_store_costs_few_calls(self):
+        self.follow({"i-1": 5.0}, losses=[], ends_at=60.0)
+        self.assertTrue(self.store.watch_count <= 4, self.store.watch_count)
+
     def test_a_lost_connection_costs_few_calls(self):
         self.follow({}, losses=[(15.0, 0.1)])
         self.assertTrue(self.store.watch_count <= 5, self.store.watch_count)
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -65,6 +65,7 @@
             choose_source or (lambda _: WatchSource(self.source_instance, store)),
             handler,
             self.mirror,
+            lambda: 0.0,
             random.Random(1),
             log,
             **arguments,
