Soak: let a searcher leave after a silence of the store

Each run now ends with it: an entry changes, the store is silent for 1.5 s while the instances watch again, and 4 s later a searcher leaves.

--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 from almondspool.standins.processes import ChildProcess, StartError
 from soak import checks
 from soak.checks import Attempt, Drain, LimitedPeriod
-from soak.faults import plan_faults
+from soak.faults import FURTHER_DURATION_S, plan_faults
 from soak.proxy import LinkPlan, ProxyPlan
 
 if TYPE_CHECKING:
@@ -37,6 +37,10 @@
 RECOVERY_WAIT_S = 6.0
 # Then nearly all requests must be served for this time.
 RECOVERY_CHECK_S = 3.0
+# How long the store is then silent. Longer than the pause before the next watch.
+SILENCE_S = 1.5
+# Changes in the store must be read in time again this long after an outage.
+STABLE_S = 4.0
 # The grace period in which a terminated instance exits, plus a margin.
 SHUTDOWN_TIMEOUT_S = 5.0
 # Requests a second that a limited searcher accepts; it gets many times as many without
@@ -186,10 +190,26 @@
         time.sleep(RECOVERY_WAIT_S)
         self._recovery_check_starts_at = time.time()
         time.sleep(RECOVERY_CHECK_S)
+        self._leave_after_silence()
         self._is_finished = True
         for thread in threads:
             thread.join(CALL_TIMEOUT_S + 1.0)
 
+    def _leave_after_silence(self) -> None:
+        """Let a searcher leave after a silence of the store in which watches were sent."""
+        changed_id, leaving_id = list(self.cluster.searchers_by_id)[:2]
+        self._start_searcher_fault(changed_id, "unlist")
+        time.sleep(ENTRY_UPDATE_INTERVAL_S)
+        self.cluster.set_store_fault(mode="silent")
+        time.sleep(SILENCE_S)
+        self.cluster.set_store_fault(mode="up")
+        self._store_reachable_since = time.time()
+        time.sleep(STABLE_S)
+        self._start_searcher_fault(leaving_id, "leave")
+        time.sleep(FURTHER_DURATION_S)
+        self._end_searcher_fault(leaving_id)
+        self._end_searcher_fault(changed_id)
+
     def _start_fault(self, fault: Fault) -> None:
         name = self._target_name(fault)
         if fault.area == "instance":
