--- a/soak/run.py
+++ b/soak/run.py
@@ -196,7 +196,7 @@
             thread.join(CALL_TIMEOUT_S + 1.0)
 
     def _leave_after_silence(self) -> None:
-        """Let a searcher leave after a silence of the store in which watches were sent."""
+        """Let a searcher leave after a silence of the store that swallows watches."""
         changed_id, leaving_id = list(self.cluster.searchers_by_id)[:2]
         self._start_searcher_fault(changed_id, "unlist")
         time.sleep(ENTRY_UPDATE_INTERVAL_S)
