Log the store's history and every list that is refused

Cause: after an outage the log has no line that says why a kind is not read again; each refused list is a failure of a store that is already logged as lost. Change: the client notes the number of the store's history (header Store-Era); store.lost and store.regained carry it, store.list_refused tells both revisions. No decision reads the number yet.

--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -51,6 +51,25 @@
 }
 
 
+# Header of the store's answers: the number of its history.
+HISTORY_HEADER = b"Store-Era"
+
+
+class StorePosition(NamedTuple):
+    """Position in the changes of the store; positions are ordered.
+
+    Revisions order changes within one history only. A store that returns from an older
+    copy begins a new history, in which it gives out revisions again.
+
+    Attributes:
+        history: Number of the history, higher for each later one; 0 if unknown.
+        revision: Store-wide number of the last change; 0 before the first read.
+    """
+
+    history: int
+    revision: int
+
+
 class StoredObject(NamedTuple):
     """One object of the store.
 
@@ -70,10 +89,22 @@
 
 
 class StoredList(NamedTuple):
-    """All objects of a kind, and the revision from which to watch it."""
+    """All objects of a kind, and the position from which to watch it.
+
+    Attributes:
+        objects: The objects.
+        revision: Revision of the list.
+        history: Number of the store's history that the revision belongs to.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    history: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position from which to watch the kind."""
+        return StorePosition(self.history, self.revision)
 
 
 class _HttpReply:
@@ -99,7 +130,11 @@
 
 
 class ObjectStoreClient:
-    """Calls the store over persistent connections; calls block their green thread."""
+    """Calls the store over persistent connections; calls block their green thread.
+
+    Attributes:
+        history: Highest number of a history in the answers; 0 if none had a number.
+    """
 
     def __init__(
         self, address: str, record_call: Callable[[str, ResultCode], None]
@@ -114,6 +149,7 @@
         self._host = address.encode()
         self._record_call = record_call
         self._idle_connections: list[socket.socket] = []
+        self.history = 0
 
     def list(
         self,
@@ -277,6 +313,8 @@
                 )
                 connection.sendall(data)
                 status, headers, content, is_reusable = _receive_reply(connection)
+                history = _history(headers)
+                self.history = max(self.history, history)
         except (OSError, httptools.HttpParserError) as error:
             raise PlatformError(f"{method} {path}: {error}") from error
         finally:
@@ -380,6 +418,12 @@
         return 0
 
 
+def _history(headers: dict[bytes, bytes]) -> int:
+    """Return the number of the history in an answer; 0 if it has no valid one."""
+    value = headers.get(HISTORY_HEADER.lower(), b"")
+    return int(value) if value.isdigit() else 0
+
+
 def _retry_after_s(value: bytes | None) -> float:
     """Return the delay in a Retry-After header, up to MAX_RETRY_AFTER_S.
 
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -208,6 +208,14 @@
         timeout_s = INITIAL_READ_TIMEOUT_S if is_initial else CALL_TIMEOUT_S
         stored_list = source.client.list(self._kind, timeout_s=timeout_s)
         if stored_list.revision < self._applied_revision:
+            self._log.write(
+                "store.list_refused",
+                kind=self._kind,
+                at=stored_list.revision,
+                applied=self._applied_revision,
+                history=source.client.history,
+                instance=source.instance,
+            )
             raise PlatformError(
                 f"list at revision {stored_list.revision} is older than the one in use"
             )
@@ -271,7 +279,7 @@
             eventlet.sleep(MIN_WATCH_INTERVAL_S)
             return
         self._mirror.set_fresh(False)
-        self._set_reachable(False, str(error))
+        self._set_reachable(False, str(error), source.client.history)
         if not self._applied_revision or self._is_stale:
             self._list_from_peers()
         pause_s = max(self._backoff_s, error.retry_after_s)
@@ -308,12 +316,18 @@
         self._is_stale = False
         self._backoff_s = INITIAL_BACKOFF_S
         self._mirror.set_fresh(not source.instance)
-        self._set_reachable(True, "")
+        self._set_reachable(True, "", source.client.history)
 
-    def _set_reachable(self, is_reachable: bool, detail: str) -> None:
+    def _set_reachable(self, is_reachable: bool, detail: str, history: int) -> None:
         if is_reachable == self._is_reachable:
             return
         self._is_reachable = is_reachable
         event = "store.regained" if is_reachable else "store.lost"
-        self._log.write(event, kind=self._kind, at=self._watch_revision, detail=detail)
+        self._log.write(
+            event,
+            kind=self._kind,
+            at=self._watch_revision,
+            history=history,
+            detail=detail,
+        )
         self._handler.on_reachability_changed(is_reachable)
--- a/tests/platform/test_leaving_entries.py
+++ b/tests/platform/test_leaving_entries.py
@@ -30,6 +30,8 @@
     In a loss connections fail. In a silence no call is answered, then or later.
     """
 
+    history = 0
+
     def __init__(self, timers, removals_by_name, losses, ends_at, silences=()):
         self.timers = timers
         self.removals_by_name = removals_by_name
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -22,6 +22,8 @@
 class ScriptedStore:
     """Answers list and watch calls with the given replies, then ends the watch."""
 
+    history = 0
+
     def __init__(self, *replies):
         self.replies = list(replies)
         self.calls = []
