Show that versions written after a restore of the store are not in force

The stand-in store can copy its objects and return to the copy as a new history, with its number in the header Store-Era of every answer. Two tests on virtual time drive a watch of the configuration against it; both fail: of the versions written after a restore none is applied, once as the new history has fewer changes than the lost one, once as it has more.

--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -299,6 +299,15 @@
         items_key: str,
     ) -> dict:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        status, headers, content = self._transfer(method, target, body, timeout_s)
+        history = _history(headers)
+        self.history = max(self.history, history)
+        return decode_reply(f"{method} {path}", status, headers, content, items_key)
+
+    def _transfer(
+        self, method: str, target: str, body: Any, timeout_s: float
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
+        """Return the status, the headers by name in lower case, and the body."""
         data = self._encode(method, target, body)
         connection = None
         is_reusable = False
@@ -313,14 +322,13 @@
                 )
                 connection.sendall(data)
                 status, headers, content, is_reusable = _receive_reply(connection)
-                history = _history(headers)
-                self.history = max(self.history, history)
         except (OSError, httptools.HttpParserError) as error:
+            path = target.partition("?")[0]
             raise PlatformError(f"{method} {path}: {error}") from error
         finally:
             if connection is not None:
                 self._release_connection(connection, is_reusable)
-        return decode_reply(f"{method} {path}", status, headers, content, items_key)
+        return status, headers, content
 
     def _connect(self) -> socket.socket:
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/almondspool/standins/hosted_store.py
+++ b/almondspool/standins/hosted_store.py
@@ -7,6 +7,8 @@
   other mode, such as ``up`` or ``reset``, serves them.
 * ``forget_history``: Discards the history of changes, so that watches get 410.
 * ``lapse``: Removes every object of the kind that it names.
+* ``copy``: Copies all objects and their history of changes.
+* ``restore``: Returns to the last copy, as a new history, and ends all watches.
 """
 
 from __future__ import annotations
@@ -36,6 +38,7 @@
     from almondspool.protocol.exchange import CallerRequest
 
 OBJECTS_PREFIX = "/api/objects/"
+HISTORY_HEADER = b"Store-Era"
 CONTROL_PATH = "/control"
 MAX_PAGE_OBJECTS = 50
 MAX_HISTORY_CHANGES = 2000
@@ -66,6 +69,14 @@
         self.is_cancelled = True
 
 
+class _Copy(NamedTuple):
+    """Contents of the store at one moment."""
+
+    objects_by_key: dict[tuple[str, str], dict]
+    revision: int
+    changes: tuple[_Change, ...]
+
+
 class HostedStore:
     """The objects, their change history and the active faults."""
 
@@ -77,9 +88,20 @@
         self._history: collections.deque[_Change] = collections.deque()
         self._pending_watches: list[_PendingWatch] = []
         self._mode = "up"
+        self._history_number = 1
+        self._copy = _Copy({}, self._revision, ())
 
     def handle(self, request: CallerRequest, answer: Callable) -> RequestHandle:
         """Answer a call of the object API, or apply a command to ``/control``."""
+
+        def answer_with_history(reply: Answer) -> None:
+            number = str(self._history_number).encode()
+            headers = (*reply.headers, (HISTORY_HEADER, number))
+            answer(reply._replace(headers=headers))
+
+        return self._handle(request, answer_with_history)
+
+    def _handle(self, request: CallerRequest, answer: Callable) -> RequestHandle:
         path, _, query = request.target.partition("?")
         if path == CONTROL_PATH:
             answer(self._apply_command(msgspec.json.decode(request.body)))
@@ -163,6 +185,9 @@
 
     def _watch(self, kind: str, query: dict, answer: Callable) -> RequestHandle:
         revision = int(query["watch"])
+        if revision > self._revision:
+            answer(json_answer({}, 410))
+            return COMPLETED_REQUEST
         oldest = self._history[0].revision if self._history else self._revision + 1
         if revision + 1 < oldest and revision < self._revision:
             answer(json_answer({}, 410))
@@ -202,8 +227,24 @@
             for kind, name in tuple(self._objects_by_key):
                 if kind == command["lapse"]:
                     self._remove(kind, name)
+        if command.get("copy"):
+            self._copy = _Copy(
+                dict(self._objects_by_key), self._revision, tuple(self._history)
+            )
+        if command.get("restore"):
+            self._restore()
         return json_answer({"current_rev": self._revision})
 
+    def _restore(self) -> None:
+        self._history_number += 1
+        self._objects_by_key = dict(self._copy.objects_by_key)
+        self._revision = self._copy.revision
+        self._history = collections.deque(self._copy.changes)
+        pending_watches, self._pending_watches = self._pending_watches, []
+        for watch in pending_watches:
+            if not watch.is_cancelled and self._mode != "silent":
+                watch.answer(json_answer({}, 503))
+
 
 def main(address: str) -> None:
     """Serve on an ``ip:port`` address until the process ends."""
--- /dev/null
+++ b/tests/platform/test_restored_store.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import json
+import random
+import urllib.parse
+
+import eventlet
+import testtools
+
+from almondspool.errors import PlatformError
+from almondspool.logs import EventLog
+from almondspool.platform import watches
+from almondspool.platform.handlers import ConfigurationHandler
+from almondspool.platform.mirror import KindMirror
+from almondspool.platform.store import ObjectStoreClient
+from almondspool.platform.watches import KindWatch, WatchSource
+from almondspool.protocol.exchange import CallerRequest
+from almondspool.standins.hosted_store import CONTROL_PATH, HostedStore
+from almondspool.transport.timers import VirtualTimers
+from tests.platform.test_configuration import CONFIGURATION_SPEC
+
+# The platform's bound: a version is in force this long after its acknowledgement.
+APPLY_S = 3.0
+
+
+class VirtualStoreClient(ObjectStoreClient):
+    """Calls the stand-in store of the same process, on virtual time."""
+
+    def __init__(self, store, timers, ends_at):
+        super().__init__("127.0.0.1:1", lambda verb, code: None)
+        self.store = store
+        self.timers = timers
+        self.ends_at = ends_at
+
+    def wait(self, pause_s):
+        self.timers.advance(max(0.0, pause_s))
+        if self.timers.now() >= self.ends_at:
+            raise eventlet.greenlet.GreenletExit
+
+    def _transfer(self, method, target, body, timeout_s):
+        content = b"" if body is None else json.dumps(body).encode()
+        request = CallerRequest(method, target, "", (), content, "", None, 0.0)
+        answers = []
+        handle = self.store.handle(request, answers.append)
+        given_up_at = self.timers.now() + timeout_s
+        while not answers:
+            self.wait(0.01)
+            if self.timers.now() >= given_up_at:
+                handle.cancel()
+                raise PlatformError("no answer")
+        headers = {name.lower(): value for name, value in answers[0].headers}
+        return answers[0].status, headers, answers[0].body
+
+
+class RestoredStoreTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimers()
+        self.store = HostedStore(self.timers)
+        self.versions_by_time = {}
+        self.log_lines = []
+        self.log = EventLog(self.log_lines.append)
+
+    def command(self, **values):
+        content = json.dumps(values).encode()
+        request = CallerRequest("POST", CONTROL_PATH, "", (), content, "", None, 0.0)
+        self.store.handle(request, lambda answer: None)
+
+    def write(self, kind, name, spec):
+        body = json.dumps({"meta": {"name": name}, "spec": spec}).encode()
+        path = f"/api/objects/{kind}"
+        for method, target in (
+            ("PUT", f"{path}/{urllib.parse.quote(name)}"),
+            ("POST", path),
+        ):
+            request = CallerRequest(method, target, "", (), body, "", None, 0.0)
+            answers = []
+            self.store.handle(request, answers.append)
+            if answers[0].status < 300:
+                return
+
+    def write_version(self, version):
+        self.write("config", "main", {**CONFIGURATION_SPEC, "version": version})
+
+    def at(self, seconds, action, *arguments, **values):
+        self.timers.call_later(seconds, lambda: action(*arguments, **values))
+
+    def follow(self, ends_at=20.0):
+        """Follow the configuration; return the versions in the order of their use."""
+        versions = []
+
+        def use(table):
+            if not versions or table.version > versions[-1]:
+                versions.append(table.version)
+                self.versions_by_time[self.timers.now()] = table.version
+
+        client = VirtualStoreClient(self.store, self.timers, ends_at)
+        self.patch(watches.eventlet, "sleep", client.wait)
+        watch = KindWatch(
+            "config",
+            lambda _: WatchSource("", client),
+            ConfigurationHandler(use, self.log),
+            KindMirror(self.timers),
+            self.timers.now,
+            random.Random(1),
+            self.log,
+        )
+        self.assertRaises(eventlet.greenlet.GreenletExit, watch.run)
+        return versions
+
+    def applied_at(self, version):
+        return next(at for at, each in self.versions_by_time.items() if each == version)
+
+    def test_version_written_after_a_restore_that_lost_more_changes_is_in_force(self):
+        self.write_version(1)
+        self.at(1.0, self.command, copy=True)
+        for number in range(6):
+            self.at(2.0 + number, self.write_version, 2 + number)
+        self.at(8.0, self.command, restore=True)
+        self.at(10.0, self.write_version, 8)
+        self.assertEqual([1, 2, 3, 4, 5, 6, 7, 8], self.follow())
+        self.assertTrue(self.applied_at(8) < 10.0 + APPLY_S, self.versions_by_time)
+
+    def test_version_below_the_revision_known_before_a_restore_is_in_force(self):
+        # The new history has passed the watched revision when it is watched again, so
+        # that only older changes of the new history hold the version.
+        self.write_version(1)
+        self.at(1.0, self.command, copy=True)
+        self.at(2.0, self.write_version, 2)
+
+        def restore_and_write():
+            self.command(restore=True)
+            self.write_version(3)
+            for number in range(6):
+                self.write("servers", f"i-{number}", {"state": "ready"})
+
+        self.at(5.0, restore_and_write)
+        self.assertEqual([1, 2, 3], self.follow())
+        self.assertTrue(self.applied_at(3) < 5.0 + APPLY_S, self.versions_by_time)
