Order what is read from the store by its history, then by revision

Cause: a revision orders changes within one history only. Class: a number is compared outside the scope in which it orders.

A position is now a history (Store-Era) and a revision, and positions are compared as a whole: lists, watches, borrowed lists, mirrors and their followers, and the position of the entries in heartbeats, encoded as one integer. An answer to a watch, or a page of a list, of another history than the position makes the kind be listed again. A kind whose watch hangs in a lost history is listed again once an answer or a member shows a newer one.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -18,7 +18,7 @@
 )
 from almondspool.platform.reports import InstanceReport
 from almondspool.platform.settings import METRICS_PORT
-from almondspool.platform.store import ObjectStoreClient
+from almondspool.platform.store import ObjectStoreClient, StorePosition
 from almondspool.platform.store_following import (
     FleetStartState,
     StoreFollower,
@@ -95,6 +95,9 @@
         self._utilization = UtilizationMeter(timers.now())
         self._configuration_staleness = StalenessDetector()
         self._entry_staleness = StalenessDetector(ENTRIES_STALE_AFTER_S)
+        self._history_staleness_by_kind = {
+            kind: StalenessDetector() for kind in (configuration.KIND, entries.KIND)
+        }
         self._watcher_selector = WatcherSelector(
             settings.instance, settings.zone, self._rng
         )
@@ -198,7 +201,7 @@
             entries.KIND,
             entry_handler,
             self._entry_watch_interval_s,
-            _entries_revision,
+            _entries_position,
             self._fleet_start_state,
         )
 
@@ -428,7 +431,7 @@
             self._rebalance()
 
     def _check_staleness(self) -> None:
-        """List a kind again if a member has had a newer revision for too long."""
+        """List a kind again if a member has had a newer state for too long."""
         own_version = self._router.version
         members = self._membership.view().present()
         newest_version = max(map(_configuration_version, members), default=0)
@@ -439,24 +442,47 @@
                 "configuration.behind", version=own_version, newest=newest_version
             )
             self._store_follower.relist(configuration.KIND)
-        own_revision = self._store_follower.revision(entries.KIND)
-        newest_revision = max(map(_entries_revision, members), default=0)
+        own_position = self._store_follower.position(entries.KIND).to_int()
+        newest_position = max(map(_entries_position, members), default=0)
         if self._entry_staleness.is_reread_due(
-            self._timers.now(), own_revision, newest_revision
+            self._timers.now(), own_position, newest_position
         ):
             self._log.write(
-                "entries.behind", revision=own_revision, newest=newest_revision
+                "entries.behind", position=own_position, newest=newest_position
             )
             self._store_follower.relist(entries.KIND)
+        self._check_history(newest_position)
+
+    def _check_history(self, newest_position: int) -> None:
+        """List the kinds of a lost history again, as their watches may hang.
+
+        Args:
+            newest_position: The newest position of a member.
+        """
+        newest = max(
+            self._store.history, StorePosition.from_int(newest_position).history
+        )
+        for kind, staleness in self._history_staleness_by_kind.items():
+            own = self._store_follower.position(kind)
+            if own.revision and staleness.is_reread_due(
+                self._timers.now(), own.history, newest
+            ):
+                self._log.write(
+                    "store.history_behind",
+                    kind=kind,
+                    history=own.history,
+                    newest=newest,
+                )
+                self._store_follower.relist(kind)
 
     def _publish_own_state(self) -> None:
         self._utilization.tick(self._timers.now())
-        revision = self._store_follower.revision(entries.KIND)
+        position = self._store_follower.position(entries.KIND)
         self._membership.update_own_record(
             OwnRecordUpdate(
                 self._router.version,
                 self._utilization.value(),
-                revision,
+                position.to_int(),
                 self._can_serve(),
             )
         )
@@ -473,9 +499,9 @@
     return member.generation
 
 
-def _entries_revision(member: Member) -> int:
+def _entries_position(member: Member) -> int:
     # The platform's store holds no connection shares: the field shares_version of the
-    # record carries the revision of the entries instead.
+    # record carries the position of the entries instead.
     return member.shares_version
 
 
--- a/almondspool/platform/mirror.py
+++ b/almondspool/platform/mirror.py
@@ -15,8 +15,11 @@
 from almondspool.platform.store import (
     ANY_AGE_KEY,
     COMPRESSED_CODING,
+    HISTORY_HEADER,
+    NO_POSITION,
     OBJECTS_PATH,
     StoredObject,
+    StorePosition,
 )
 from almondspool.protocol.exchange import (
     COMPLETED_REQUEST,
@@ -67,7 +70,7 @@
         self._changes: collections.deque[StoredObject] = collections.deque(
             maxlen=MAX_HISTORY_CHANGES
         )
-        self._revision = 0
+        self._position = NO_POSITION
         # Oldest revision from which the history of changes is complete.
         self._oldest_revision = 0
         self._is_fresh = False
@@ -77,9 +80,9 @@
         self._last_answer = _UNAVAILABLE
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the copy; 0 before the first list."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Return the position of the copy; NO_POSITION before the first list."""
+        return self._position
 
     def set_fresh(self, is_fresh: bool) -> None:
         """Set whether the copy is read from the store itself and may be served.
@@ -95,7 +98,8 @@
         """Replace all objects; pending watches are told that the history is lost."""
         self._objects_by_name = {each.name: each for each in stored_list.objects}
         self._changes.clear()
-        self._revision = self._oldest_revision = stored_list.revision
+        self._position = stored_list.position
+        self._oldest_revision = stored_list.revision
         for pending_watch in tuple(self._pending_watches):
             self._finish(pending_watch, _HISTORY_GONE)
 
@@ -109,7 +113,9 @@
                 self._objects_by_name.pop(change.name, None)
             else:
                 self._objects_by_name[change.name] = change
-        self._revision = max(self._revision, revision)
+        self._position = self._position._replace(
+            revision=max(self._position.revision, revision)
+        )
         if changes:
             for pending_watch in tuple(self._pending_watches):
                 self._finish(pending_watch, self._changes_after(pending_watch.revision))
@@ -120,13 +126,13 @@
         Args:
             is_stale_allowed: Whether the follower accepts a copy of any age.
         """
-        if not self._revision or not (self._is_fresh or is_stale_allowed):
+        if not self._position.revision or not (self._is_fresh or is_stale_allowed):
             return _UNAVAILABLE
         return self._cached_answer(
-            ("list", self._revision),
+            ("list", self._position),
             lambda: {
                 "items": [_encode(each) for each in self._objects_by_name.values()],
-                "current_rev": self._revision,
+                "current_rev": self._position.revision,
             },
         )
 
@@ -144,7 +150,7 @@
         Returns:
             A handle to cancel the watch.
         """
-        if not self._is_fresh or not self._revision:
+        if not self._is_fresh or not self._position.revision:
             answer(_UNAVAILABLE)
         elif revision < self._oldest_revision:
             answer(_HISTORY_GONE)
@@ -163,9 +169,9 @@
     def _changes_after(self, revision: int) -> Answer:
         # The follower may have followed a more recent mirror before: its revision must
         # not decrease.
-        current_revision = max(self._revision, revision)
+        current_revision = max(self._position.revision, revision)
         return self._cached_answer(
-            ("news", revision, current_revision),
+            ("news", revision, self._position.history, current_revision),
             lambda: {
                 "events": [
                     {"object": _encode(change), "tombstone": change.is_deleted}
@@ -180,7 +186,11 @@
         self, key: tuple[object, ...], make: Callable[[], dict[str, object]]
     ) -> Answer:
         if key != self._last_answer_key:
-            self._last_answer = _compress_if_large(json_answer(make()))
+            answer = _compress_if_large(json_answer(make()))
+            history = str(self._position.history).encode()
+            self._last_answer = answer._replace(
+                headers=(*answer.headers, (HISTORY_HEADER, history))
+            )
             self._last_answer_key = key
         return self._last_answer
 
--- a/almondspool/platform/object_store_platform.py
+++ b/almondspool/platform/object_store_platform.py
@@ -9,6 +9,7 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
+from almondspool.platform.store import StorePosition
 from almondspool.protocol.platform import (
     ObjectList,
     PlatformInterface,
@@ -97,7 +98,8 @@
 
         def wait() -> WatchEvents:
             prefixed_kind = self._prefixed_kind(kind)
-            events, revision = self._store.watch(prefixed_kind, after_version, wait_s)
+            position = StorePosition(self._store.history, after_version)
+            events, revision = self._store.watch(prefixed_kind, position, wait_s)
             return WatchEvents(
                 tuple(_to_listed_object(kind, event) for event in events), revision
             )
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -53,6 +53,9 @@
 
 # Header of the store's answers: the number of its history.
 HISTORY_HEADER = b"Store-Era"
+# Factor of the history in a position as one integer, which leaves room for 8,000
+# histories below the largest integer of a member's record.
+REVISIONS_PER_HISTORY = 2**40
 
 
 class StorePosition(NamedTuple):
@@ -69,6 +72,18 @@
     history: int
     revision: int
 
+    def to_int(self) -> int:
+        """Return the position as one integer that keeps the order of positions."""
+        return self.history * REVISIONS_PER_HISTORY + self.revision
+
+    @classmethod
+    def from_int(cls, number: int) -> StorePosition:
+        """Return the position that to_int() encoded."""
+        return cls(*divmod(number, REVISIONS_PER_HISTORY))
+
+
+NO_POSITION = StorePosition(0, 0)
+
 
 class StoredObject(NamedTuple):
     """One object of the store.
@@ -167,22 +182,28 @@
             timeout_s: Timeout for each page, in seconds.
 
         Raises:
-            PlatformError: If a page cannot be read.
+            PlatformError: If a page cannot be read, or with PLATFORM_HISTORY_GONE if
+                the pages belong to different histories.
         """
         objects: list[StoredObject] = []
-        revision = 0
+        position = NO_POSITION
         first_query: dict[str, object] = {_ALLOW_STALE_KEY: 1} if may_be_stale else {}
         query = first_query
         while True:
-            reply = self._call("list", "GET", _path(kind), query, None, timeout_s)
+            reply, history = self._call(
+                "list", "GET", _path(kind), query, None, timeout_s
+            )
             page = _required_field(reply, _ITEMS_KEY, list)
             objects += [_decode_object(kind, item) for item in page]
             # Keep the first page's revision, so that the watch reports changes made
             # while the later pages were read.
-            revision = revision or _required_field(reply, "current_rev", int)
+            if not position.revision:
+                revision = _required_field(reply, "current_rev", int)
+                position = StorePosition(history, revision)
+            _check_history(kind, position, history)
             last_name = next((each.name for each in reversed(objects) if each.name), "")
             if not reply.get("has_more") or not last_name:
-                return StoredList(tuple(objects), revision)
+                return StoredList(tuple(objects), position.revision, position.history)
             if query.get("after") == last_name:
                 raise PlatformError(
                     f"page of kind {kind} without a readable name",
@@ -196,25 +217,26 @@
         Raises:
             PlatformError: If the instance has no copy or cannot be reached.
         """
-        reply = self._call("borrow", "GET", _path(kind), {ANY_AGE_KEY: 1})
+        reply, history = self._call("borrow", "GET", _path(kind), {ANY_AGE_KEY: 1})
         objects = [
             _decode_object(kind, item)
             for item in _required_field(reply, _ITEMS_KEY, list)
         ]
-        return StoredList(tuple(objects), _required_field(reply, "current_rev", int))
+        revision = _required_field(reply, "current_rev", int)
+        return StoredList(tuple(objects), revision, history)
 
     def watch(
         self,
         kind: str,
-        revision: int,
+        position: StorePosition,
         wait_s: float,
         timeout_margin_s: float = WATCH_TIMEOUT_MARGIN_S,
     ) -> tuple[tuple[StoredObject, ...], int]:
-        """Wait for changes of a kind after a revision.
+        """Wait for changes of a kind after a position.
 
         Args:
             kind: The kind.
-            revision: The revision up to which the caller knows the kind.
+            position: The position up to which the caller knows the kind.
             wait_s: How long the server waits for a change, in seconds.
             timeout_margin_s: Time allowed for the answer beyond that, in seconds.
 
@@ -222,13 +244,15 @@
             The changes in order, and the revision from which to watch next.
 
         Raises:
-            PlatformError: With PLATFORM_HISTORY_GONE if the kind must be listed again.
+            PlatformError: With PLATFORM_HISTORY_GONE if the kind must be listed again,
+                also as the answer belongs to another history than the position.
         """
-        query = {"watch": revision, "wait_ms": int(wait_s * 1000.0)}
+        query = {"watch": position.revision, "wait_ms": int(wait_s * 1000.0)}
         timeout_s = wait_s + timeout_margin_s
-        reply = self._call(
+        reply, history = self._call(
             "watch", "GET", _path(kind), query, None, timeout_s, _EVENTS_KEY
         )
+        _check_history(kind, position, history)
         events = tuple(
             _decode_object(kind, event.get("object"), bool(event.get("tombstone")))
             for event in _required_field(reply, _EVENTS_KEY, list)
@@ -242,7 +266,8 @@
         Raises:
             PlatformError: With PLATFORM_NOT_FOUND if it does not exist.
         """
-        return _decode_object(kind, self._call("get", "GET", _path(kind, name), {}))
+        reply, _ = self._call("get", "GET", _path(kind, name), {})
+        return _decode_object(kind, reply)
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -251,7 +276,8 @@
             PlatformError: With PLATFORM_CONFLICT if it exists.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        return _decode_object(kind, self._call("create", "POST", _path(kind), {}, body))
+        reply, _ = self._call("create", "POST", _path(kind), {}, body)
+        return _decode_object(kind, reply)
 
     def replace(self, kind: str, name: str, spec: Any, revision: int) -> StoredObject:
         """Replace an object's content if its revision is the given one.
@@ -260,7 +286,7 @@
             PlatformError: With PLATFORM_CONFLICT if the revision differs.
         """
         body = {"meta": {"name": name, "revision": revision}, "spec": spec}
-        reply = self._call("replace", "PUT", _path(kind, name), {}, body)
+        reply, _ = self._call("replace", "PUT", _path(kind, name), {}, body)
         return _decode_object(kind, reply)
 
     def delete(self, kind: str, name: str, revision: int) -> None:
@@ -280,14 +306,15 @@
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
         items_key: str = _ITEMS_KEY,
-    ) -> dict:
+    ) -> tuple[dict, int]:
+        """Return the JSON object in the answer, and the history it belongs to."""
         try:
-            reply = self._exchange(method, path, query, body, timeout_s, items_key)
+            result = self._exchange(method, path, query, body, timeout_s, items_key)
         except PlatformError as error:
             self._record_call(verb, error.code)
             raise
         self._record_call(verb, ResultCode.OK)
-        return reply
+        return result
 
     def _exchange(
         self,
@@ -297,12 +324,14 @@
         body: Any,
         timeout_s: float,
         items_key: str,
-    ) -> dict:
+    ) -> tuple[dict, int]:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         status, headers, content = self._transfer(method, target, body, timeout_s)
-        history = _history(headers)
+        # An answer without a number is taken for one of the newest history.
+        history = _history(headers) or self.history
         self.history = max(self.history, history)
-        return decode_reply(f"{method} {path}", status, headers, content, items_key)
+        call = f"{method} {path}"
+        return decode_reply(call, status, headers, content, items_key), history
 
     def _transfer(
         self, method: str, target: str, body: Any, timeout_s: float
@@ -426,6 +455,19 @@
         return 0
 
 
+def _check_history(kind: str, position: StorePosition, history: int) -> None:
+    """Refuse an answer that belongs to another history than a position.
+
+    Raises:
+        PlatformError: With PLATFORM_HISTORY_GONE.
+    """
+    if history != position.history:
+        raise PlatformError(
+            f"answer of history {history} for kind {kind}, known up to {position}",
+            ResultCode.PLATFORM_HISTORY_GONE,
+        )
+
+
 def _history(headers: dict[bytes, bytes]) -> int:
     """Return the number of the history in an answer; 0 if it has no valid one."""
     value = headers.get(HISTORY_HEADER.lower(), b"")
--- a/almondspool/platform/store_following.py
+++ b/almondspool/platform/store_following.py
@@ -25,6 +25,7 @@
     from almondspool.codes import ResultCode
     from almondspool.logs import EventLog
     from almondspool.platform.settings import PlatformSettings
+    from almondspool.platform.store import StorePosition
     from almondspool.platform.watches import KindHandler
     from almondspool.routing.watcher_selector import WatcherSelector
     from almondspool.state.members import Member, View
@@ -145,9 +146,9 @@
         )
         self._threads_by_kind[kind] = eventlet.spawn(watch.run)
 
-    def revision(self, kind: str) -> int:
-        """Return the revision of a kind's mirror; 0 before the first list."""
-        return self._mirrors_by_kind[kind].revision
+    def position(self, kind: str) -> StorePosition:
+        """Return the position of a kind's mirror; NO_POSITION before the first list."""
+        return self._mirrors_by_kind[kind].position
 
     def relist(self, kind: str) -> None:
         """Interrupt a kind's watch and list the kind, as a member has a newer revision.
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -9,7 +9,11 @@
 
 from almondspool.codes import ResultCode
 from almondspool.errors import PlatformError
-from almondspool.platform.store import CALL_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
+from almondspool.platform.store import (
+    CALL_TIMEOUT_S,
+    NO_POSITION,
+    WATCH_TIMEOUT_MARGIN_S,
+)
 
 if TYPE_CHECKING:
     import random
@@ -17,7 +21,12 @@
 
     from almondspool.logs import EventLog
     from almondspool.platform.mirror import KindMirror
-    from almondspool.platform.store import ObjectStoreClient, StoredList, StoredObject
+    from almondspool.platform.store import (
+        ObjectStoreClient,
+        StoredList,
+        StoredObject,
+        StorePosition,
+    )
 
 # The maximum wait that the store allows, for a watch that follows an answer at once.
 WATCH_WAIT_S = 30.0
@@ -134,10 +143,10 @@
         self._rng = rng
         self._log = log
         self._min_interval_s = min_interval_s
-        # Revision from which to watch; 0 if the kind must be listed next.
-        self._watch_revision = 0
-        # Newest revision passed to the handler; 0 before the first list.
-        self._applied_revision = 0
+        # Position from which to watch; NO_POSITION if the kind must be listed next.
+        self._watch_position = NO_POSITION
+        # Newest position passed to the handler; NO_POSITION before the first list.
+        self._applied_position = NO_POSITION
         self._failures = 0
         self._backoff_s = INITIAL_BACKOFF_S
         self._is_reachable = True
@@ -174,16 +183,16 @@
             self._log.write(
                 "store.internal_error",
                 kind=self._kind,
-                at=self._watch_revision,
+                at=self._watch_position.revision,
                 code=ResultCode.INTERNAL.name,
                 reason=repr(error),
             )
-            self._watch_revision = 0
+            self._watch_position = NO_POSITION
             eventlet.sleep(MAX_BACKOFF_S)
 
     def _read_from(self, source: WatchSource) -> None:
         try:
-            if self._watch_revision:
+            if self._watch_position.revision:
                 self._watch(source)
             else:
                 self._list(source)
@@ -199,32 +208,50 @@
         """
         self._log.write("store.read_again", kind=self._kind, detail=error)
         self._is_stale = True
-        self._watch_revision = 0
+        self._watch_position = NO_POSITION
 
     def _list(self, source: WatchSource) -> None:
         is_initial = (
-            not self._applied_revision and self._failures < INITIAL_READ_ATTEMPTS
+            not self._applied_position.revision
+            and self._failures < INITIAL_READ_ATTEMPTS
         )
         timeout_s = INITIAL_READ_TIMEOUT_S if is_initial else CALL_TIMEOUT_S
         stored_list = source.client.list(self._kind, timeout_s=timeout_s)
-        if stored_list.revision < self._applied_revision:
+        if stored_list.position < self._applied_position:
             self._log.write(
                 "store.list_refused",
                 kind=self._kind,
                 at=stored_list.revision,
-                applied=self._applied_revision,
-                history=source.client.history,
+                history=stored_list.history,
+                applied=self._applied_position.revision,
+                applied_history=self._applied_position.history,
                 instance=source.instance,
             )
             raise PlatformError(
-                f"list at revision {stored_list.revision} is older than the one in use"
+                f"list at {stored_list.position} is older than the one in use"
             )
         self._record_success(source)
         self._mirror.replace_all(stored_list)
         self._handler.on_list(stored_list)
-        self._watch_revision = self._applied_revision = stored_list.revision
+        self._set_position(stored_list.position, source.instance)
+        self._watch_position = stored_list.position
         self._follows_answer = not source.instance
 
+    def _set_position(self, position: StorePosition, instance: str) -> None:
+        """Set the position of a list that was applied; also of one from a peer."""
+        applied = self._applied_position
+        if applied.revision and position.history != applied.history:
+            self._log.write(
+                "store.restored",
+                kind=self._kind,
+                at=position.revision,
+                history=position.history,
+                applied=applied.revision,
+                applied_history=applied.history,
+                instance=instance,
+            )
+        self._applied_position = position
+
     def _watch(self, source: WatchSource) -> None:
         wait_s, timeout_margin_s = source.wait_s, source.timeout_margin_s
         follows_answer, self._follows_answer = self._follows_answer, False
@@ -235,7 +262,7 @@
             self._log.write(
                 "store.retried",
                 kind=self._kind,
-                at=self._watch_revision,
+                at=self._watch_position.revision,
                 instance=source.instance,
                 wait_s=wait_s,
                 failures=self._failures,
@@ -244,13 +271,14 @@
             wait_s, timeout_margin_s = WATCH_WAIT_AFTER_PAUSE_S, CALL_TIMEOUT_S
         sent_at = self._now()
         events, revision = source.client.watch(
-            self._kind, self._watch_revision, wait_s, timeout_margin_s
+            self._kind, self._watch_position, wait_s, timeout_margin_s
         )
         self._record_success(source)
         self._mirror.apply(events, revision)
         self._handler.on_changes(events)
-        self._watch_revision = self._applied_revision = max(
-            self._watch_revision, revision
+        position = self._watch_position
+        self._watch_position = self._applied_position = position._replace(
+            revision=max(position.revision, revision)
         )
         pause_s = MIN_WATCH_INTERVAL_S if source.instance else self._min_interval_s()
         if not events and self._now() - sent_at >= pause_s:
@@ -262,9 +290,13 @@
     def _on_failure(self, source: WatchSource, error: PlatformError) -> None:
         if error.code is ResultCode.PLATFORM_HISTORY_GONE:
             self._log.write(
-                "store.history_gone", kind=self._kind, at=self._watch_revision
+                "store.history_gone",
+                kind=self._kind,
+                at=self._watch_position.revision,
+                history=self._watch_position.history,
+                detail=error,
             )
-            self._watch_revision = 0
+            self._watch_position = NO_POSITION
             eventlet.sleep(MIN_WATCH_INTERVAL_S)
             return
         self._failures += 1
@@ -279,8 +311,8 @@
             eventlet.sleep(MIN_WATCH_INTERVAL_S)
             return
         self._mirror.set_fresh(False)
-        self._set_reachable(False, str(error), source.client.history)
-        if not self._applied_revision or self._is_stale:
+        self._set_reachable(False, str(error))
+        if not self._applied_position.revision or self._is_stale:
             self._list_from_peers()
         pause_s = max(self._backoff_s, error.retry_after_s)
         eventlet.sleep(
@@ -304,9 +336,9 @@
                 self._log.write("store.borrow_failed", kind=self._kind, detail=error)
                 continue
             answer_count += 1
-            if stored_list.revision <= self._applied_revision:
+            if stored_list.position <= self._applied_position:
                 continue
-            self._applied_revision = stored_list.revision
+            self._set_position(stored_list.position, "")
             self._is_stale = False
             self._handler.on_list(stored_list)
             self._log.write("store.borrowed", kind=self._kind, at=stored_list.revision)
@@ -316,9 +348,9 @@
         self._is_stale = False
         self._backoff_s = INITIAL_BACKOFF_S
         self._mirror.set_fresh(not source.instance)
-        self._set_reachable(True, "", source.client.history)
+        self._set_reachable(True, "")
 
-    def _set_reachable(self, is_reachable: bool, detail: str, history: int) -> None:
+    def _set_reachable(self, is_reachable: bool, detail: str) -> None:
         if is_reachable == self._is_reachable:
             return
         self._is_reachable = is_reachable
@@ -326,8 +358,8 @@
         self._log.write(
             event,
             kind=self._kind,
-            at=self._watch_revision,
-            history=history,
+            at=self._watch_position.revision,
+            history=self._watch_position.history,
             detail=detail,
         )
         self._handler.on_reachability_changed(is_reachable)
--- a/almondspool/state/members.py
+++ b/almondspool/state/members.py
@@ -28,7 +28,7 @@
         generation: Generation of the document that it has in force.
         load: Utilization from 0.0 to 1.0.
         shares_version: Version of the connection shares that it applies; on the users'
-            platform the revision of the searchers' entries that it has read.
+            platform the position of the searchers' entries that it has read.
         revision: Increased by each change of the record within one incarnation.
         session: The incarnation at which it last started or re-joined; it then held
             no connection and no lease. Refuting a suspicion does not change it.
--- a/tests/platform/test_leaving_entries.py
+++ b/tests/platform/test_leaving_entries.py
@@ -30,8 +30,6 @@
     In a loss connections fail. In a silence no call is answered, then or later.
     """
 
-    history = 0
-
     def __init__(self, timers, removals_by_name, losses, ends_at, silences=()):
         self.timers = timers
         self.removals_by_name = removals_by_name
@@ -61,7 +59,7 @@
     def _revision(self):
         return 10 + len(self._removed(0.0, self.timers.now()))
 
-    def watch(self, kind, revision, wait_s, timeout_margin_s):
+    def watch(self, kind, position, wait_s, timeout_margin_s):
         self.watch_count += 1
         sent_at = self.timers.now()
         for lost_at, lost_for_s in self.losses:
@@ -76,7 +74,7 @@
             (at for at, _ in self.losses if at >= sent_at), default=self.ends_at
         )
         while True:
-            removed = self._removed(0.0, self.timers.now())[revision - 10 :]
+            removed = self._removed(0.0, self.timers.now())[position.revision - 10 :]
             if removed or self.timers.now() >= ends_at:
                 changes = [
                     StoredObject("servers", name, 1, None, is_deleted=True)
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -42,6 +42,13 @@
         self.assertEqual(["a", "b"], [each["meta"]["name"] for each in body["items"]])
         self.assertEqual(10, body["current_rev"])
 
+    def test_answers_carry_the_history_of_the_copy(self):
+        self.mirror.replace_all(StoredList((make_object("a", 3),), 5, 2))
+        for query in ("", "?watch=5&wait_ms=0"):
+            answers = self.call(query)
+            self.timers.advance(0.1)
+            self.assertIn((b"Store-Era", b"2"), answers[0].headers, query)
+
     def test_large_answers_are_compressed_once_and_decoded_by_the_client(self):
         large = StoredObject("servers", "c", 20, {"text": "route " * 50_000})
         waiting = [self.call("?watch=10&wait_ms=1000") for _ in range(8)]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,11 @@
 from almondspool.errors import PlatformError
 from almondspool.platform import store as store_module
 from almondspool.platform.object_store_platform import ObjectStorePlatform
-from almondspool.platform.store import MAX_RETRY_AFTER_S, ObjectStoreClient
+from almondspool.platform.store import (
+    MAX_RETRY_AFTER_S,
+    ObjectStoreClient,
+    StorePosition,
+)
 from tests.transport.scripted_peer import ScriptedServer, unused_address
 
 
@@ -73,10 +77,29 @@
         )
         self.assertEqual(1, len(self.server.connections))
 
+    def test_pages_of_two_histories_are_no_list(self):
+        page = {"items": [object_json("a", 3)], "has_more": True, "current_rev": 9}
+        self.replies = [
+            http_reply(200, page, b"Store-Era: 1\r\n"),
+            http_reply(200, {"items": [], "current_rev": 7}, b"Store-Era: 2\r\n"),
+        ]
+        error = self.assertRaises(PlatformError, lambda: self.store.list("servers"))
+        self.assertEqual(ResultCode.PLATFORM_HISTORY_GONE, error.code)
+
+    def test_answer_without_a_history_belongs_to_the_newest_known(self):
+        page = {"items": [], "current_rev": 9}
+        self.replies = [
+            http_reply(200, page, b"Store-Era: 4\r\n"),
+            http_reply(200, page, b"Store-Era: x\r\n"),
+            http_reply(200, page),
+        ]
+        lists = [self.store.list("servers") for _ in range(3)]
+        self.assertEqual([4, 4, 4], [listed.history for listed in lists])
+
     def test_watch_sends_its_wait_in_whole_milliseconds(self):
         event = {"object": object_json("a", 10, {"x": 1}), "tombstone": True}
         self.replies = [http_reply(200, {"events": [event], "current_rev": 11})]
-        events, revision = self.store.watch("servers", 9, 2.5)
+        events, revision = self.store.watch("servers", StorePosition(0, 9), 2.5)
         self.assertEqual(
             ["GET /api/objects/servers?watch=9&wait_ms=2500 HTTP/1.1"],
             self.request_lines(),
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -22,8 +22,6 @@
 class ScriptedStore:
     """Answers list and watch calls with the given replies, then ends the watch."""
 
-    history = 0
-
     def __init__(self, *replies):
         self.replies = list(replies)
         self.calls = []
@@ -42,8 +40,8 @@
         self.timeouts_s.append(timeout_s)
         return self._next(("list",))
 
-    def watch(self, kind, revision, wait_s, timeout_margin_s):
-        return self._next(("watch", revision))
+    def watch(self, kind, position, wait_s, timeout_margin_s):
+        return self._next(("watch", position.revision))
 
 
 class WatchTests(testtools.TestCase):
@@ -137,6 +135,18 @@
         self.assertEqual(3, calls.count(("list",)))
         self.assertEqual([3, 4], self.versions())
 
+    def test_list_of_a_lost_history_is_not_applied_whatever_its_revision(self):
+        gone = PlatformError("gone", ResultCode.PLATFORM_HISTORY_GONE)
+        self.source_instance = "instance-1"
+        calls = self.follow(
+            StoredList((self.config(3),), 45, 2),
+            gone,
+            StoredList((self.config(4),), 60, 1),
+            StoredList((self.config(5),), 50, 2),
+        )
+        self.assertEqual(("watch", 50), calls[-1])
+        self.assertEqual([3, 5], self.versions())
+
     def test_follower_of_an_instance_does_not_serve_its_own_copy(self):
         self.source_instance = "instance-1"
         self.follow(StoredList((self.config(3),), 50))
