Give a configuration that the store has lost to instances that start

Cause: the version in force lived in the route table only. What an instance hands on, and what a starting one reads when it learns from heartbeats that it is behind, is the content of the store, which had gone back. Class: the store is taken for the only source of a state that its own instances know better.

An instance completes the list that it hands on by the newest valid configuration that it has seen, also if the copy holds a malformed or no configuration. An instance that is behind asks a member that knows more first, and then the store. A configuration is taken from a member by its version, which the operator orders in all histories, instead of by its position. An older version is still never put in force by a process that knows a newer one.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -317,9 +317,7 @@
         )
 
     def _apply_table(self, table: RouteTable) -> None:
-        if not self._router.set_table(table):
-            self._log.write("configuration.ignored", version=table.version)
-            return
+        self._router.set_table(table)
         self._metrics.remove_absent_routes({route.name for route in table.routes()})
         self._log.write(
             "configuration.in_force",
--- a/almondspool/platform/configuration.py
+++ b/almondspool/platform/configuration.py
@@ -103,6 +103,12 @@
     )
 
 
+def stored_version(spec: Any) -> int:
+    """Return the version of a stored configuration, or 0 if it cannot be read."""
+    version = spec.get("version") if isinstance(spec, dict) else None
+    return version if isinstance(version, int) else 0
+
+
 def _decode_route(stored_route: _Route) -> Route:
     weighted_services = tuple(
         WeightedService(weighted.service, weighted.weight)
--- a/almondspool/platform/handlers.py
+++ b/almondspool/platform/handlers.py
@@ -12,25 +12,56 @@
     from collections.abc import Callable, Sequence
 
     from almondspool.logs import EventLog
-    from almondspool.platform.store import StoredList, StoredObject
+    from almondspool.platform.store import (
+        StoredList,
+        StoredObject,
+        StorePosition,
+    )
     from almondspool.routing.replicas import ReplicaRegistry
     from almondspool.state.routes import Replica, RouteTable
 
 
 class ConfigurationHandler(KindHandler):
-    """Decodes each valid configuration and passes its route table on."""
+    """Decodes configurations; passes on the route table of each valid, newer one."""
 
     def __init__(self, on_table: Callable[[RouteTable], None], log: EventLog) -> None:
-        """Call ``on_table`` with the route table of each valid configuration."""
+        """Call ``on_table`` with each valid route table of a higher version."""
         self._on_table = on_table
         self._log = log
+        # The valid configuration of the highest version, and that version.
+        self._newest: StoredObject | None = None
+        self._newest_version = -1
+
+    def complete_list(self, stored_list: StoredList) -> StoredList:
+        """Replace a configuration older than the newest one, or a malformed one.
+
+        A store that returned from an older copy has lost the configuration in force
+        until the operator writes it again.
+        """
+        if self._newest is None:
+            return stored_list
+        others = (
+            each for each in stored_list.objects if each.name != configuration.NAME
+        )
+        return stored_list._replace(objects=(*others, self._newest))
+
+    def is_newer(self, stored_list: StoredList, applied: StorePosition) -> bool:
+        """Return whether a list has a higher version, at whatever position.
+
+        An instance completes its list by a configuration that the store has lost.
+        """
+        return super().is_newer(stored_list, applied) or any(
+            configuration.stored_version(each.spec) > self._newest_version
+            for each in stored_list.objects
+            if each.name == configuration.NAME
+        )
 
     def on_list(self, stored_list: StoredList) -> None:
         """Apply the configuration object; ignore other objects of its kind."""
         self.on_changes(stored_list.objects)
 
     def on_changes(self, changes: Sequence[StoredObject]) -> None:
-        """Apply changes of the configuration; ignore deleted and malformed ones."""
+        """Apply newer versions; ignore deleted and malformed configurations."""
         for change in changes:
             self._apply(change)
 
@@ -47,6 +78,15 @@
                 reason=error,
             )
             return
+        if table.version <= self._newest_version:
+            self._log.write(
+                "configuration.ignored",
+                version=table.version,
+                newest=self._newest_version,
+                revision=stored_object.revision,
+            )
+            return
+        self._newest, self._newest_version = stored_object, table.version
         self._on_table(table)
 
     def on_reachability_changed(self, is_reachable: bool) -> None:
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -62,6 +62,23 @@
 class KindHandler(abc.ABC):
     """Handler of the objects and changes of one kind, called by its KindWatch."""
 
+    def complete_list(self, stored_list: StoredList) -> StoredList:
+        """Return a list with what the store has lost and this instance still knows.
+
+        Called after on_list(); instances that list the kind from this one get the
+        result.
+        """
+        return stored_list
+
+    def is_newer(self, stored_list: StoredList, applied: StorePosition) -> bool:
+        """Return whether another instance's list is newer than what was applied.
+
+        Args:
+            stored_list: The list.
+            applied: The newest position that was passed to this handler.
+        """
+        return stored_list.position > applied
+
     @abc.abstractmethod
     def on_list(self, stored_list: StoredList) -> None:
         """Handle a complete list of the kind's objects."""
@@ -202,13 +219,14 @@
             self._on_failure(source, error)
 
     def _schedule_relist(self, error: StaleWatchError) -> None:
-        """Make the next read a list, as a watch may wait for a long time.
+        """List the kind from an instance that knows more, then from the store.
 
-        If the list call fails, the kind is listed from other instances.
+        The store may be unreachable, or have lost what the other instance knows.
         """
         self._log.write("store.read_again", kind=self._kind, detail=error)
         self._is_stale = True
         self._watch_position = NO_POSITION
+        self._list_from_peers()
 
     def _list(self, source: WatchSource) -> None:
         is_initial = (
@@ -231,16 +249,15 @@
                 f"list at {stored_list.position} is older than the one in use"
             )
         self._record_success(source)
-        self._mirror.replace_all(stored_list)
-        self._handler.on_list(stored_list)
-        self._set_position(stored_list.position, source.instance)
+        self._mirror.replace_all(self._apply_list(stored_list, source.instance))
         self._watch_position = stored_list.position
         self._follows_answer = not source.instance
 
-    def _set_position(self, position: StorePosition, instance: str) -> None:
-        """Set the position of a list that was applied; also of one from a peer."""
+    def _apply_list(self, stored_list: StoredList, instance: str) -> StoredList:
+        """Pass a list of the store or of an instance on, and return it completed."""
+        position = stored_list.position
         applied = self._applied_position
-        if applied.revision and position.history != applied.history:
+        if applied.revision and position.history > applied.history:
             self._log.write(
                 "store.restored",
                 kind=self._kind,
@@ -250,7 +267,9 @@
                 applied_history=applied.history,
                 instance=instance,
             )
-        self._applied_position = position
+        self._handler.on_list(stored_list)
+        self._applied_position = max(applied, position)
+        return self._handler.complete_list(stored_list)
 
     def _watch(self, source: WatchSource) -> None:
         wait_s, timeout_margin_s = source.wait_s, source.timeout_margin_s
@@ -321,7 +340,7 @@
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2.0)
 
     def _list_from_peers(self) -> None:
-        """List the kind from other instances, as the store is unreachable.
+        """List the kind from other instances.
 
         The first list is applied at once. A newer one from another instance replaces
         it, as the first instance may have lost the store earlier.
@@ -336,11 +355,10 @@
                 self._log.write("store.borrow_failed", kind=self._kind, detail=error)
                 continue
             answer_count += 1
-            if stored_list.position <= self._applied_position:
+            if not self._handler.is_newer(stored_list, self._applied_position):
                 continue
-            self._set_position(stored_list.position, "")
             self._is_stale = False
-            self._handler.on_list(stored_list)
+            self._apply_list(stored_list, "")
             self._log.write("store.borrowed", kind=self._kind, at=stored_list.revision)
 
     def _record_success(self, source: WatchSource) -> None:
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -147,6 +147,33 @@
         self.assertEqual(("watch", 50), calls[-1])
         self.assertEqual([3, 5], self.versions())
 
+    def test_configuration_lost_by_the_store_is_given_to_starting_instances(self):
+        gone = PlatformError("gone", ResultCode.PLATFORM_HISTORY_GONE)
+        for lost in (self.config(3), StoredObject("config", "main", 9, {}), None):
+            self.tables.clear()
+            listed = (lost,) if lost else ()
+            self.follow(
+                StoredList((self.config(5),), 53, 1), gone, StoredList(listed, 48, 2)
+            )
+            self.assertIn(b'"version":5', self.mirror.list().body, lost)
+            self.assertEqual([5], self.versions())
+
+    def test_starting_instance_reads_a_configuration_that_the_store_has_lost(self):
+        class FallbackPeer:
+            def list_from_peer(self, kind):
+                return listed
+
+        listed = StoredList((self.config(5),), 48, 2)
+        calls = self.follow(
+            StoredList((self.config(3),), 48, 2),
+            watches.StaleWatchError("a member knows a newer config"),
+            StoredList((self.config(3),), 48, 2),
+            fallback_peers=lambda: [FallbackPeer()],
+        )
+        self.assertEqual([("list",), ("watch", 48), ("list",), ("watch", 48)], calls)
+        self.assertEqual([3, 5], self.versions())
+        self.assertIn(b'"version":5', self.mirror.list().body)
+
     def test_follower_of_an_instance_does_not_serve_its_own_copy(self):
         self.source_instance = "instance-1"
         self.follow(StoredList((self.config(3),), 50))
