Keep replicas whose entries a restored store has lost until they are written again

Callers of a service whose upstreams registered in the seconds that a restore loses would be refused until the upstreams have written their entries again.

Cause: the grace for entries that expired was built on an outage that loses nothing: an entry that is missing after a short loss of the store was removed. After a restore it may have been lost. Class: absence after a restore is no statement of the store.

Evidence: three tests that failed before, two of the registry and one on virtual time against the stand-in store.

A restore starts the grace that an outage starts, bounded as before by the time for which an upstream serves after its removal.

--- a/almondspool/platform/handlers.py
+++ b/almondspool/platform/handlers.py
@@ -89,6 +89,9 @@
         self._newest, self._newest_version = stored_object, table.version
         self._on_table(table)
 
+    def on_restored(self) -> None:
+        """Do nothing: older versions are ignored in any history."""
+
     def on_reachability_changed(self, is_reachable: bool) -> None:
         """Do nothing: without the store, the configuration in force stays."""
 
@@ -153,6 +156,10 @@
         if changes:
             self._on_changed()
 
+    def on_restored(self) -> None:
+        """Tell the registry, which keeps replicas without an entry for a time."""
+        self._registry.set_store_restored(self._clock())
+
     def on_reachability_changed(self, is_reachable: bool) -> None:
         """Tell the registry, which distinguishes expired from removed entries by it."""
         self._registry.set_store_reachable(self._clock(), is_reachable)
--- a/almondspool/platform/watches.py
+++ b/almondspool/platform/watches.py
@@ -87,6 +87,13 @@
     def on_changes(self, changes: Sequence[StoredObject]) -> None:
         """Handle the changes of one watch, in order."""
 
+    @abc.abstractmethod
+    def on_restored(self) -> None:
+        """Handle that the store has returned from an older copy.
+
+        Called before the first list of the new history is passed to on_list().
+        """
+
     @abc.abstractmethod
     def on_reachability_changed(self, is_reachable: bool) -> None:
         """Handle a change of whether the store can be reached; initially it can."""
@@ -267,6 +274,7 @@
                 applied_history=applied.history,
                 instance=instance,
             )
+            self._handler.on_restored()
         self._handler.on_list(stored_list)
         self._applied_position = max(applied, position)
         return self._handler.complete_list(stored_list)
--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -15,8 +15,8 @@
     from almondspool.logs import EventLog
     from almondspool.state.routes import Replica
 
-# Entries that expired during an outage of the store are renewed within about two
-# seconds of its end.
+# Entries that expired during an outage of the store, or that it has lost as it returned
+# from an older copy, are renewed within about two seconds of its end.
 EXPIRY_GRACE_S = 2.5
 # A removal may be read this much later: by the pause between two watches, which is a
 # second, and by the delays of the network and of the event loop.
@@ -104,6 +104,7 @@
         self._is_store_reachable = True
         self._store_lost_at = -math.inf
         self._store_regained_at = -math.inf
+        self._store_restored_at = -math.inf
         self.is_loaded = False
 
     def set_store_reachable(self, now: float, is_reachable: bool) -> None:
@@ -114,6 +115,10 @@
             self._store_lost_at = now
         self._is_store_reachable = is_reachable
 
+    def set_store_restored(self, now: float) -> None:
+        """Note that the store has returned from an older copy of the entries."""
+        self._store_restored_at = now
+
     def replace_all(self, now: float, replicas: Iterable[Replica]) -> None:
         """Replace all entries by a complete list read from the store."""
         self.is_loaded = True
@@ -193,6 +198,7 @@
                 keep_s=drop_at - now,
                 lost_s=now - self._store_lost_at,
                 regained_s=now - self._store_regained_at,
+                restored_s=now - self._store_restored_at,
             )
 
     def _drop_at(self, now: float, expired_since: float) -> float:
@@ -213,6 +219,8 @@
         """
         if not active_count:
             return -math.inf
+        if now - self._store_restored_at < EXPIRY_GRACE_S:
+            return self._store_restored_at
         outage_s = self._store_regained_at - self._store_lost_at
         if (
             outage_s >= MIN_OUTAGE_HEARTBEATS * self._times.heartbeat_s
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import collections
+import itertools
 import json
 import random
 import urllib.parse
@@ -10,17 +12,21 @@
 from almondspool.errors import PlatformError
 from almondspool.logs import EventLog
 from almondspool.platform import watches
-from almondspool.platform.handlers import ConfigurationHandler
+from almondspool.platform.handlers import ConfigurationHandler, EntryHandler
 from almondspool.platform.mirror import KindMirror
 from almondspool.platform.store import ObjectStoreClient
 from almondspool.platform.watches import KindWatch, WatchSource
 from almondspool.protocol.exchange import CallerRequest
+from almondspool.routing.replicas import ReplicaRegistry
 from almondspool.standins.hosted_store import CONTROL_PATH, HostedStore
 from almondspool.transport.timers import VirtualTimers
 from tests.platform.test_configuration import CONFIGURATION_SPEC
+from tests.platform.test_entries import ENTRY_SPEC
 
 # The platform's bound: a version is in force this long after its acknowledgement.
 APPLY_S = 3.0
+# How often it is noted which replicas are usable.
+SAMPLE_S = 0.05
 
 
 class VirtualStoreClient(ObjectStoreClient):
@@ -94,19 +100,47 @@
                 versions.append(table.version)
                 self.versions_by_time[self.timers.now()] = table.version
 
+        self.run_watch("config", ConfigurationHandler(use, self.log), ends_at)
+        return versions
+
+    def run_watch(self, kind, handler, ends_at):
         client = VirtualStoreClient(self.store, self.timers, ends_at)
         self.patch(watches.eventlet, "sleep", client.wait)
         watch = KindWatch(
-            "config",
+            kind,
             lambda _: WatchSource("", client),
-            ConfigurationHandler(use, self.log),
+            handler,
             KindMirror(self.timers),
             self.timers.now,
             random.Random(1),
             self.log,
         )
         self.assertRaises(eventlet.greenlet.GreenletExit, watch.run)
-        return versions
+
+    def follow_entries(self, ends_at=20.0):
+        """Follow the entries; return the times at which each replica was usable."""
+        registry = ReplicaRegistry(self.log, lambda _: None)
+        used_at_by_id = collections.defaultdict(list)
+
+        def observe():
+            registry.drop_expired(self.timers.now())
+            for replica in registry.usable(ENTRY_SPEC["service"]):
+                used_at_by_id[replica.replica_id].append(self.timers.now())
+
+        self.timers.subscribe(SAMPLE_S, observe)
+        handler = EntryHandler(
+            registry, self.timers.now, lambda: None, lambda: None, self.log
+        )
+        self.run_watch("servers", handler, ends_at)
+        return used_at_by_id
+
+    def write_entry(self, name, **changes):
+        self.write("servers", name, {**ENTRY_SPEC, **changes})
+
+    def remove_entry(self, name):
+        target = f"/api/objects/servers/{name}"
+        request = CallerRequest("DELETE", target, "", (), b"", "", None, 0.0)
+        self.store.handle(request, lambda answer: None)
 
     def applied_at(self, version):
         return next(at for at, each in self.versions_by_time.items() if each == version)
@@ -132,8 +166,19 @@
             self.command(restore=True)
             self.write_version(3)
             for number in range(6):
-                self.write("servers", f"i-{number}", {"state": "ready"})
+                self.write_entry(f"i-{number}")
 
         self.at(5.0, restore_and_write)
         self.assertEqual([1, 2, 3], self.follow())
         self.assertTrue(self.applied_at(3) < 5.0 + APPLY_S, self.versions_by_time)
+
+    def test_replica_whose_entry_is_lost_and_written_again_is_used_throughout(self):
+        self.write_entry("i-1")
+        self.at(1.0, self.command, copy=True)
+        self.at(2.0, self.write_entry, "i-2")
+        self.at(8.0, self.command, restore=True)
+        self.at(9.5, self.write_entry, "i-2")
+        used_at = self.follow_entries()["i-2"]
+        gaps_s = [after - before for before, after in itertools.pairwise(used_at)]
+        self.assertTrue(max(gaps_s) < 2 * SAMPLE_S, max(gaps_s))
+        self.assertTrue(used_at[-1] > 19.0, used_at[-1])
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -82,6 +82,22 @@
         self.registry.remove_all(9.3, ["shard-north"])
         self.assertNotIn("shard-north", self.usable_ids())
 
+    def test_replica_whose_entry_a_restored_store_has_lost_is_used_until_renewed(self):
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas[1:])
+        self.registry.drop_expired(10.5)
+        self.assertIn("shard-north", self.usable_ids())
+        self.registry.put(10.6, self.replicas[0])
+        self.registry.drop_expired(20.0)
+        self.assertIn("shard-north", self.usable_ids())
+        self.assertEqual([], self.removed)
+
+    def test_replica_that_a_restored_store_has_lost_for_good_is_dropped_in_time(self):
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas[1:])
+        self.registry.drop_expired(9.0 + EXPIRY_GRACE_S)
+        self.assertNotIn("shard-north", self.usable_ids())
+
     def test_entry_renewed_within_the_grace_period_keeps_its_connections(self):
         self.registry.set_store_reachable(1.0, False)
         self.registry.set_store_reachable(9.0, True)
