Do not use upstreams that have left from entries in a restored store

Requests would reach upstreams that had reported their leave in the seconds that a restore loses: the copy lists them as ready, and they serve for some seconds more (DRAIN).

Cause: an entry is applied as the newest statement of its upstream, also when the store has gone back behind that statement. Class: what the store says after a restore is older than what the instance has read from it before.

The registry remembers incarnations that drained, left or were replaced. A list that is read after a restore does not bring them back until they are written again in the new history, or have outlived the three heartbeats after which the store removes an entry.

--- a/almondspool/routing/replicas.py
+++ b/almondspool/routing/replicas.py
@@ -9,6 +9,12 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from almondspool.routing.ended_incarnations import (
+    EndedIncarnations,
+    Incarnation,
+    incarnation_of,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -24,6 +30,8 @@
 # An entry expires after three heartbeats, and the last one before an outage is at most
 # one interval old when it begins: a shorter loss of the store expires no entry.
 MIN_OUTAGE_HEARTBEATS = 2.0
+# The store removes the entry of a replica that has been silent for this long.
+EXPIRY_HEARTBEATS = 3.0
 # A watch may block throughout an outage without failing. Expired entries then differ
 # from removed ones only in how many disappear together without draining first: at most
 # a sixth of the replicas are replaced or lost at a time. Entries that disappear
@@ -64,14 +72,6 @@
 _DEFAULT_TIMES = EntryTimes()
 
 
-class _Incarnation(NamedTuple):
-    """Identity of one run of a replica; it changes with every restart."""
-
-    replica_id: str
-    address: str
-    started_ms: int
-
-
 class ReplicaRegistry:
     """Replicas by service, from the store's entries and the outcomes of legs.
 
@@ -99,12 +99,15 @@
         self._times = times
         self._entries_by_id: dict[str, _Entry] = {}
         self._misdirected_address_by_id: dict[str, str] = {}
-        self._left_at_by_incarnation: dict[_Incarnation, float] = {}
+        self._left_at_by_incarnation: dict[Incarnation, float] = {}
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
         self._is_store_reachable = True
         self._store_lost_at = -math.inf
         self._store_regained_at = -math.inf
         self._store_restored_at = -math.inf
+        self._ended = EndedIncarnations(
+            EXPIRY_HEARTBEATS * times.heartbeat_s + MAX_REMOVAL_READ_DELAY_S
+        )
         self.is_loaded = False
 
     def set_store_reachable(self, now: float, is_reachable: bool) -> None:
@@ -118,6 +121,7 @@
     def set_store_restored(self, now: float) -> None:
         """Note that the store has returned from an older copy of the entries."""
         self._store_restored_at = now
+        self._ended.on_store_restored(now)
 
     def replace_all(self, now: float, replicas: Iterable[Replica]) -> None:
         """Replace all entries by a complete list read from the store."""
@@ -125,17 +129,29 @@
         listed_ids: set[str] = set()
         for replica in replicas:
             listed_ids.add(replica.replica_id)
+            if self._ended.hold_back(now, replica):
+                self._log.write(
+                    "replica.held_back",
+                    replica=replica.replica_id,
+                    service=replica.service,
+                    restored_s=now - self._store_restored_at,
+                )
+                continue
             self.put(now, replica)
         self.remove_all(now, self._entries_by_id.keys() - listed_ids)
 
     def put(self, now: float, replica: Replica) -> None:
-        """Add or update an entry read from the store."""
+        """Add or update an entry that was written to the store."""
+        self._ended.discard(replica.replica_id)
         entry = self._entries_by_id.get(replica.replica_id)
         previous = entry.replica if entry else None
         if previous == replica and entry.drop_at == math.inf:
             return
         if previous is not None and _is_new_incarnation(previous, replica):
             self._on_removed(replica.replica_id)
+            self._ended.record(now, previous)
+        if replica.is_draining:
+            self._ended.record(now, replica)
         misdirected = self._misdirected_address_by_id.get(replica.replica_id)
         if misdirected is not None and (
             misdirected != replica.address
@@ -175,6 +191,8 @@
             replica_ids: Ids of the entries that disappeared together.
         """
         entries = {key: self._entries_by_id.get(key) for key in sorted(replica_ids)}
+        for replica_id in entries:
+            self._ended.discard(replica_id)
         removed = {
             key: entry
             for key, entry in entries.items()
@@ -242,7 +260,9 @@
         )
 
     def drop_expired(self, now: float) -> None:
-        """Drop the replicas whose entries were not renewed within the grace period."""
+        """Drop replicas whose entries were not renewed; use those held back in time."""
+        for replica in self._ended.take_confirmed(now):
+            self.put(now, replica)
         self._left_at_by_incarnation = {
             incarnation: left_at
             for incarnation, left_at in self._left_at_by_incarnation.items()
@@ -274,13 +294,13 @@
             replica: The replica as it was when the request was sent.
             request_id: The request of that reply, for the log.
         """
-        incarnation = _incarnation(replica)
+        incarnation = incarnation_of(replica)
         if incarnation in self._left_at_by_incarnation:
             return
         self._left_at_by_incarnation[incarnation] = now
         self._usable_by_service.pop(replica.service, None)
         entry = self._entries_by_id.get(replica.replica_id)
-        is_present = entry is not None and _incarnation(entry.replica) == incarnation
+        is_present = entry is not None and incarnation_of(entry.replica) == incarnation
         if is_present:
             self._on_removed(replica.replica_id)
         self._log.write(
@@ -294,7 +314,7 @@
 
     def is_leaving(self, replica: Replica) -> bool:
         """Return whether this incarnation of a replica announced its shutdown."""
-        return _incarnation(replica) in self._left_at_by_incarnation
+        return incarnation_of(replica) in self._left_at_by_incarnation
 
     def usable(self, service: str) -> tuple[Replica, ...]:
         """Return the replicas of a service that accept new requests, by id."""
@@ -306,7 +326,7 @@
                 if entry.replica.service == service
                 and not entry.replica.is_draining
                 and replica_id not in self._misdirected_address_by_id
-                and _incarnation(entry.replica) not in self._left_at_by_incarnation
+                and incarnation_of(entry.replica) not in self._left_at_by_incarnation
             )
             usable = tuple(sorted(found, key=lambda replica: replica.replica_id))
             self._usable_by_service[service] = usable
@@ -318,6 +338,7 @@
 
     def _drop(self, now: float, replica_id: str, reason: str) -> None:
         entry = self._entries_by_id.pop(replica_id)
+        self._ended.record(now, entry.replica)
         self._misdirected_address_by_id.pop(replica_id, None)
         self._usable_by_service.pop(entry.replica.service, None)
         self._on_removed(replica_id)
@@ -335,10 +356,6 @@
             self._usable_by_service.pop(previous.service, None)
 
 
-def _incarnation(replica: Replica) -> _Incarnation:
-    return _Incarnation(replica.replica_id, replica.address, replica.started_ms)
-
-
 def _is_new_incarnation(previous: Replica, replica: Replica) -> bool:
     has_moved = (
         previous.address != replica.address or previous.service != replica.service
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -182,3 +182,16 @@
         gaps_s = [after - before for before, after in itertools.pairwise(used_at)]
         self.assertTrue(max(gaps_s) < 2 * SAMPLE_S, max(gaps_s))
         self.assertTrue(used_at[-1] > 19.0, used_at[-1])
+
+    def test_replica_that_left_is_not_used_again_after_a_restore(self):
+        for name in ("i-1", "i-2", "i-3"):
+            self.write_entry(name)
+        self.at(1.0, self.command, copy=True)
+        self.at(2.0, self.write_entry, "i-1", state="draining")
+        self.at(3.0, self.remove_entry, "i-2")
+        self.at(8.0, self.command, restore=True)
+        self.at(8.5, self.write_entry, "i-1", state="draining")
+        self.at(12.0, self.remove_entry, "i-2")
+        used_at_by_id = self.follow_entries()
+        self.assertTrue(used_at_by_id["i-1"][-1] < 2.0 + 1.0, used_at_by_id["i-1"])
+        self.assertTrue(used_at_by_id["i-2"][-1] < 3.0 + 1.0, used_at_by_id["i-2"])
--- a/tests/routing/test_replicas.py
+++ b/tests/routing/test_replicas.py
@@ -5,6 +5,7 @@
 from almondspool.logs import EventLog
 from almondspool.routing.replicas import (
     EXPIRY_GRACE_S,
+    EXPIRY_HEARTBEATS,
     LEAVING_INCARNATION_TTL_S,
     MAX_REMOVAL_READ_DELAY_S,
     EntryTimes,
@@ -98,6 +99,57 @@
         self.registry.drop_expired(9.0 + EXPIRY_GRACE_S)
         self.assertNotIn("shard-north", self.usable_ids())
 
+    def test_replica_that_drained_is_not_used_from_a_restored_entry(self):
+        self.registry.put(5.0, self.replicas[0]._replace(is_draining=True))
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        self.registry.replace_all(10.0, self.replicas)
+        self.assertNotIn("shard-north", self.usable_ids())
+        # The replica writes again, and leaves.
+        self.registry.put(10.1, self.replicas[0]._replace(is_draining=True))
+        self.registry.remove_all(12.0, ["shard-north"])
+        self.registry.drop_expired(30.0)
+        self.assertNotIn("shard-north", self.usable_ids())
+
+    def test_replica_that_left_is_not_used_from_a_restored_entry_before_it_expires(
+        self,
+    ):
+        self.registry.remove_all(5.0, ["shard-north"])
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        expires_at = 9.0 + EXPIRY_HEARTBEATS * EntryTimes().heartbeat_s
+        self.registry.drop_expired(expires_at + MAX_REMOVAL_READ_DELAY_S - 0.01)
+        self.assertNotIn("shard-north", self.usable_ids())
+
+    def test_held_entry_that_does_not_expire_is_used(self):
+        self.registry.remove_all(5.0, ["shard-north"])
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        self.registry.drop_expired(14.0)
+        self.assertIn("shard-north", self.usable_ids())
+
+    def test_held_entry_that_expires_is_not_used(self):
+        self.registry.remove_all(5.0, ["shard-north"])
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        self.registry.remove_all(13.0, ["shard-north"])
+        self.registry.drop_expired(14.0)
+        self.assertNotIn("shard-north", self.usable_ids())
+
+    def test_replica_that_returned_and_writes_after_a_restore_is_used_at_once(self):
+        self.registry.remove_all(5.0, ["shard-north"])
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        self.registry.put(9.5, self.replicas[0])
+        self.assertIn("shard-north", self.usable_ids())
+
+    def test_former_incarnation_in_a_restored_entry_does_not_replace_the_current(self):
+        current = self.replicas[0]._replace(started_ms=5, address="10.0.0.9:99")
+        self.registry.put(5.0, current)
+        self.registry.set_store_restored(9.0)
+        self.registry.replace_all(9.0, self.replicas)
+        self.assertIn(current, self.registry.usable("shard"))
+
     def test_entry_renewed_within_the_grace_period_keeps_its_connections(self):
         self.registry.set_store_reachable(1.0, False)
         self.registry.set_store_reachable(9.0, True)
