Write member records again that a restored store has lost

An instance whose record was lost stayed unlisted for up to 300 s, or for good once a write with its old version was answered by 404: instances that start then know fewer members and divide limits and connections by too small a fleet, until they hear from the others.

Cause: a record was written once and taken to last, and the versions of records were bare revisions, which a restored store gives out again: a conditional delete could remove the record that an instance had just written again.

The versions of the platform interface are positions now, so that versions of different histories never match; the client refuses a conditional write at a position of a lost history as a conflict. A missing record is a conflict too: it is read and created. No lease of the platform's store is held: claims are not used there.

--- a/almondspool/coordination/membership/member_records.py
+++ b/almondspool/coordination/membership/member_records.py
@@ -31,6 +31,9 @@
     MembershipStep = Callable[[float], list[Action]]
 
 MEMBER_KIND = "member"
+# Results of a write whose expected version is not that of the stored record, or whose
+# record the platform no longer has.
+_STALE_VERSION_CODES = (ResultCode.PLATFORM_CONFLICT, ResultCode.PLATFORM_NOT_FOUND)
 PlatformAction = WriteRecord | ReadRecordsAndListing | DeleteRecord
 
 
@@ -83,14 +86,14 @@
                 self._version_by_instance[own.instance] = result.unwrap().version
                 return []
             error = result.failure()
-            if error.code != ResultCode.PLATFORM_CONFLICT:
+            if error.code not in _STALE_VERSION_CODES:
                 break
             stored = self._read_own(own.instance)
             if stored is not None and stored.session > own.session:
                 receive = self._membership.receive_own_record
                 return [functools.partial(receive, stored)]
         self._log.write("member.record_failed", code=error.code.name, reason=error)
-        return [self._membership.on_record_write_failed]
+        return [self._membership.on_record_lost]
 
     def _read_own(self, instance: str) -> Member | None:
         result = self._platform.get(MEMBER_KIND, instance)
--- a/almondspool/coordination/membership/membership.py
+++ b/almondspool/coordination/membership/membership.py
@@ -246,8 +246,8 @@
         """Handle the own record as read from the platform after a write conflict."""
         return self._apply_own_record(record, now)
 
-    def on_record_write_failed(self, now: float) -> list[Action]:
-        """Schedule the next write of the own record after a failed one."""
+    def on_record_lost(self, now: float) -> list[Action]:
+        """Schedule a write of the own record, which failed or may have been lost."""
         self._listings.schedule_write_retry(now)
         return []
 
--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -91,6 +91,8 @@
         )
         self._shares = FleetShares(settings.instance, settings.zone, timers.now())
         self._last_recorded_members: tuple[Member, ...] = ()
+        # The store's history that the own record was written to.
+        self._recorded_history = 0
         self._is_rebalance_pending = False
         self._utilization = UtilizationMeter(timers.now())
         self._configuration_staleness = StalenessDetector()
--- a/almondspool/platform/object_store_platform.py
+++ b/almondspool/platform/object_store_platform.py
@@ -26,7 +26,11 @@
 
 
 class ObjectStorePlatform(PlatformInterface):
-    """Keeps the objects that the instances share in the platform's store."""
+    """Keeps the objects that the instances share in the platform's store.
+
+    A version is the position of the object's last change, as one integer: after a
+    restore of the store it differs from all versions of the lost history.
+    """
 
     # Keeps the instances' kinds apart from the kinds of the platform itself.
     _KIND_PREFIX = "almondspool-"
@@ -53,9 +57,12 @@
 
         def read() -> ObjectList:
             stored_list = self._store.list(self._prefixed_kind(kind), may_be_stale=True)
-            objects = [_to_listed_object(kind, each) for each in stored_list.objects]
+            objects = [
+                _to_listed_object(kind, each._replace(history=stored_list.history))
+                for each in stored_list.objects
+            ]
             return ObjectList(
-                {each.name: each for each in objects}, stored_list.revision
+                {each.name: each for each in objects}, stored_list.position.to_int()
             )
 
         return _to_result(read)
@@ -73,7 +80,10 @@
             prefixed_kind = self._prefixed_kind(kind)
             if expected_version:
                 stored_object = self._store.replace(
-                    prefixed_kind, name, spec, expected_version
+                    prefixed_kind,
+                    name,
+                    spec,
+                    StorePosition.from_int(expected_version),
                 )
             else:
                 stored_object = self._store.create(prefixed_kind, name, spec)
@@ -87,7 +97,9 @@
         """Delete one object if its version is the expected one."""
         return _to_result(
             lambda: self._store.delete(
-                self._prefixed_kind(kind), name, expected_version
+                self._prefixed_kind(kind),
+                name,
+                StorePosition.from_int(expected_version),
             )
         )
 
@@ -98,10 +110,14 @@
 
         def wait() -> WatchEvents:
             prefixed_kind = self._prefixed_kind(kind)
-            position = StorePosition(self._store.history, after_version)
+            position = StorePosition.from_int(after_version)
             events, revision = self._store.watch(prefixed_kind, position, wait_s)
             return WatchEvents(
-                tuple(_to_listed_object(kind, event) for event in events), revision
+                tuple(
+                    _to_listed_object(kind, event._replace(history=position.history))
+                    for event in events
+                ),
+                position._replace(revision=revision).to_int(),
             )
 
         return _to_result(wait)
@@ -133,7 +149,7 @@
     return PlatformObject(
         kind,
         stored_object.name,
-        stored_object.revision,
+        StorePosition(stored_object.history, stored_object.revision).to_int(),
         value,
         stored_object.is_deleted,
     )
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -94,6 +94,8 @@
         revision: Store-wide number of its last change.
         spec: Content, decoded from JSON.
         is_deleted: Whether a watch reported the object's deletion.
+        history: Number of the store's history that the revision belongs to; 0 in the
+            objects of lists and watches, which have it themselves.
     """
 
     kind: str
@@ -101,6 +103,7 @@
     revision: int
     spec: Any
     is_deleted: bool = False
+    history: int = 0
 
 
 class StoredList(NamedTuple):
@@ -266,8 +269,8 @@
         Raises:
             PlatformError: With PLATFORM_NOT_FOUND if it does not exist.
         """
-        reply, _ = self._call("get", "GET", _path(kind, name), {})
-        return _decode_object(kind, reply)
+        reply, history = self._call("get", "GET", _path(kind, name), {})
+        return _decode_object(kind, reply)._replace(history=history)
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -276,26 +279,43 @@
             PlatformError: With PLATFORM_CONFLICT if it exists.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        reply, _ = self._call("create", "POST", _path(kind), {}, body)
-        return _decode_object(kind, reply)
+        reply, history = self._call("create", "POST", _path(kind), {}, body)
+        return _decode_object(kind, reply)._replace(history=history)
+
+    def replace(
+        self, kind: str, name: str, spec: Any, position: StorePosition
+    ) -> StoredObject:
+        """Replace an object's content if its last change is at the given position.
+
+        Raises:
+            PlatformError: With PLATFORM_CONFLICT if it is at another one.
+        """
+        self._check_current(kind, name, position)
+        body = {"meta": {"name": name, "revision": position.revision}, "spec": spec}
+        reply, history = self._call("replace", "PUT", _path(kind, name), {}, body)
+        return _decode_object(kind, reply)._replace(history=history)
 
-    def replace(self, kind: str, name: str, spec: Any, revision: int) -> StoredObject:
-        """Replace an object's content if its revision is the given one.
+    def delete(self, kind: str, name: str, position: StorePosition) -> None:
+        """Delete an object if its last change is at the given position.
 
         Raises:
-            PlatformError: With PLATFORM_CONFLICT if the revision differs.
+            PlatformError: If it is at another one, or the call failed.
         """
-        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
-        reply, _ = self._call("replace", "PUT", _path(kind, name), {}, body)
-        return _decode_object(kind, reply)
+        self._check_current(kind, name, position)
+        query = {"revision": position.revision}
+        self._call("delete", "DELETE", _path(kind, name), query)
 
-    def delete(self, kind: str, name: str, revision: int) -> None:
-        """Delete an object if its revision is the given one.
+    def _check_current(self, kind: str, name: str, position: StorePosition) -> None:
+        """Refuse a position of a lost history: its revision may be given out again.
 
         Raises:
-            PlatformError: If the revision differs or the call failed.
+            PlatformError: With PLATFORM_CONFLICT.
         """
-        self._call("delete", "DELETE", _path(kind, name), {"revision": revision})
+        if position.history != self.history:
+            raise PlatformError(
+                f"object {kind}/{name} at {position} is of a lost history",
+                ResultCode.PLATFORM_CONFLICT,
+            )
 
     def _call(
         self,
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -2,26 +2,27 @@
 
 import collections
 import itertools
-import json
 import random
-import urllib.parse
 
 import eventlet
 import testtools
 
-from almondspool.errors import PlatformError
 from almondspool.logs import EventLog
 from almondspool.platform import watches
 from almondspool.platform.handlers import ConfigurationHandler, EntryHandler
 from almondspool.platform.mirror import KindMirror
-from almondspool.platform.store import ObjectStoreClient
 from almondspool.platform.watches import KindWatch, WatchSource
-from almondspool.protocol.exchange import CallerRequest
 from almondspool.routing.replicas import ReplicaRegistry
-from almondspool.standins.hosted_store import CONTROL_PATH, HostedStore
+from almondspool.standins.hosted_store import HostedStore
 from almondspool.transport.timers import VirtualTimers
 from tests.platform.test_configuration import CONFIGURATION_SPEC
 from tests.platform.test_entries import ENTRY_SPEC
+from tests.platform.virtual_store import (
+    VirtualStoreClient,
+    remove_object,
+    send_command,
+    write_object,
+)
 
 # The platform's bound: a version is in force this long after its acknowledgement.
 APPLY_S = 3.0
@@ -29,35 +30,6 @@
 SAMPLE_S = 0.05
 
 
-class VirtualStoreClient(ObjectStoreClient):
-    """Calls the stand-in store of the same process, on virtual time."""
-
-    def __init__(self, store, timers, ends_at):
-        super().__init__("127.0.0.1:1", lambda verb, code: None)
-        self.store = store
-        self.timers = timers
-        self.ends_at = ends_at
-
-    def wait(self, pause_s):
-        self.timers.advance(max(0.0, pause_s))
-        if self.timers.now() >= self.ends_at:
-            raise eventlet.greenlet.GreenletExit
-
-    def _transfer(self, method, target, body, timeout_s):
-        content = b"" if body is None else json.dumps(body).encode()
-        request = CallerRequest(method, target, "", (), content, "", None, 0.0)
-        answers = []
-        handle = self.store.handle(request, answers.append)
-        given_up_at = self.timers.now() + timeout_s
-        while not answers:
-            self.wait(0.01)
-            if self.timers.now() >= given_up_at:
-                handle.cancel()
-                raise PlatformError("no answer")
-        headers = {name.lower(): value for name, value in answers[0].headers}
-        return answers[0].status, headers, answers[0].body
-
-
 class RestoredStoreTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -68,25 +40,12 @@
         self.log = EventLog(self.log_lines.append)
 
     def command(self, **values):
-        content = json.dumps(values).encode()
-        request = CallerRequest("POST", CONTROL_PATH, "", (), content, "", None, 0.0)
-        self.store.handle(request, lambda answer: None)
-
-    def write(self, kind, name, spec):
-        body = json.dumps({"meta": {"name": name}, "spec": spec}).encode()
-        path = f"/api/objects/{kind}"
-        for method, target in (
-            ("PUT", f"{path}/{urllib.parse.quote(name)}"),
-            ("POST", path),
-        ):
-            request = CallerRequest(method, target, "", (), body, "", None, 0.0)
-            answers = []
-            self.store.handle(request, answers.append)
-            if answers[0].status < 300:
-                return
+        send_command(self.store, **values)
 
     def write_version(self, version):
-        self.write("config", "main", {**CONFIGURATION_SPEC, "version": version})
+        write_object(
+            self.store, "config", "main", {**CONFIGURATION_SPEC, "version": version}
+        )
 
     def at(self, seconds, action, *arguments, **values):
         self.timers.call_later(seconds, lambda: action(*arguments, **values))
@@ -135,12 +94,10 @@
         return used_at_by_id
 
     def write_entry(self, name, **changes):
-        self.write("servers", name, {**ENTRY_SPEC, **changes})
+        write_object(self.store, "servers", name, {**ENTRY_SPEC, **changes})
 
     def remove_entry(self, name):
-        target = f"/api/objects/servers/{name}"
-        request = CallerRequest("DELETE", target, "", (), b"", "", None, 0.0)
-        self.store.handle(request, lambda answer: None)
+        remove_object(self.store, "servers", name)
 
     def applied_at(self, version):
         return next(at for at, each in self.versions_by_time.items() if each == version)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -56,6 +56,9 @@
     def request_lines(self):
         return [call.split(b"\r\n")[0].decode() for call in self.requests]
 
+    def replace(self, spec, revision):
+        return self.store.replace("mine", "k", spec, StorePosition(0, revision))
+
     def error_of(self, reply, call=None):
         self.replies = [reply]
         call = call or (lambda: self.store.get("config", "main"))
@@ -114,7 +117,7 @@
             http_reply(200, object_json("k", 6)),
         ]
         self.assertEqual(5, self.store.create("mine", "k", {"v": 1}).revision)
-        self.assertEqual(6, self.store.replace("mine", "k", {"v": 2}, 5).revision)
+        self.assertEqual(6, self.replace({"v": 2}, 5).revision)
         self.assertEqual("POST /api/objects/mine HTTP/1.1", self.request_lines()[0])
         body = json.loads(self.requests[1].split(b"\r\n\r\n")[1])
         self.assertEqual({"name": "k", "revision": 5}, body["meta"])
