Log whether any upstream can be connected to

Cause: each replica is judged alone. No line or metric says that an instance can connect to none, as opposed to some that have crashed, hang or are busy. Change: attempts to connect are counted by result; a monitor probes four other replicas once three have failed without a connection in between, and logs upstreams.suspected, lost and regained. Nothing acts on it yet.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -31,6 +31,7 @@
 from almondspool.routing.fleet_shares import FleetShares
 from almondspool.routing.graceful_shutdown import GracefulShutdown
 from almondspool.routing.placement import Placement
+from almondspool.routing.reachability import UpstreamReachability
 from almondspool.routing.replicas import ReplicaRegistry
 from almondspool.routing.retry_budget import RetryBudget, RetryBudgetLimits
 from almondspool.routing.route_latencies import RouteLatencies
@@ -43,6 +44,7 @@
 from almondspool.state.routes import CallerLimits
 from almondspool.transport.caller_server import CallerServer
 from almondspool.transport.event_loop_lag import EventLoopLagMonitor
+from almondspool.transport.hub_socket import ConnectFailure
 from almondspool.transport.route_metrics import RouteMetrics
 from almondspool.transport.upstream_pools import UpstreamPools
 
@@ -236,7 +238,9 @@
 
     def _build_routing(self) -> None:
         now = self._timers.now
-        self._pools = UpstreamPools(self._codec, now, self._connection_quota)
+        self._pools = UpstreamPools(
+            self._codec, now, self._connection_quota, self._record_connect
+        )
         self._selector = ReplicaSelector(
             self._settings.zone,
             self._pools,
@@ -248,6 +252,14 @@
         self._registry = ReplicaRegistry(
             self._log, self._remove_replica, self._settings.entry_times
         )
+        self._reachability = UpstreamReachability(
+            self._timers,
+            self._rng,
+            self._registry.all,
+            self._pools.connect,
+            lambda is_isolated: None,
+            self._log,
+        )
         self._budget = RetryBudget(_retry_budget_limits(self._settings))
         self._budget.set_share_divisor(self._shares.share_divisor(now()))
         self._placement = Placement(
@@ -368,6 +380,12 @@
             self._timers.now(), service.max_connections, replica
         )
 
+    def _record_connect(self, replica_id: str, failure: ConnectFailure | None) -> None:
+        self._metrics.record_connect(failure.value if failure else "connected")
+        # A reset connection was accepted before, so that the upstream is reachable.
+        is_connected = failure in (None, ConnectFailure.RESET)
+        self._reachability.record_connect(replica_id, is_connected)
+
     def _remove_replica(self, replica_id: str) -> None:
         self._pools.retire(replica_id)
         self._selector.forget(replica_id)
--- a/almondspool/transport/route_metrics.py
+++ b/almondspool/transport/route_metrics.py
@@ -163,6 +163,12 @@
             ["verb", "code"],
             registry=self.registry,
         )
+        self.upstream_connects = Counter(
+            "almondspool_upstream_connects",
+            "Attempts to connect to upstreams by result.",
+            ["result"],
+            registry=self.registry,
+        )
         self.invalid_entries = Counter(
             "almondspool_bad_entries",
             "Entries of searchers that describe none.",
@@ -230,6 +236,10 @@
         """Count a call to an instance that watches the store."""
         self.watcher_calls.labels(verb, code.name).inc()
 
+    def record_connect(self, result: str) -> None:
+        """Count an attempt to connect to an upstream, by its result."""
+        self.upstream_connects.labels(result).inc()
+
     def record_rejected(self, status: int) -> None:
         """Count an invalid request of a caller, by the HTTP status of its rejection."""
         self.rejected_requests.labels(str(status)).inc()
--- a/almondspool/transport/upstream_pools.py
+++ b/almondspool/transport/upstream_pools.py
@@ -173,6 +173,7 @@
 
         def finish(sock: socket.socket | None, failure: ConnectFailure | None) -> None:
             self._connecting.discard(attempt[0])
+            self._owner.record_connect(self.replica.replica_id, failure)
             self._on_connected(sock, failure)
             if on_end is not None:
                 on_end(failure)
@@ -291,6 +292,10 @@
             self.preconnect_after = now + PRECONNECT_RETRY_DELAY_S
 
 
+def _ignore_connect(_replica_id: str, _failure: ConnectFailure | None) -> None:
+    """Do nothing."""
+
+
 class UpstreamPools(LegSender):
     """Sends legs over pooled connections, up to a quota of each replica.
 
@@ -299,6 +304,7 @@
         clock: Returns monotonic seconds.
         connect_attempts: Number of attempts to open a connection.
         buffer_usage: Counter of bytes received for unfinished replies.
+        record_connect: Called at the end of each attempt to connect.
     """
 
     def __init__(
@@ -306,6 +312,7 @@
         codec: HeaderCodec,
         clock: Callable[[], float],
         quota: Callable[[Replica], int],
+        record_connect: Callable[[str, ConnectFailure | None], None] = _ignore_connect,
     ) -> None:
         """Create the pools without connections.
 
@@ -313,7 +320,10 @@
             codec: Encodes and decodes the upstreams' headers.
             clock: Returns monotonic seconds.
             quota: Returns the maximum number of open connections to a replica.
+            record_connect: Called with the replica's id and the failure, or None, at
+                the end of each attempt to connect.
         """
+        self.record_connect = record_connect
         self.codec = codec
         self.clock = clock
         self._quota = quota
@@ -366,6 +376,10 @@
         hubs.get_hub().schedule_call_global(PROBE_TIMEOUT_S, report, None)
         self._pool(replica).connect(report)
 
+    def connect(self, replica: Replica, on_end: Callable[[bool], None]) -> None:
+        """Open a connection, whatever the quota, and report whether it succeeded."""
+        self._pool(replica).connect(lambda failure: on_end(failure is None))
+
     def drop_waiting(self, replica: Replica) -> None:
         """End the sends that wait for a connection to a replica with NOT_SENT."""
         pool = self._pools_by_id.get(replica.replica_id)
