Show that callers of an instance without upstreams are not served

The stand-in hosted_links runs the platform's daemon with links to upstreams that hang, are reset or refuse new connections.

--- a/almondspool/standins/hosted_cluster.py
+++ b/almondspool/standins/hosted_cluster.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from almondspool.platform.settings import SETTINGS_VARIABLE
+from almondspool.standins.hosted_cuts import CUT_SUFFIX, UpstreamCut
 from almondspool.standins.hosted_searchers import (
     Behaviour,
     SearcherPlan,
@@ -281,6 +282,22 @@
             f"http://{self._searcher_control_address}/", msgspec.to_builtins(behaviour)
         )
 
+    def cut_off(self, name: str, mode: str) -> None:
+        """Cut an instance off from all searchers.
+
+        The cluster must run the daemon of the module hosted_links.
+
+        Args:
+            name: The instance.
+            mode: How its links are cut, see UpstreamCut; empty to restore them.
+        """
+        path = self.directory / f"{name}{CUT_SUFFIX}"
+        if not mode:
+            path.unlink(missing_ok=True)
+            return
+        addresses = [each.address for each in self.searchers_by_id.values()]
+        path.write_bytes(msgspec.json.encode(UpstreamCut(mode, addresses)))
+
     def read_journal(self) -> list[dict]:
         """Return the journal entries that the searchers have written so far."""
         lines = self.journal_path.read_bytes().splitlines()
