Report no crashed upstreams while none can be connected to

Requests that ran on an instance when its connections were reset were refused by all instances for two minutes as requests that crash upstreams.

Cause: a broken connection whose upstream then refuses a new one counts as a crash. An instance that loses the path to all upstreams sees that of each, and reports it to the others.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -285,6 +285,7 @@
             self._membership.broadcast,
             self._registry.is_leaving,
             self._log,
+            self._reachability.check,
         )
         context = RoutingContext(
             timers=self._timers,
--- a/almondspool/routing/crashes.py
+++ b/almondspool/routing/crashes.py
@@ -2,7 +2,7 @@
 
 A connection that breaks while a request runs does not prove that the upstream crashed:
 perhaps only the reply was lost. An upstream counts as crashed if it then refuses a new
-connection.
+connection while others accept one: if none does, the path to all of them is cut.
 """
 
 from __future__ import annotations
@@ -35,6 +35,10 @@
     return content_hash.hexdigest()
 
 
+def _assume_reachable(on_result: Callable[[bool], None]) -> None:
+    on_result(True)
+
+
 class CrashDetector:
     """Probes upstreams after broken connections and quarantines crashing requests."""
 
@@ -45,6 +49,7 @@
         publish: Callable[[Suspicion], None],
         is_leaving: Callable[[Replica], bool],
         log: EventLog,
+        check_reachable: Callable[[Callable[[bool], None]], None] = _assume_reachable,
     ) -> None:
         """Start without suspicions.
 
@@ -57,7 +62,10 @@
             is_leaving: Returns whether an upstream announced its shutdown. A broken
                 connection is then no crash, and the upstream is not probed.
             log: The event log.
+            check_reachable: Calls back with whether other upstreams can be connected
+                to. If not, a refused connection shows no crash.
         """
+        self._check_reachable = check_reachable
         self._epoch_ms = epoch_ms
         self._probe = probe
         self._publish = publish
@@ -93,11 +101,17 @@
 
         def on_probed(is_refused: bool) -> None:
             if is_refused:
+                self._check_reachable(on_checked)
+            else:
+                on_result(False)
+
+        def on_checked(are_others_reachable: bool) -> None:
+            if are_others_reachable:
                 self._record_crash(replica, fingerprint)
-            on_result(is_refused)
+            on_result(are_others_reachable)
 
         if self._is_leaving(replica):
-            on_probed(False)
+            on_result(False)
             return
         self._probe(replica, on_probed)
 
--- a/almondspool/routing/reachability.py
+++ b/almondspool/routing/reachability.py
@@ -103,6 +103,29 @@
             )
             self._probe(SUSPICION_PROBES)
 
+    def check(self, on_result: Callable[[bool], None]) -> None:
+        """Call back with whether some upstream can be connected to now."""
+        if self.is_isolated:
+            on_result(False)
+            return
+        is_reported = [False]
+
+        def report(is_connected: bool) -> None:
+            if not is_reported[0]:
+                is_reported[0] = True
+                on_result(is_connected)
+
+        def on_probed(is_connected: bool) -> None:
+            pending[0] -= 1
+            if is_connected or not pending[0]:
+                report(is_connected)
+
+        replicas = self._choose_replicas(PROBED_REPLICAS)
+        pending = [len(replicas)]
+        self._timers.call_later(PROBE_TIMEOUT_S, lambda: report(False))
+        for replica in replicas:
+            self._connect(replica, on_probed)
+
     def _probe(self, count: int) -> None:
         """Connect to some replicas, those that have not failed first."""
         replicas = self._choose_replicas(count)
