Refuse at once what no instance can serve

Cause: with no other instance to relay to, an isolated instance ran requests as before. Change: such an instance runs a request only if enough of its shards, or its service, have an idle connection, and otherwise refuses it with 503 and Retry-After.

--- a/almondspool/routing/fan_out.py
+++ b/almondspool/routing/fan_out.py
@@ -82,7 +82,7 @@
         self._unsettled_count = len(self._shards)
         # Shards with a partial result, and how many of them an answer needs.
         self._answered_count = 0
-        self._required_count = _required_shard_count(route, len(self._shards))
+        self._required_count = required_shard_count(route, len(self._shards))
         network_delay_s = request.network_delay_s or DEFAULT_NETWORK_DELAY_S
         # When a partial answer must be sent to arrive within the latency target.
         self._latency_target_at = (
@@ -440,7 +440,7 @@
     ]
 
 
-def _required_shard_count(route: Route, shard_count: int) -> int:
+def required_shard_count(route: Route, shard_count: int) -> int:
     """Return the smallest number of partial results with the minimum coverage."""
     required = max(1, int(route.min_coverage * shard_count))
     while required < shard_count and required / shard_count < route.min_coverage:
--- a/almondspool/routing/router.py
+++ b/almondspool/routing/router.py
@@ -9,12 +9,13 @@
 from almondspool.protocol.exchange import (
     COMPLETED_REQUEST,
     Answer,
+    ConnectionState,
     LegRequest,
     RequestHandle,
 )
 from almondspool.routing.context import DEFAULT_NETWORK_DELAY_S
 from almondspool.routing.crashes import request_fingerprint
-from almondspool.routing.fan_out import SearchFanOut
+from almondspool.routing.fan_out import SearchFanOut, required_shard_count
 from almondspool.routing.forward import SingleUpstreamRequest
 from almondspool.routing.outcome import Outcome, refusal_answer
 from almondspool.routing.relay import RelayedRequest, is_relayed_accepted
@@ -209,6 +210,9 @@
             )
             self._end(request, route, table.version, outcome, answer)
             return COMPLETED_REQUEST
+        if not self._can_be_served(route):
+            self._refuse(request, answer, ResultCode.NOT_RUN_NO_UPSTREAM)
+            return COMPLETED_REQUEST
         if is_relayed and not is_relayed_accepted(
             self._context.utilization.value(),
             self._context.admission.is_most_urgent(route),
@@ -217,6 +221,28 @@
             return COMPLETED_REQUEST
         return self._start(request, route, table.version, answer, is_relayed)
 
+    def _can_be_served(self, route: Route) -> bool:
+        """Return whether a request can be served here or by another instance.
+
+        Without a path for new connections it can be served on open ones only.
+        """
+        if self._relay is None or not self._relay.is_isolated():
+            return True
+        if self._relay.is_needed():
+            return True
+        services = route.shards or [each.service for each in route.weighted_services]
+        connected_count = sum(self._has_idle_connection(each) for each in services)
+        if route.is_search:
+            return connected_count >= required_shard_count(route, len(route.shards))
+        return connected_count > 0
+
+    def _has_idle_connection(self, service: str) -> bool:
+        context = self._context
+        return any(
+            context.sender.connection_state(replica) is ConnectionState.IDLE
+            for replica in context.registry.usable(service)
+        )
+
     def relay_repeatable(self) -> None:
         """Relay the idempotent requests that are being run, as no upstream is reached.
 
--- a/tests/routing/test_stranded.py
+++ b/tests/routing/test_stranded.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from almondspool.protocol.exchange import ConnectionState
 from almondspool.routing.relay import (
     MAX_LOCAL_UTILIZATION,
     MAX_RELAY_PEERS,
@@ -134,6 +135,20 @@
         fleet.play(0.5, 0.05)
         self.assertEqual([], fleet.peers.sent)
 
+    def test_request_that_no_instance_can_serve_is_refused_at_once(self):
+        fleet = self.make_fleet()
+        fleet.cut.update(fleet.harness_by_name)
+        fleet.play(STABLE_S, 0.05)
+        harness = fleet.harness_by_name["instance-0"]
+        for replica in harness.registry.all():
+            state = ConnectionState.CONNECT
+            harness.sender.connection_state_by_id[replica.replica_id] = state
+        for path in ("/sweep/1", "/fetch/1"):
+            answers = fleet.send("instance-0", "unserved", path=path)
+            self.assertEqual([503], [answer.status for _, answer in answers])
+            retry_after_s = float(harness.header(answers[0][1], "Retry-After"))
+            self.assertTrue(retry_after_s > 0.0)
+
     def test_isolated_instances_probe_with_few_connections(self):
         fleet = self.isolate(self.make_fleet(cut=("instance-0",)))
         fleet.connect_count = 0
