Let the stand-in searchers write their entries at positions

Cause: conditional writes take a position since member records are written again after a restore; the stand-in searchers still passed a revision, and their process ended at the first change of an entry. Change: a stored object has the position of its last change, and the searchers pass it.

--- a/almondspool/platform/object_store_platform.py
+++ b/almondspool/platform/object_store_platform.py
@@ -149,7 +149,7 @@
     return PlatformObject(
         kind,
         stored_object.name,
-        StorePosition(stored_object.history, stored_object.revision).to_int(),
+        stored_object.position.to_int(),
         value,
         stored_object.is_deleted,
     )
--- a/almondspool/platform/store.py
+++ b/almondspool/platform/store.py
@@ -105,6 +105,11 @@
     is_deleted: bool = False
     history: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        """Return the position of the last change."""
+        return StorePosition(self.history, self.revision)
+
 
 class StoredList(NamedTuple):
     """All objects of a kind, and the position from which to watch it.
--- a/almondspool/standins/hosted_searchers.py
+++ b/almondspool/standins/hosted_searchers.py
@@ -272,9 +272,9 @@
                 self._store.create("servers", replica_id, searcher.entry())
             return
         if not searcher.behaviour.is_listed:
-            self._store.delete("servers", replica_id, found.revision)
+            self._store.delete("servers", replica_id, found.position)
         elif found.spec != searcher.entry():
-            self._store.replace("servers", replica_id, searcher.entry(), found.revision)
+            self._store.replace("servers", replica_id, searcher.entry(), found.position)
 
     def _set_behaviour(self, request: CallerRequest, answer: Callable) -> RequestHandle:
         behaviour = msgspec.json.decode(request.body, type=Behaviour)
