Do not relay to instances of a zone that is isolated as a whole

Cause: as the instances that had requests lost their readiness, others of the zone took their place in the serving set, which had no requests, and so had not noticed that they were cut off too. Requests were relayed to them first, as they are in the same zone, and refused after three that answered that they are isolated.

Evidence: front-perth-hills-27 takes its place at 19.6 s, is lost at 26.2 s with its first search, and relays to hills-21, hills-3 and hills-37, all isolated; 203 answers with 421.

An instance that answers that it is isolated is avoided for 3 s, and its zone with it where there are others.

--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -58,7 +58,7 @@
 
     from almondspool.logs import EventLog
     from almondspool.platform.settings import PlatformSettings
-    from almondspool.state.members import Member
+    from almondspool.state.members import Member, View
     from almondspool.state.routes import Replica, RouteTable
     from almondspool.transport.hub_timers import HubTimers
 
@@ -100,6 +100,8 @@
         self._last_recorded_members: tuple[Member, ...] = ()
         # The store's history that the own record was written to.
         self._recorded_history = 0
+        # Sessions of the instances that were ready, to notice those that no longer are.
+        self._ready_session_by_instance: dict[str, int] = {}
         # Instances to relay requests to while no upstream can be reached.
         self._relay_peers: tuple[RelayPeer, ...] = ()
         self._is_rebalance_pending = False
@@ -423,6 +425,20 @@
             self._selector.end_pauses()
             self._preconnect_replicas()
 
+    def _check_isolated_members(self, view: View) -> None:
+        """Notice members that run on but can no longer serve callers."""
+        ready_sessions = self._ready_session_by_instance
+        unready_count = sum(
+            not member.ready and ready_sessions.get(member.instance) == member.session
+            for member in view.present()
+            if member.instance != self._settings.instance
+        )
+        if unready_count:
+            self._reachability.on_peer_isolated()
+        self._ready_session_by_instance = {
+            member.instance: member.session for member in view.serving()
+        }
+
     def _update_relay_peers(self) -> None:
         """Update the instances that can serve the callers of this one."""
         settings = self._settings
@@ -457,6 +473,7 @@
         self._watcher_selector.update(
             {member.instance: member.zone for member in serving}
         )
+        self._check_isolated_members(view)
         self._last_recorded_members = self._membership.recorded_members()
         change = self._placement.update(
             now,
--- a/almondspool/routing/reachability.py
+++ b/almondspool/routing/reachability.py
@@ -29,6 +29,11 @@
 SUSPICION_INTERVAL_S = 1.0
 # Replicas probed at once while isolated, and to check a crash.
 PROBED_REPLICAS = 4
+# Longest delay of the probes of an instance that learns that another one is isolated,
+# so that those of a large fleet do not probe all at once.
+MAX_HINT_DELAY_S = 0.3
+# Shortest interval between probes for this reason.
+HINT_INTERVAL_S = 2.0
 # Interval of the probes while isolated, varied by a random factor of 0.5 to 1.5 so that
 # the instances of a zone do not all return at once.
 PROBE_INTERVAL_S = 0.5
@@ -75,6 +80,8 @@
         self._connected_at = timers.now()
         # Replicas that could not be connected to since the last connection to any.
         self._failed_ids: set[str] = set()
+        # When probes were last sent because another instance was isolated.
+        self._hinted_at = -math.inf
         # When a suspicion was last found to be wrong.
         self._refuted_at = -math.inf
         self._is_probing = False
@@ -103,6 +110,22 @@
             )
             self._probe(SUSPICION_PROBES)
 
+    def on_peer_isolated(self) -> None:
+        """Probe some replicas soon, as another instance has lost all upstreams.
+
+        An instance without requests would otherwise not notice that it has lost them
+        too, and would be chosen in place of the other.
+        """
+        now = self._timers.now()
+        if now - self._hinted_at >= HINT_INTERVAL_S:
+            self._hinted_at = now
+            delay_s = self._rng.uniform(0.0, MAX_HINT_DELAY_S)
+            self._timers.call_later(delay_s, self._probe_if_unknown)
+
+    def _probe_if_unknown(self) -> None:
+        if not self._is_probing and not self.is_isolated:
+            self._probe(SUSPICION_PROBES)
+
     def check(self, on_result: Callable[[bool], None]) -> None:
         """Call back with whether some upstream can be connected to now."""
         if self.is_isolated:
--- a/almondspool/routing/relay.py
+++ b/almondspool/routing/relay.py
@@ -43,7 +43,11 @@
 # routes: it has its own callers, too.
 MAX_RELAYED_UTILIZATION = 0.75
 # Instances tried, one after the other, while none has run the request.
-MAX_RELAY_ATTEMPTS = 3
+MAX_RELAY_ATTEMPTS = 4
+# How long an instance that was not reached, or is isolated too, is avoided, and the
+# zone of one that is isolated: a partition often hits a whole zone, and the membership
+# shows that after some heartbeats only.
+AVOID_S = 3.0
 _AVAILABLE_STATES = (ConnectionState.IDLE, ConnectionState.CONNECT)
 
 
@@ -65,6 +69,33 @@
     version: int
 
 
+class AvoidedPeers:
+    """Instances and zones to which requests could not be relayed recently."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._until_by_instance: dict[str, float] = {}
+        self._until_by_zone: dict[str, float] = {}
+
+    def record(self, now: float, instance: str, zone: str, is_isolated: bool) -> None:
+        """Avoid an instance for AVOID_S, and its zone if the instance is isolated."""
+        self._until_by_instance[instance] = now + AVOID_S
+        if is_isolated:
+            self._until_by_zone[zone] = now + AVOID_S
+
+    def filter(self, now: float, peers: Sequence[RelayPeer]) -> list[RelayPeer]:
+        """Return the peers that are not avoided, without their zones if possible."""
+        usable = [
+            peer
+            for peer in peers
+            if self._until_by_instance.get(peer.instance, 0) <= now
+        ]
+        elsewhere = [
+            peer for peer in usable if self._until_by_zone.get(peer.zone, 0.0) <= now
+        ]
+        return elsewhere or usable
+
+
 def rank_peers(
     peers: Iterable[RelayPeer], instance: str, zone: str, version: int
 ) -> list[RelayPeer]:
@@ -129,22 +160,31 @@
         self.is_isolated = is_isolated
         self._peers = peers
         self._rng = rng
+        self._avoided = AvoidedPeers()
 
     def is_needed(self) -> bool:
         """Return whether requests are to be relayed, and an instance can serve them."""
         return self.is_isolated() and bool(self._peers())
 
-    def choose(self, version: int, tried: Collection[str]) -> Replica | None:
+    def record_failure(self, now: float, target: Replica, is_isolated: bool) -> None:
+        """Avoid an instance that was not reached, or that is isolated too."""
+        self._avoided.record(now, target.replica_id, target.zone, is_isolated)
+
+    def choose(
+        self, now: float, version: int, tried: Collection[str]
+    ) -> Replica | None:
         """Return an instance to relay to, as the sender addresses it, or None.
 
         Of two random ones the less busy is chosen.
 
         Args:
+            now: Monotonic seconds.
             version: Version of the configuration in force here.
             tried: Names of the instances that could not be connected to.
         """
         untried = [peer for peer in self._peers() if peer.instance not in tried]
-        ranked = rank_peers(untried, self._instance, self._zone, version)
+        usable = self._avoided.filter(now, untried) or untried
+        ranked = rank_peers(usable, self._instance, self._zone, version)
         available = [
             peer
             for peer in ranked
@@ -197,7 +237,7 @@
     def _send(self, now: float, refusal_reason: str) -> None:
         target = None
         if len(self._tried) < MAX_RELAY_ATTEMPTS:
-            target = self._relay.choose(self._version, self._tried)
+            target = self._relay.choose(now, self._version, self._tried)
         if target is None:
             self._refuse(refusal_reason)
             return
@@ -231,6 +271,8 @@
         )
         if reply.outcome in (LegOutcome.NOT_SENT, LegOutcome.MISDIRECTED):
             # The other instance was not reached, or is isolated too.
+            is_isolated = reply.outcome is LegOutcome.MISDIRECTED
+            self._relay.record_failure(now, leg.replica, is_isolated)
             self._send(now, "not_relayed")
         elif reply.status:
             self._forward_reply(leg, reply)
--- a/tests/routing/test_reachability.py
+++ b/tests/routing/test_reachability.py
@@ -7,6 +7,7 @@
 from almondspool.logs import EventLog
 from almondspool.routing.crashes import CrashDetector
 from almondspool.routing.reachability import (
+    HINT_INTERVAL_S,
     MIN_FAILED_REPLICAS,
     PROBE_INTERVAL_S,
     PROBED_REPLICAS,
@@ -72,6 +73,20 @@
         self.assertTrue(self.reachability.is_isolated)
         self.assertEqual(SUSPICION_PROBES, len(self.attempts))
 
+    def test_instance_without_requests_is_isolated_after_another_one(self):
+        self.down = {replica.replica_id for replica in self.replicas}
+        self.reachability.on_peer_isolated()
+        self.timers.advance(0.5)
+        self.assertEqual([True], self.changes)
+
+    def test_isolated_peers_cost_few_probes(self):
+        for _ in range(40):
+            self.reachability.on_peer_isolated()
+            self.timers.advance(0.1)
+        self.assertEqual([], self.changes)
+        rounds = 4.0 / HINT_INTERVAL_S
+        self.assertTrue(len(self.attempts) <= rounds * SUSPICION_PROBES)
+
     def test_lost_shard_does_not_isolate(self):
         self.down = {replica.replica_id for replica in self.replicas[:3]}
         for _ in range(20):
--- a/tests/routing/test_stranded.py
+++ b/tests/routing/test_stranded.py
@@ -7,8 +7,10 @@
 
 from almondspool.protocol.exchange import ConnectionState
 from almondspool.routing.relay import (
+    AVOID_S,
     MAX_LOCAL_UTILIZATION,
     MAX_RELAY_PEERS,
+    AvoidedPeers,
     RelayPeer,
     is_relayed_accepted,
     rank_peers,
@@ -193,6 +195,26 @@
         self.assertEqual(set(current), set(ranked))
         self.assertEqual(3, len(rank_peers(older, "cut", "other", 2)))
 
+    def test_zone_of_an_isolated_instance_is_avoided_for_some_time(self):
+        peers = self.make_peers(9)
+        avoided = AvoidedPeers()
+        avoided.record(10.0, "i-0", "north", is_isolated=True)
+        zones = {peer.zone for peer in avoided.filter(10.5, peers)}
+        self.assertEqual({"south", "hills"}, zones)
+        self.assertEqual(peers, avoided.filter(10.0 + AVOID_S, peers))
+
+    def test_other_instances_of_avoided_zones_are_used_if_there_are_no_others(self):
+        peers = [peer for peer in self.make_peers(9) if peer.zone == "north"]
+        avoided = AvoidedPeers()
+        avoided.record(10.0, "i-0", "north", is_isolated=True)
+        self.assertEqual(peers[1:], avoided.filter(10.5, peers))
+
+    def test_instance_that_was_not_reached_is_avoided_without_its_zone(self):
+        peers = self.make_peers(9)
+        avoided = AvoidedPeers()
+        avoided.record(10.0, "i-0", "north", is_isolated=False)
+        self.assertEqual(peers[1:], avoided.filter(10.5, peers))
+
     def test_saturated_instance_accepts_the_most_urgent_requests_only(self):
         self.assertTrue(is_relayed_accepted(1.0, is_most_urgent=True))
         self.assertFalse(is_relayed_accepted(1.0, is_most_urgent=False))
