Soak: restore the store to a copy, and strand instances

The soak returns the store to a copy made up to six seconds before and writes the newest configuration again, and cuts instances off from all searchers in three ways; each run ends with an instance that is cut off for seven seconds, whose callers must be served two thirds as often as those of the others in the last three. The new faults come from a random stream of their own, so that kept seeds have the faults with which they failed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,6 +30,8 @@
 LIMIT_EXTRA = 5
 # Nearly every request must be served after the last fault; callers retry the others.
 MIN_SERVED_SHARE = 0.95
+# Callers of an instance without searchers must be served this share as often as others.
+MIN_STRANDED_SHARE = 2.0 / 3.0
 
 
 class Attempt(NamedTuple):
@@ -94,6 +96,22 @@
     ended_at: float
 
 
+class StrandedPeriod(NamedTuple):
+    """Period in which one instance reached no searcher, after it had time to notice.
+
+    Attributes:
+        instance: Name of the instance.
+        mode: How its links were cut.
+        started_at: Start of the period, in seconds since the epoch.
+        ended_at: End of the period, in seconds since the epoch.
+    """
+
+    instance: str
+    mode: str
+    started_at: float
+    ended_at: float
+
+
 def wrong_answers(attempts: Iterable[Attempt], shards: Sequence[str]) -> list[str]:
     """Return a description of each answer with status 200 that is incorrect.
 
@@ -236,3 +254,24 @@
     if attempts and served >= MIN_SERVED_SHARE * len(attempts):
         return []
     return [f"{served} of {len(attempts)} requests served after the last fault"]
+
+
+def stranded_problems(
+    attempts: Iterable[Attempt], period: StrandedPeriod | None
+) -> list[str]:
+    """Return one problem if callers of an instance without searchers fared badly."""
+    if period is None:
+        return []
+    sent = [
+        attempt
+        for attempt in attempts
+        if period.started_at <= attempt.sent_at < period.ended_at
+    ]
+    stranded = [each.status == 200 for each in sent if each.instance == period.instance]
+    others = [each.status == 200 for each in sent if each.instance != period.instance]
+    if not stranded or not others:
+        return [f"no requests to compare: {len(stranded)}, {len(others)}"]
+    share, others_share = sum(stranded) / len(stranded), sum(others) / len(others)
+    if share >= MIN_STRANDED_SHARE * others_share:
+        return []
+    return [f"{period.mode}: {share:.2f} served, elsewhere {others_share:.2f}"]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,12 @@
 MAX_FURTHER_GAP_S = 4.0
 # Longer than a searcher that has left may be used.
 FURTHER_DURATION_S = 6.0
+# Returns to a copy made at the start of the fault.
+RESTORE = "restore"
+# How an instance is cut off from all searchers, as in UpstreamCut.
+STRANDED_MODES = ("hang", "reset", "refuse")
+MIN_RARE_GAP_S = 5.0
+MAX_RARE_GAP_S = 12.0
 
 
 class Fault(NamedTuple):
@@ -74,6 +80,7 @@
         faults.append(Fault(starts_at_s, duration_s, area, kind, rng.randrange(1000)))
         starts_at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
     faults += _plan_further_faults(random.Random(f"further/{seed}"), run_duration_s)
+    faults += _plan_rare_faults(random.Random(f"rare/{seed}"), run_duration_s)
     return sorted(faults)
 
 
@@ -86,3 +93,17 @@
         faults.append(Fault(starts_at_s, FURTHER_DURATION_S, "searcher", kind, number))
         starts_at_s += rng.uniform(MIN_FURTHER_GAP_S, MAX_FURTHER_GAP_S)
     return faults
+
+
+def _plan_rare_faults(rng: random.Random, run_duration_s: float) -> list[Fault]:
+    """Return restores of the store, and instances that lose all searchers."""
+    faults = []
+    starts_at_s = rng.uniform(0.0, MIN_RARE_GAP_S)
+    while starts_at_s < run_duration_s - FURTHER_DURATION_S:
+        area, kind = rng.choice(
+            (("store", RESTORE), *(("instance", mode) for mode in STRANDED_MODES))
+        )
+        duration_s = rng.uniform(MIN_DURATION_S, FURTHER_DURATION_S)
+        faults.append(Fault(starts_at_s, duration_s, area, kind, rng.randrange(1000)))
+        starts_at_s += rng.uniform(MIN_RARE_GAP_S, MAX_RARE_GAP_S)
+    return faults
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,8 +17,8 @@
 from almondspool.standins.ports import loopback_address
 from almondspool.standins.processes import ChildProcess, StartError
 from soak import checks
-from soak.checks import Attempt, Drain, LimitedPeriod
-from soak.faults import FURTHER_DURATION_S, plan_faults
+from soak.checks import Attempt, Drain, LimitedPeriod, StrandedPeriod
+from soak.faults import FURTHER_DURATION_S, RESTORE, STRANDED_MODES, plan_faults
 from soak.proxy import LinkPlan, ProxyPlan
 
 if TYPE_CHECKING:
@@ -41,6 +41,9 @@
 SILENCE_S = 1.5
 # Changes in the store must be read in time again this long after an outage.
 STABLE_S = 4.0
+# For how long an instance is cut off from all searchers at the end of a run, after the
+# time that it has to notice that.
+STRANDED_CHECK_S = 3.0
 # The grace period in which a terminated instance exits, plus a margin.
 SHUTDOWN_TIMEOUT_S = 5.0
 # Requests a second that a limited searcher accepts; it gets many times as many without
@@ -70,6 +73,7 @@
             self._add_store_link,
             self._add_link,
             spare_ports=SPARE_PORTS + instances,
+            daemon_module="almondspool.standins.hosted_links",
         )
         self._control_address = loopback_address(next(self.cluster.spare_ports))
         self._http = urllib3.PoolManager(retries=False)
@@ -84,6 +88,7 @@
         # Instances that were sent SIGTERM.
         self._terminated_names: set[str] = set()
         self._limited_periods: list[LimitedPeriod] = []
+        self._stranded_period: StrandedPeriod | None = None
         # Start of each drain, in seconds since the epoch, by the searcher's id.
         self._drain_started_at_by_id: dict[str, float] = {}
         self._limit_started_at_by_id: dict[str, float] = {}
@@ -131,6 +136,7 @@
             "exceeded limit": checks.exceeded_limits(runs, self._limited_periods),
             "configuration rollback": checks.configuration_rollbacks(attempts),
             "not recovered": checks.recovery_problems(after_recovery),
+            "stranded": checks.stranded_problems(attempts, self._stranded_period),
         }
         return [
             f"{name}: {problem}"
@@ -191,6 +197,7 @@
         self._recovery_check_starts_at = time.time()
         time.sleep(RECOVERY_CHECK_S)
         self._leave_after_silence()
+        self._strand_instance()
         self._is_finished = True
         for thread in threads:
             thread.join(CALL_TIMEOUT_S + 1.0)
@@ -210,9 +217,22 @@
         self._end_searcher_fault(leaving_id)
         self._end_searcher_fault(changed_id)
 
+    def _strand_instance(self) -> None:
+        """Cut an instance off from all searchers, in a way that depends on the seed."""
+        name = next(iter(self.cluster.instances_by_name))
+        mode = STRANDED_MODES[len(self._faults) % len(STRANDED_MODES)]
+        self.cluster.cut_off(name, mode)
+        time.sleep(STABLE_S)
+        stable_at = time.time()
+        time.sleep(STRANDED_CHECK_S)
+        self._stranded_period = StrandedPeriod(name, mode, stable_at, time.time())
+        self.cluster.cut_off(name, "")
+
     def _start_fault(self, fault: Fault) -> None:
         name = self._target_name(fault)
-        if fault.area == "instance":
+        if fault.area == "instance" and fault.kind in STRANDED_MODES:
+            self.cluster.cut_off(name, fault.kind)
+        elif fault.area == "instance":
             signals_by_kind = {"kill": signal.SIGKILL, "stop": signal.SIGTERM}
             signal_number = signals_by_kind.get(fault.kind, signal.SIGSTOP)
             if fault.kind == "stop":
@@ -223,6 +243,7 @@
             commands_by_kind = {
                 "lapse": {"lapse": "servers"},
                 "forget": {"forget_history": True},
+                RESTORE: {"copy": True},
             }
             command = commands_by_kind.get(fault.kind, {"mode": fault.kind})
             self.cluster.set_store_fault(**command)
@@ -237,7 +258,11 @@
 
     def _end_fault(self, fault: Fault) -> None:
         name = self._target_name(fault)
-        if fault.area == "instance":
+        if fault.area == "instance" and fault.kind in STRANDED_MODES:
+            self.cluster.cut_off(name, "")
+        elif fault.area == "store" and fault.kind == RESTORE:
+            self._restore_store()
+        elif fault.area == "instance":
             self._resume_or_restart(name)
             self._store_reachable_since = time.time()
         elif fault.area == "store":
@@ -249,6 +274,16 @@
         elif fault.area == "searcher":
             self._end_searcher_fault(name)
 
+    def _restore_store(self) -> None:
+        """Return the store to its copy, and write the newest configuration again."""
+        self.cluster.set_store_fault(restore=True)
+        try:
+            self.cluster.write_configuration()
+        except (RuntimeError, urllib3.exceptions.HTTPError) as error:
+            # Another fault makes the store unavailable.
+            print(f"configuration not written again: {error}", flush=True)
+        self._store_reachable_since = time.time()
+
     def _end_all_faults(self) -> None:
         self.cluster.set_store_fault(mode="up")
         for link in self._links:
