Give the gauges of the metrics test their new field

Cause: RouteGauges has the field isolated since requests are relayed; the test builds one without it, so that its module, and with it the job of all tests without processes, could not be loaded. Change: the test gives the field.

--- a/tests/transport/test_route_metrics.py
+++ b/tests/transport/test_route_metrics.py
@@ -15,6 +15,7 @@
     budget_left=11.0,
     longest_turn_s=0.25,
     serving=9,
+    isolated=0,
 )
 
 
