Correct what is said of lost member records, and remove what nothing calls

A lost record is created by its next regular write, every 300 s and longer in large fleets; before that write failed for good. Behaviour stays as it is.

--- a/almondspool/coordination/membership/membership_task.py
+++ b/almondspool/coordination/membership/membership_task.py
@@ -171,10 +171,6 @@
             )
         )
 
-    def on_records_lost(self) -> None:
-        """Write the own record again soon, as the platform may have lost it."""
-        self._post(self._membership.on_record_lost)
-
     def announce_leaving(self) -> None:
         """Announce that this instance is leaving; return once the messages are sent."""
         done = event.Event()
--- a/almondspool/platform/application.py
+++ b/almondspool/platform/application.py
@@ -98,8 +98,6 @@
         )
         self._shares = FleetShares(settings.instance, settings.zone, timers.now())
         self._last_recorded_members: tuple[Member, ...] = ()
-        # The store's history that the own record was written to.
-        self._recorded_history = 0
         # Sessions of the instances that were ready, to notice those that no longer are.
         self._ready_session_by_instance: dict[str, int] = {}
         # Instances to relay requests to while no upstream can be reached.
